--- /dev/null
+++ b/core/yuccafake/link.go
@@ -0,0 +1,229 @@
+package yuccafake
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+)
+
+// Line is how a Link treats what passes through it.
+type Line struct {
+	// Delay is added each way.
+	Delay time.Duration `json:"delay"`
+	// Rate bounds the bytes per second each way; zero means no bound.
+	Rate int `json:"rate"`
+	// Cut refuses new connections and closes open ones.
+	Cut bool `json:"cut"`
+	// Silence swallows, without closing, all bytes of connections older than
+	// this; zero means never.
+	Silence time.Duration `json:"silence"`
+}
+
+// Link passes TCP connections on from one address to another. Make one with
+// NewLink.
+type Link struct {
+	addr, to string
+
+	mu       sync.Mutex
+	line     Line
+	limiters [2]*rate.Limiter
+	conns    map[net.Conn]struct{}
+	listener net.Listener
+	group    *errgroup.Group
+	cancel   context.CancelFunc
+}
+
+// NewLink returns a link from addr to another address that is not listening
+// yet.
+func NewLink(addr, to string, line Line) *Link {
+	l := &Link{addr: addr, to: to, conns: map[net.Conn]struct{}{}}
+	l.Set(line)
+	return l
+}
+
+// Addr returns the address it listens on, with the port filled in after Start.
+func (l *Link) Addr() string { return l.addr }
+
+// Set changes how the link treats what passes. A cut closes open connections.
+func (l *Link) Set(line Line) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.line = line
+	l.limiters = [2]*rate.Limiter{limiter(line.Rate), limiter(line.Rate)}
+	if !line.Cut {
+		return
+	}
+	for c := range l.conns {
+		_ = c.Close()
+	}
+}
+
+func limiter(bytes int) *rate.Limiter {
+	if bytes <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(bytes), max(bytes/10, chunk))
+}
+
+// Start listens.
+func (l *Link) Start() error {
+	listener, err := net.Listen("tcp", l.addr)
+	if err != nil {
+		return err
+	}
+	l.addr = listener.Addr().String()
+	l.listener = listener
+	l.group = &errgroup.Group{}
+	ctx, cancel := context.WithCancel(context.Background())
+	l.cancel = cancel
+	l.group.Go(func() error { return l.accept(ctx) })
+	return nil
+}
+
+// Close ends the link and every connection.
+func (l *Link) Close() {
+	l.cancel()
+	_ = l.listener.Close()
+	l.mu.Lock()
+	for c := range l.conns {
+		_ = c.Close()
+	}
+	l.mu.Unlock()
+	_ = l.group.Wait()
+}
+
+func (l *Link) accept(ctx context.Context) error {
+	for {
+		c, err := l.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			continue
+		}
+		l.group.Go(func() error {
+			l.join(ctx, c)
+			return nil
+		})
+	}
+}
+
+func (l *Link) join(ctx context.Context, a net.Conn) {
+	defer l.drop(a)
+	if !l.keep(a) {
+		return
+	}
+	if !wait(ctx, l.now().Delay) {
+		return
+	}
+	b, err := net.Dial("tcp", l.to)
+	if err != nil {
+		return
+	}
+	defer l.drop(b)
+	if !l.keep(b) {
+		return
+	}
+	born := time.Now()
+	both := &errgroup.Group{}
+	both.Go(func() error { return l.pump(ctx, a, b, 0, born) })
+	both.Go(func() error { return l.pump(ctx, b, a, 1, born) })
+	_ = both.Wait()
+}
+
+func (l *Link) keep(c net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
+	return !l.line.Cut
+}
+
+func (l *Link) drop(c net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+	_ = c.Close()
+}
+
+func (l *Link) now() Line {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.line
+}
+
+type packet struct {
+	due  time.Time
+	data []byte
+}
+
+const queueLength = 256
+
+// pump reads on one side and writes on the other when the delay has passed.
+func (l *Link) pump(ctx context.Context, from, to net.Conn, way int, born time.Time) error {
+	queue := make(chan packet, queueLength)
+	writer := &errgroup.Group{}
+	writer.Go(func() error { return l.deliver(ctx, queue, from, to, way) })
+	for {
+		data := make([]byte, chunk)
+		n, err := from.Read(data)
+		line := l.now()
+		silent := line.Silence > 0 && time.Since(born) > line.Silence
+		if n > 0 && !silent {
+			queue <- packet{time.Now().Add(line.Delay), data[:n]}
+		}
+		if err != nil {
+			close(queue)
+			_ = writer.Wait()
+			if silent {
+				<-ctx.Done()
+			}
+			closeWrite(to)
+			return nil
+		}
+	}
+}
+
+func closeWrite(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+}
+
+func (l *Link) deliver(ctx context.Context, queue <-chan packet, from, to net.Conn, way int) error {
+	failed := false
+	for p := range queue {
+		if failed || !wait(ctx, time.Until(p.due)) {
+			continue
+		}
+		l.mu.Lock()
+		limit := l.limiters[way]
+		l.mu.Unlock()
+		if err := limit.WaitN(ctx, len(p.data)); err != nil {
+			continue
+		}
+		if _, err := to.Write(p.data); err != nil {
+			failed = true
+			_ = from.Close()
+		}
+	}
+	return nil
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/core/yuccafake/platform_test.go
@@ -0,0 +1,92 @@
+package yuccafake_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccawell.example/core/yuccafake"
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccastore"
+)
+
+func TestConditions(t *testing.T) {
+	ctx := context.Background()
+	tests := []struct {
+		name string
+		cond func(tag string) yuccastore.Cond
+		want yuccafault.Kind
+	}{
+		{"none", func(string) yuccastore.Cond { return yuccastore.Cond{} }, yuccafault.None},
+		{"right tag", func(tag string) yuccastore.Cond { return yuccastore.Cond{Tag: tag} }, yuccafault.None},
+		{"wrong tag", func(string) yuccastore.Cond { return yuccastore.Cond{Tag: `"0"`} }, yuccafault.Raced},
+		{"absent", func(string) yuccastore.Cond { return yuccastore.Cond{Absent: true} }, yuccafault.Raced},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := yuccafake.NewPlatform()
+			o, err := p.Put(ctx, "k", []byte("1"), yuccastore.Cond{Absent: true})
+			c.Assert(err, qt.IsNil)
+			_, err = p.Put(ctx, "k", []byte("2"), test.cond(o.Tag))
+			c.Assert(yuccafault.KindOf(err), qt.Equals, test.want)
+		})
+	}
+}
+
+func TestSettle(t *testing.T) {
+	mine := func(o yuccastore.Object) bool { return string(o.Value) == "mine" }
+	tests := []struct {
+		name  string
+		setup func(*yuccafake.Platform)
+		cond  yuccastore.Cond
+		want  yuccastore.Outcome
+		kind  yuccafault.Kind
+	}{
+		{"well", func(*yuccafake.Platform) {}, yuccastore.Cond{Absent: true}, yuccastore.Written, yuccafault.None},
+		{"answer lost", func(p *yuccafake.Platform) { p.Fail(yuccafake.Faults{Lose: 1}) }, yuccastore.Cond{Absent: true}, yuccastore.Written, yuccafault.None},
+		{"other came first", func(p *yuccafake.Platform) {
+			_, _ = p.Put(context.Background(), "k", []byte("theirs"), yuccastore.Cond{})
+		}, yuccastore.Cond{Absent: true}, yuccastore.Lost, yuccafault.Raced},
+		{"down for good", func(p *yuccafake.Platform) { p.Fail(yuccafake.Faults{Down: true}) }, yuccastore.Cond{Absent: true}, yuccastore.Unknown, yuccafault.Platform},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				p := yuccafake.NewPlatform()
+				test.setup(p)
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				defer cancel()
+				_, outcome, err := yuccastore.Settle(ctx, p, "k", []byte("mine"), test.cond, mine)
+				c.Assert(outcome, qt.Equals, test.want)
+				c.Assert(yuccafault.KindOf(err), qt.Equals, test.kind)
+			})
+		})
+	}
+}
+
+func TestWatchAndLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx := context.Background()
+		p := yuccafake.NewPlatform()
+		start := time.Now()
+		page, err := p.List(ctx, "shared/", 0, 30*time.Second)
+		c.Assert(err, qt.IsNil)
+		c.Assert(page.Objects, qt.HasLen, 0)
+		c.Assert(time.Since(start), qt.Equals, 30*time.Second)
+
+		p.Fail(yuccafake.Faults{Lag: 10 * time.Second})
+		p.SetInstance(yuccastore.Instance{Name: "a"})
+		list, _ := p.Instances(ctx)
+		c.Assert(list.Instances, qt.HasLen, 0)
+		time.Sleep(10 * time.Second)
+		list, _ = p.Instances(ctx)
+		c.Assert(list.Instances, qt.HasLen, 1)
+		c.Assert(p.Calls()["instances"], qt.Equals, uint64(2))
+	})
+}
--- /dev/null
+++ b/core/yuccafault/kind.go
@@ -0,0 +1,215 @@
+// Package yuccafault holds the closed list of error kinds and the one table
+// that says how each kind is answered, logged, counted and turned into an exit
+// code.
+//
+// Use New or Wrap where an error is first understood, and KindOf where it is
+// answered:
+//
+//	if err != nil {
+//		return yuccafault.Wrap(yuccafault.Unreachable, err)
+//	}
+package yuccafault
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Kind is one member of the closed list of error kinds.
+type Kind uint8
+
+// The closed list. Every failure ends in exactly one of these.
+const (
+	// None means no failure.
+	None Kind = iota
+	// Malformed is a request that breaks HTTP's rules.
+	Malformed
+	// Unknown is a request for a service that no rule names.
+	Unknown
+	// Unready is an instance that has no rules yet.
+	Unready
+	// Shed is a request refused because the budget for its service is used up.
+	Shed
+	// Empty is a service without a server that may take the request.
+	Empty
+	// Expired is a deadline that passed before anything was sent.
+	Expired
+	// Overdue is a deadline that passed after the request may have run.
+	Overdue
+	// Unreachable is a server that could not be connected to.
+	Unreachable
+	// Broken is a connection that failed after the request may have run.
+	Broken
+	// Canceled is a request whose caller hung up.
+	Canceled
+	// Poison is a request that is quarantined because servers died running it.
+	Poison
+	// Running is an idempotency key whose first request has not ended.
+	Running
+	// Spent is an idempotency key whose first answer is no longer held.
+	Spent
+	// Conflict is an idempotency key sent again with another request.
+	Conflict
+	// Unclaimed is an idempotency key that could not be claimed.
+	Unclaimed
+	// Large is a request whose headers or key exceed a limit.
+	Large
+	// Leaving is an instance that is stopping and takes no new work.
+	Leaving
+	// Platform is an object API that did not answer.
+	Platform
+	// Raced is a conditional update that lost to another writer.
+	Raced
+	// Missing is an object that does not exist.
+	Missing
+	// Refused is a rules file or settings file with faults.
+	Refused
+	// Usage is a command line that cannot be understood.
+	Usage
+	// Protocol is a peer that sent something that cannot be understood.
+	Protocol
+	// Internal is a defect in the program.
+	Internal
+
+	kinds
+)
+
+// Ran says whether a request may have run on a backend server.
+type Ran string
+
+// The two values of the Yucca-Run header.
+const (
+	NotRun Ran = "no"
+	MayRun Ran = "maybe"
+)
+
+// Level is the severity at which a kind is logged.
+type Level uint8
+
+// The severities, from quiet to loud.
+const (
+	Debug Level = iota
+	Info
+	Warn
+	Alarm
+)
+
+// Row is what the table holds for one kind.
+type Row struct {
+	// Name is the metric label and the value of the Yucca-Error header.
+	Name string
+	// Status is the HTTP status of the answer.
+	Status int
+	// Ran is the value of the Yucca-Run header.
+	Ran Ran
+	// Retry is the base of the Retry-After header; zero leaves it out.
+	Retry time.Duration
+	// Level is the severity of the log line.
+	Level Level
+	// Exit is the exit code of a command that ends in this kind.
+	Exit int
+}
+
+// The exit codes of the command line.
+const (
+	ExitOK          = 0
+	ExitRefused     = 1
+	ExitUsage       = 2
+	ExitUnreachable = 3
+)
+
+var table = [kinds]Row{
+	None:        {"none", 200, NotRun, 0, Debug, ExitOK},
+	Malformed:   {"malformed", 400, NotRun, 0, Info, ExitRefused},
+	Unknown:     {"unknown", 404, NotRun, 0, Info, ExitRefused},
+	Unready:     {"unready", 503, NotRun, 2 * time.Second, Warn, ExitUnreachable},
+	Shed:        {"shed", 503, NotRun, 2 * time.Second, Info, ExitRefused},
+	Empty:       {"empty", 503, NotRun, 3 * time.Second, Warn, ExitRefused},
+	Expired:     {"expired", 504, NotRun, 0, Info, ExitRefused},
+	Overdue:     {"overdue", 504, MayRun, 0, Info, ExitRefused},
+	Unreachable: {"unreachable", 503, NotRun, time.Second, Warn, ExitUnreachable},
+	Broken:      {"broken", 502, MayRun, 0, Warn, ExitRefused},
+	Canceled:    {"canceled", 499, MayRun, 0, Debug, ExitRefused},
+	Poison:      {"poison", 422, MayRun, 0, Warn, ExitRefused},
+	Running:     {"running", 409, MayRun, 0, Info, ExitRefused},
+	Spent:       {"spent", 409, MayRun, 0, Info, ExitRefused},
+	Conflict:    {"conflict", 422, NotRun, 0, Info, ExitRefused},
+	Unclaimed:   {"unclaimed", 503, NotRun, 2 * time.Second, Warn, ExitRefused},
+	Large:       {"large", 431, NotRun, 0, Info, ExitRefused},
+	Leaving:     {"leaving", 503, NotRun, time.Second, Info, ExitRefused},
+	Platform:    {"platform", 503, NotRun, 2 * time.Second, Warn, ExitUnreachable},
+	Raced:       {"raced", 409, NotRun, 0, Info, ExitRefused},
+	Missing:     {"missing", 404, NotRun, 0, Debug, ExitRefused},
+	Refused:     {"refused", 400, NotRun, 0, Info, ExitRefused},
+	Usage:       {"usage", 400, NotRun, 0, Info, ExitUsage},
+	Protocol:    {"protocol", 400, NotRun, 0, Warn, ExitRefused},
+	Internal:    {"internal", 500, MayRun, 0, Alarm, ExitRefused},
+}
+
+// Row returns the table's row for the kind. A value outside the list gets the
+// row of Internal.
+func (k Kind) Row() Row {
+	if k >= kinds {
+		return table[Internal]
+	}
+	return table[k]
+}
+
+// String returns the kind's name as it appears in headers, logs and metrics.
+func (k Kind) String() string { return k.Row().Name }
+
+// Kinds returns every member of the list but None.
+func Kinds() []Kind {
+	all := make([]Kind, 0, kinds-1)
+	for k := None + 1; k < kinds; k++ {
+		all = append(all, k)
+	}
+	return all
+}
+
+// Error is an error with its kind.
+type Error struct {
+	Kind Kind
+	Err  error
+}
+
+// Error returns the kind's name followed by the cause.
+func (e *Error) Error() string { return e.Kind.String() + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// New returns an error of the given kind with a formatted cause.
+func New(k Kind, format string, args ...any) error {
+	return &Error{Kind: k, Err: fmt.Errorf(format, args...)}
+}
+
+// Wrap gives err a kind. It returns nil when err is nil, and err unchanged when
+// it has a kind already.
+func Wrap(k Kind, err error) error {
+	if err == nil {
+		return nil
+	}
+	var known *Error
+	if errors.As(err, &known) {
+		return err
+	}
+	return &Error{Kind: k, Err: err}
+}
+
+// KindOf returns the kind of err: None for nil, Internal for an error that was
+// never given one.
+func KindOf(err error) Kind {
+	if err == nil {
+		return None
+	}
+	var known *Error
+	if errors.As(err, &known) {
+		return known.Kind
+	}
+	return Internal
+}
+
+// Is reports whether err is of kind k.
+func Is(err error, k Kind) bool { return KindOf(err) == k }
--- /dev/null
+++ b/core/yuccafeed/feed_test.go
@@ -0,0 +1,79 @@
+package yuccafeed_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
+
+	"yuccawell.example/core/yuccafake"
+	"yuccawell.example/core/yuccafeed"
+	"yuccawell.example/core/yuccarule"
+	"yuccawell.example/core/yuccastore"
+)
+
+func document(version uint64) []byte {
+	d := yuccarule.Document{Version: version, ID: "x", Text: "region a domains=a1 # t\nservice s host=s regions=a # t"}
+	value, err := d.Encode()
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
+// TestVersionNeverFalls feeds documents in any order.
+func TestVersionNeverFalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := yuccafeed.NewState("a")
+		highest := uint64(0)
+		for _, v := range rapid.SliceOf(rapid.Uint64Range(1, 20)).Draw(t, "versions") {
+			s, _ = s.Update(yuccafeed.RulesSeen{Document: yuccarule.Document{Version: v}})
+			highest = max(highest, v)
+			if got := s.Snapshot().Document.Version; got != highest {
+				t.Fatalf("version %d in force after %d was seen", got, highest)
+			}
+		}
+	})
+}
+
+func TestFeedFollowsThePlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx := context.Background()
+		p := yuccafake.NewPlatform()
+		f := yuccafeed.New(yuccafeed.Settings{Name: "e1", Region: "a"}, p, zerolog.Nop())
+		group, _ := errgroup.WithContext(ctx)
+		c.Assert(f.Start(ctx, group), qt.IsNil)
+		synctest.Wait()
+		c.Assert(f.Snapshot().Ready(), qt.IsFalse)
+
+		_, err := p.Put(ctx, yuccafeed.RulesKey, document(1), yuccastore.Cond{})
+		c.Assert(err, qt.IsNil)
+		synctest.Wait()
+		c.Assert(f.Snapshot().Document.Version, qt.Equals, uint64(1))
+
+		p.Fail(yuccafake.Faults{Down: true})
+		time.Sleep(10 * time.Minute)
+		c.Assert(f.Snapshot().Document.Version, qt.Equals, uint64(1))
+		p.Fail(yuccafake.Faults{})
+		_, err = p.Put(ctx, yuccafeed.RulesKey, document(2), yuccastore.Cond{})
+		c.Assert(err, qt.IsNil)
+		time.Sleep(2 * time.Second)
+		c.Assert(f.Snapshot().Document.Version, qt.Equals, uint64(2))
+
+		p.Fail(yuccafake.Faults{Old: true})
+		_, err = p.Put(ctx, yuccafeed.LeavingPrefix+"e1", nil, yuccastore.Cond{})
+		c.Assert(err, qt.IsNil)
+		time.Sleep(time.Minute)
+		c.Assert(f.Snapshot().Document.Version, qt.Equals, uint64(2))
+
+		c.Assert(f.Stop(ctx), qt.IsNil)
+		c.Assert(group.Wait(), qt.IsNil)
+		<-f.Done()
+	})
+}
--- /dev/null
+++ b/core/yuccafront/front.go
@@ -0,0 +1,126 @@
+// Package yuccafront listens for callers: it answers look-ups itself and hands
+// every other request to the relay.
+package yuccafront
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccafeed"
+)
+
+// Source gives what the entry knows.
+type Source interface {
+	Snapshot() *yuccafeed.Snapshot
+}
+
+// Settings of a Front.
+type Settings struct {
+	// Addr is the address to listen on as host:port.
+	Addr string
+	// TTL is how long callers may keep the answer to a look-up.
+	TTL time.Duration
+	// Linger is how long the entry goes on serving after it has left the
+	// look-ups.
+	Linger time.Duration
+}
+
+const (
+	maxHeaderBytes = 16 << 10
+	maxBodyBytes   = 1 << 50
+	idleTimeout    = 2 * time.Minute
+)
+
+// Front is the service that listens for callers. Make one with New.
+type Front struct {
+	set     Settings
+	source  Source
+	relay   fasthttp.RequestHandler
+	log     zerolog.Logger
+	server  *fasthttp.Server
+	socket  net.Listener
+	leaving atomic.Bool
+	done    chan struct{}
+}
+
+// New returns a front that hands requests to relay.
+func New(set Settings, source Source, relay fasthttp.RequestHandler, log zerolog.Logger) *Front {
+	f := &Front{set: set, source: source, relay: relay, log: log, done: make(chan struct{})}
+	f.server = &fasthttp.Server{
+		Handler:                       f.serve,
+		Name:                          "yuccawell",
+		StreamRequestBody:             true,
+		DisablePreParseMultipartForm:  true,
+		DisableHeaderNamesNormalizing: false,
+		NoDefaultContentType:          true,
+		NoDefaultServerHeader:         true,
+		NoDefaultDate:                 true,
+		ReadBufferSize:                maxHeaderBytes,
+		MaxRequestBodySize:            maxBodyBytes,
+		IdleTimeout:                   idleTimeout,
+		CloseOnShutdown:               true,
+		ErrorHandler:                  refuse,
+		Logger:                        quiet{},
+	}
+	return f
+}
+
+// Start implements yuccakernel.Service.
+func (f *Front) Start(_ context.Context, group *errgroup.Group) error {
+	l, err := net.Listen("tcp", f.set.Addr)
+	if err != nil {
+		return err
+	}
+	f.log.Info().Str("addr", l.Addr().String()).Msg("listening")
+	f.socket = l
+	group.Go(func() error { return f.server.Serve(l) })
+	return nil
+}
+
+// Stop serves until callers' look-ups have run out and the last request has
+// ended.
+func (f *Front) Stop(ctx context.Context) error {
+	defer close(f.done)
+	f.leaving.Store(true)
+	sleep(ctx, f.set.Linger)
+	_ = f.socket.Close()
+	if err := f.server.ShutdownWithContext(ctx); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
+// Done implements yuccakernel.Service.
+func (f *Front) Done() <-chan struct{} { return f.done }
+
+// Leaving reports whether the entry is stopping.
+func (f *Front) Leaving() bool { return f.leaving.Load() }
+
+func (f *Front) serve(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) == wherePath {
+		f.where(ctx)
+		return
+	}
+	f.relay(ctx)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// quiet drops what fasthttp logs; every failure has its own event.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
--- /dev/null
+++ b/core/yuccafront/where.go
@@ -0,0 +1,89 @@
+package yuccafront
+
+import (
+	"encoding/json"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"yuccawell.example/core/yuccablock"
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccarelay"
+	"yuccawell.example/core/yuccastore"
+)
+
+const wherePath = "/where"
+
+// Where is the answer to a look-up.
+type Where struct {
+	Entries []Place `json:"entries"`
+	// TTL is how long the answer may be kept, in seconds.
+	TTL int `json:"ttl"`
+	// Version is that of the rules in force.
+	Version uint64 `json:"version"`
+}
+
+// Place is one entry that a caller may use.
+type Place struct {
+	Addr   string `json:"addr"`
+	Region string `json:"region"`
+	Domain string `json:"domain"`
+}
+
+// where answers a look-up: which entries to use for a service, best first.
+func (f *Front) where(ctx *fasthttp.RequestCtx) {
+	snapshot := f.source.Snapshot()
+	if !snapshot.Ready() {
+		yuccarelay.WriteError(ctx, yuccafault.Unready, yuccafault.NotRun)
+		return
+	}
+	addr, err := callerAddr(ctx)
+	if err != nil {
+		yuccarelay.WriteError(ctx, yuccafault.Malformed, yuccafault.NotRun)
+		return
+	}
+	service := string(ctx.QueryArgs().Peek("service"))
+	if _, ok := snapshot.Rules.Service(service); !ok {
+		yuccarelay.WriteError(ctx, yuccafault.Unknown, yuccafault.NotRun)
+		return
+	}
+	region := snapshot.Table.Region(addr)
+	spread := xxhash.Sum64String(addr.String() + service)
+	answer := Where{TTL: int(f.set.TTL / time.Second), Version: snapshot.Document.Version, Entries: []Place{}}
+	for _, e := range yuccablock.Rank(snapshot.View.Entries(), region, spread) {
+		answer.Entries = append(answer.Entries, place(e))
+	}
+	body, err := json.Marshal(answer)
+	if err != nil {
+		yuccarelay.WriteError(ctx, yuccafault.Internal, yuccafault.NotRun)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+func place(e yuccastore.Instance) Place {
+	return Place{Addr: e.Addr, Region: e.Region, Domain: e.Domain}
+}
+
+func callerAddr(ctx *fasthttp.RequestCtx) (netip.Addr, error) {
+	if text := ctx.QueryArgs().Peek("addr"); len(text) > 0 {
+		return netip.ParseAddr(string(text))
+	}
+	peer, err := netip.ParseAddrPort(ctx.RemoteAddr().String())
+	return peer.Addr(), err
+}
+
+// refuse answers a request that could not be read.
+func refuse(ctx *fasthttp.RequestCtx, err error) {
+	kind := yuccafault.Malformed
+	var small *fasthttp.ErrSmallBuffer
+	if errors.As(err, &small) {
+		kind = yuccafault.Large
+	}
+	yuccarelay.WriteError(ctx, kind, yuccafault.NotRun)
+	ctx.SetConnectionClose()
+}
--- /dev/null
+++ b/core/yuccalife/life.go
@@ -0,0 +1,228 @@
+// Package yuccalife decides what happens to one request: when it may be sent
+// again, when it may have run on a backend server and how it ends.
+//
+// A Life takes one message at a time and answers with one command. It has no
+// clock and no connection, so the caller carries commands out and feeds back
+// what came of them:
+//
+//	l := yuccalife.New(idempotent)
+//	l, cmd := l.Update(yuccalife.Admitted{})
+//	for !cmd.Final() {
+//		l, cmd = l.Update(perform(cmd))
+//	}
+package yuccalife
+
+import "yuccawell.example/core/yuccafault"
+
+// Phase is how far a request has come.
+type Phase uint8
+
+// The phases, in order.
+const (
+	// Arrived means the request was read from its caller.
+	Arrived Phase = iota
+	// Waiting means a server is being chosen.
+	Waiting
+	// Chosen means a server is chosen and no byte has been sent to it.
+	Chosen
+	// Sent means a byte may have left for the server.
+	Sent
+	// Answered means the answer's head has been read.
+	Answered
+	// Ended means the caller has its answer or never will.
+	Ended
+)
+
+// MaxTries is how many servers one request is sent to at the most.
+const MaxTries = 3
+
+// Life is the state of one request.
+type Life struct {
+	phase      Phase
+	idempotent bool
+	ran        bool
+	tries      int
+	// last is how the try before this one failed.
+	last yuccafault.Kind
+}
+
+// New returns the life of a request that has just arrived.
+func New(idempotent bool) Life { return Life{idempotent: idempotent} }
+
+// Phase returns how far the request has come.
+func (l Life) Phase() Phase { return l.phase }
+
+// MayHaveRun reports whether the request may have run on some server.
+func (l Life) MayHaveRun() bool { return l.ran }
+
+// Tries returns how many servers the request was given to.
+func (l Life) Tries() int { return l.tries }
+
+// Message is something that happened to a request.
+type Message interface{ message() }
+
+type (
+	// Admitted says that the request may go on.
+	Admitted struct{}
+	// Refused says that the request was turned away before it was sent.
+	Refused struct{ Kind yuccafault.Kind }
+	// Picked says that a server was chosen.
+	Picked struct{}
+	// Left says that a byte of the request may leave for the server.
+	Left struct{}
+	// Failed says that the connection to the server is of no more use. Budget
+	// says that another try is within the retry budget.
+	Failed struct {
+		Kind   yuccafault.Kind
+		Budget bool
+	}
+	// Declined says that the server answered that it did not run the request.
+	Declined struct{ Budget bool }
+	// Replied says that the head of the server's answer was read.
+	Replied struct{}
+	// TimedOut says that the caller's deadline has passed.
+	TimedOut struct{}
+	// HungUp says that the caller is gone.
+	HungUp struct{}
+	// Finished says that the answer was passed on whole.
+	Finished struct{}
+)
+
+func (Admitted) message() {}
+func (Refused) message()  {}
+func (Picked) message()   {}
+func (Left) message()     {}
+func (Failed) message()   {}
+func (Declined) message() {}
+func (Replied) message()  {}
+func (TimedOut) message() {}
+func (HungUp) message()   {}
+func (Finished) message() {}
+
+// Action is what has to be done next for a request.
+type Action uint8
+
+// The actions.
+const (
+	// Nothing means that the request goes on as it is.
+	Nothing Action = iota
+	// Pick means that a server has to be chosen that was not tried before.
+	Pick
+	// Connect means that a connection to the chosen server is needed.
+	Connect
+	// Relay means that the server's answer has to be passed on.
+	Relay
+	// Answer means that the request ends in an answer of the system's own.
+	Answer
+	// Close means that the connection to the caller has to be closed.
+	Close
+	// Done means that nothing is left to do.
+	Done
+)
+
+// Command is an action and, for Answer, the kind of error and whether the
+// request may have run.
+type Command struct {
+	Action Action
+	Kind   yuccafault.Kind
+	Ran    yuccafault.Ran
+}
+
+// Final reports whether the command ends the request.
+func (c Command) Final() bool { return c.Action == Answer || c.Action == Close || c.Action == Done }
+
+// Update takes what happened and returns the new state and what to do.
+func (l Life) Update(m Message) (Life, Command) {
+	if l.phase == Ended {
+		return l, Command{Action: Done}
+	}
+	switch m := m.(type) {
+	case Admitted:
+		l.phase = Waiting
+		return l, Command{Action: Pick}
+	case Picked:
+		l.phase = Chosen
+		l.tries++
+		return l, Command{Action: Connect}
+	case Left:
+		l.phase = Sent
+		l.ran = true
+		return l, Command{}
+	case Replied:
+		l.phase = Answered
+		return l, Command{Action: Relay}
+	case Refused:
+		return l.refused(m)
+	case Declined:
+		return l.declined(m)
+	case Failed:
+		return l.failed(m)
+	case TimedOut:
+		return l.timedOut()
+	case HungUp:
+		return l.end(Command{Action: Close, Kind: yuccafault.Canceled})
+	case Finished:
+		return l.end(Command{Action: Done})
+	}
+	return l.answer(yuccafault.Internal)
+}
+
+// refused answers with how the last try failed when there is no further server:
+// that says more than the lack of one.
+func (l Life) refused(m Refused) (Life, Command) {
+	if l.last != yuccafault.None {
+		return l.answer(l.last)
+	}
+	return l.answer(m.Kind)
+}
+
+// declined takes back the mark of the last try: the server said that it did
+// not run the request.
+func (l Life) declined(m Declined) (Life, Command) {
+	if l.tries == 1 {
+		l.ran = false
+	}
+	l.last = yuccafault.Shed
+	if m.Budget && l.tries < MaxTries {
+		l.phase = Waiting
+		return l, Command{Action: Pick}
+	}
+	return l.answer(yuccafault.Shed)
+}
+
+func (l Life) failed(m Failed) (Life, Command) {
+	if l.phase == Answered {
+		return l.end(Command{Action: Close, Kind: m.Kind})
+	}
+	l.last = m.Kind
+	safe := !l.ran || l.idempotent
+	if safe && m.Budget && l.tries < MaxTries {
+		l.phase = Waiting
+		return l, Command{Action: Pick}
+	}
+	return l.answer(m.Kind)
+}
+
+func (l Life) timedOut() (Life, Command) {
+	switch {
+	case l.phase == Answered:
+		return l.end(Command{Action: Close, Kind: yuccafault.Overdue})
+	case l.ran:
+		return l.answer(yuccafault.Overdue)
+	}
+	return l.answer(yuccafault.Expired)
+}
+
+// answer ends the request with an answer that is true of whether it ran.
+func (l Life) answer(k yuccafault.Kind) (Life, Command) {
+	ran := k.Row().Ran
+	if l.ran {
+		ran = yuccafault.MayRun
+	}
+	return l.end(Command{Action: Answer, Kind: k, Ran: ran})
+}
+
+func (l Life) end(c Command) (Life, Command) {
+	l.phase = Ended
+	return l, c
+}
--- /dev/null
+++ b/core/yuccalife/life_test.go
@@ -0,0 +1,90 @@
+package yuccalife_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccalife"
+)
+
+func run(l yuccalife.Life, messages ...yuccalife.Message) (yuccalife.Life, yuccalife.Command) {
+	var cmd yuccalife.Command
+	for _, m := range messages {
+		l, cmd = l.Update(m)
+	}
+	return l, cmd
+}
+
+func TestUpdate(t *testing.T) {
+	unreachable := yuccalife.Failed{Kind: yuccafault.Unreachable, Budget: true}
+	broken := yuccalife.Failed{Kind: yuccafault.Broken, Budget: true}
+	admitted, picked, left := yuccalife.Admitted{}, yuccalife.Picked{}, yuccalife.Left{}
+	tests := []struct {
+		name       string
+		idempotent bool
+		messages   []yuccalife.Message
+		action     yuccalife.Action
+		kind       yuccafault.Kind
+		ran        yuccafault.Ran
+	}{
+		{"whole path", false, []yuccalife.Message{admitted, picked, left, yuccalife.Replied{}}, yuccalife.Relay, yuccafault.None, ""},
+		{"refused", false, []yuccalife.Message{yuccalife.Refused{Kind: yuccafault.Shed}}, yuccalife.Answer, yuccafault.Shed, yuccafault.NotRun},
+		{"connect fails, tried elsewhere", false, []yuccalife.Message{admitted, picked, unreachable}, yuccalife.Pick, yuccafault.None, ""},
+		{"connect fails, no budget", false, []yuccalife.Message{admitted, picked, yuccalife.Failed{Kind: yuccafault.Unreachable}}, yuccalife.Answer, yuccafault.Unreachable, yuccafault.NotRun},
+		{"broken after a byte left", false, []yuccalife.Message{admitted, picked, left, broken}, yuccalife.Answer, yuccafault.Broken, yuccafault.MayRun},
+		{"broken but idempotent", true, []yuccalife.Message{admitted, picked, left, broken}, yuccalife.Pick, yuccafault.None, ""},
+		{"declined", false, []yuccalife.Message{admitted, picked, left, yuccalife.Declined{Budget: true}}, yuccalife.Pick, yuccafault.None, ""},
+		{"declined, no budget", false, []yuccalife.Message{admitted, picked, left, yuccalife.Declined{}}, yuccalife.Answer, yuccafault.Shed, yuccafault.NotRun},
+		{"ran before, then refused", true, []yuccalife.Message{admitted, picked, left, broken, yuccalife.Refused{Kind: yuccafault.Shed}}, yuccalife.Answer, yuccafault.Broken, yuccafault.MayRun},
+		{"deadline before sending", false, []yuccalife.Message{admitted, picked, yuccalife.TimedOut{}}, yuccalife.Answer, yuccafault.Expired, yuccafault.NotRun},
+		{"deadline after sending", false, []yuccalife.Message{admitted, picked, left, yuccalife.TimedOut{}}, yuccalife.Answer, yuccafault.Overdue, yuccafault.MayRun},
+		{"cut in the answer", true, []yuccalife.Message{admitted, picked, left, yuccalife.Replied{}, broken}, yuccalife.Close, yuccafault.Broken, ""},
+		{"hung up", true, []yuccalife.Message{admitted, picked, left, yuccalife.HungUp{}}, yuccalife.Close, yuccafault.Canceled, ""},
+		{"after the end", true, []yuccalife.Message{yuccalife.Refused{Kind: yuccafault.Shed}, admitted}, yuccalife.Done, yuccafault.None, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, cmd := run(yuccalife.New(test.idempotent), test.messages...)
+			qt.Assert(t, cmd, qt.Equals, yuccalife.Command{Action: test.action, Kind: test.kind, Ran: test.ran})
+		})
+	}
+}
+
+// TestNotRunIsTrue drives lives with arbitrary messages and keeps its own count
+// of the tries that may have run.
+func TestNotRunIsTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		idempotent := rapid.Bool().Draw(t, "idempotent")
+		l := yuccalife.New(idempotent)
+		l, cmd := l.Update(yuccalife.Admitted{})
+		sent, declined := 0, 0
+		for !cmd.Final() {
+			var m yuccalife.Message
+			budget := rapid.Bool().Draw(t, "budget")
+			switch l.Phase() {
+			case yuccalife.Waiting:
+				m = rapid.SampledFrom([]yuccalife.Message{yuccalife.Picked{}, yuccalife.Refused{Kind: yuccafault.Empty}, yuccalife.TimedOut{}}).Draw(t, "m")
+			case yuccalife.Chosen:
+				m = rapid.SampledFrom([]yuccalife.Message{yuccalife.Left{}, yuccalife.Failed{Kind: yuccafault.Unreachable, Budget: budget}, yuccalife.TimedOut{}}).Draw(t, "m")
+			default:
+				m = rapid.SampledFrom([]yuccalife.Message{yuccalife.Replied{}, yuccalife.Declined{Budget: budget}, yuccalife.Failed{Kind: yuccafault.Broken, Budget: budget}, yuccalife.TimedOut{}, yuccalife.Finished{}}).Draw(t, "m")
+			}
+			switch m.(type) {
+			case yuccalife.Left:
+				sent++
+			case yuccalife.Declined:
+				declined++
+			}
+			l, cmd = l.Update(m)
+		}
+		if !idempotent && sent-declined > 1 {
+			t.Fatalf("a request that is not idempotent was sent %d times, declined %d times", sent, declined)
+		}
+		if cmd.Ran == yuccafault.NotRun && sent > declined {
+			t.Fatalf("answered %s with not run, sent %d times, declined %d times", cmd.Kind, sent, declined)
+		}
+	})
+}
--- /dev/null
+++ b/core/yuccalog/log.go
@@ -0,0 +1,42 @@
+// Package yuccalog writes one key=value line per event.
+//
+//	log := yuccalog.New(os.Stderr, "info")
+//	log.Info().Int("busy", 3).Str("server", name).Msg("server_ejected")
+//
+// prints
+//
+//	time=2027-03-27T20:00:00Z level=info event=server_ejected busy=3 server=10.0.0.7:80
+package yuccalog
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// New returns a logger that writes lines of at least the given level to w. The
+// level is one of debug, info, warn and error; any other word means info.
+func New(w io.Writer, level string) zerolog.Logger {
+	out := zerolog.ConsoleWriter{
+		Out:           w,
+		NoColor:       true,
+		TimeFormat:    time.RFC3339Nano,
+		TimeLocation:  time.UTC,
+		FormatMessage: func(v any) string { return fmt.Sprintf("event=%v", v) },
+		FormatLevel:   func(v any) string { return fmt.Sprintf("level=%v", v) },
+		FormatTimestamp: func(v any) string {
+			return fmt.Sprintf("time=%v", v)
+		},
+	}
+	return zerolog.New(out).Level(parse(level)).With().Timestamp().Logger()
+}
+
+func parse(level string) zerolog.Level {
+	known, err := zerolog.ParseLevel(level)
+	if err != nil || level == "" {
+		return zerolog.InfoLevel
+	}
+	return known
+}
--- /dev/null
+++ b/core/yuccarelay/relay_test.go
@@ -0,0 +1,192 @@
+package yuccarelay_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccafake"
+	"yuccawell.example/core/yuccafeed"
+	"yuccawell.example/core/yuccapick"
+	"yuccawell.example/core/yuccaplan"
+	"yuccawell.example/core/yuccarelay"
+	"yuccawell.example/core/yuccarule"
+	"yuccawell.example/core/yuccastore"
+	"yuccawell.example/core/yuccaview"
+)
+
+func TestMain(m *testing.M) { yuccafake.Main(m) }
+
+type fixed struct{ snapshot yuccafeed.Snapshot }
+
+func (f fixed) Snapshot() *yuccafeed.Snapshot { return &f.snapshot }
+
+// world is one entry's relay before some backend servers.
+type world struct {
+	ledger  *yuccafake.Ledger
+	servers []*yuccafake.Server
+	picker  *yuccapick.Picker
+	client  *fasthttp.HostClient
+}
+
+func newWorld(t *testing.T, acts ...yuccafake.Behaviour) *world {
+	c := qt.New(t)
+	w := &world{ledger: yuccafake.NewLedger(), picker: yuccapick.New("e1")}
+	rules, faults := yuccarule.Parse("rules", []byte("region a domains=a1 # t\nservice s host=s.example regions=a # t"))
+	c.Assert(faults, qt.HasLen, 0)
+	list := []yuccastore.Instance{{Name: "e1", Kind: yuccastore.Entry, Region: "a"}}
+	for i, act := range acts {
+		act.Lie = -1
+		s := yuccafake.NewServer("127.0.0.1:0", act, w.ledger)
+		c.Assert(s.Start(), qt.IsNil)
+		t.Cleanup(s.Close)
+		w.servers = append(w.servers, s)
+		list = append(list, yuccastore.Instance{Name: fmt.Sprint("s", i), Kind: yuccastore.Server, Region: "a", Addr: s.Addr(), Slots: act.Slots, Services: []string{"s"}})
+	}
+	view := yuccaview.New(list)
+	plan := yuccaplan.Make(yuccaplan.Input{Rules: rules, Version: 1, View: view})
+	w.picker.Update(plan, rules, view)
+	snapshot := yuccafeed.Snapshot{Document: yuccarule.Document{Version: 1}, Rules: rules, View: view, Plan: plan}
+	snapshot.Table = tableOf(rules)
+	relay := yuccarelay.New(yuccarelay.Options{Region: "a", Picker: w.picker, Source: fixed{snapshot}, Log: zerolog.Nop()})
+	w.serve(t, relay)
+	return w
+}
+
+func (w *world) serve(t *testing.T, relay *yuccarelay.Relay) {
+	l := fasthttputil.NewInmemoryListener()
+	server := &fasthttp.Server{Handler: relay.Serve, StreamRequestBody: true, DisablePreParseMultipartForm: true}
+	group := &errgroup.Group{}
+	group.Go(func() error { return server.Serve(l) })
+	w.client = &fasthttp.HostClient{
+		Addr:                      "s.example",
+		Dial:                      func(string) (net.Conn, error) { return l.Dial() },
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}
+	t.Cleanup(func() {
+		w.client.CloseIdleConnections()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_ = server.ShutdownWithContext(ctx)
+		_ = l.Close()
+		_ = group.Wait()
+		relay.Close()
+	})
+}
+
+// call makes one request and returns its answer and how it failed.
+func (w *world) call(change func(*fasthttp.Request)) (*fasthttp.Response, error) {
+	req, resp := fasthttp.AcquireRequest(), &fasthttp.Response{}
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("http://s.example/hello")
+	change(req)
+	err := w.client.Do(req, resp)
+	return resp, err
+}
+
+func TestRelayPassesWholeAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*fasthttp.Request)
+		check  func(*qt.C, *fasthttp.Response)
+	}{
+		{"get", func(r *fasthttp.Request) { r.Header.Set(yuccafake.TokenHeader, "t1") }, func(c *qt.C, r *fasthttp.Response) {
+			c.Assert(string(r.Body()), qt.Equals, "t1\n")
+		}},
+		{"post", func(r *fasthttp.Request) {
+			r.Header.SetMethod("POST")
+			r.Header.Set(yuccafake.TokenHeader, "t2")
+			r.SetBodyString(strings.Repeat("b", 100_000))
+		}, func(c *qt.C, r *fasthttp.Response) {
+			c.Assert(string(r.Body()), qt.Equals, "t2\n")
+		}},
+		{"file", func(r *fasthttp.Request) { r.SetRequestURI("http://s.example/file/f?size=300000") }, func(c *qt.C, r *fasthttp.Response) {
+			c.Assert(r.Body(), qt.HasLen, 300000)
+			for i, b := range r.Body() {
+				if b != yuccafake.FileByte("f", int64(i)) {
+					c.Fatalf("byte %d differs", i)
+				}
+			}
+		}},
+		{"head", func(r *fasthttp.Request) {
+			r.Header.SetMethod("HEAD")
+			r.SetRequestURI("http://s.example/file/f?size=3000")
+		}, func(c *qt.C, r *fasthttp.Response) {
+			c.Assert(r.Header.ContentLength(), qt.Equals, 3000)
+			c.Assert(r.Body(), qt.HasLen, 0)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(t, yuccafake.Behaviour{Slots: 2})
+			for range 3 {
+				resp, err := w.call(test.change)
+				c.Assert(err, qt.IsNil)
+				c.Assert(resp.StatusCode(), qt.Equals, 200, qt.Commentf("%s", resp))
+				test.check(c, resp)
+			}
+			c.Assert(w.picker.Busy("s", "a"), qt.Equals, 0)
+		})
+	}
+}
+
+func TestRelayRefusals(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*fasthttp.Request)
+		status int
+		kind   string
+		ran    string
+	}{
+		{"unknown host", func(r *fasthttp.Request) { r.UseHostHeader = true; r.Header.SetHost("other.example") }, 404, "unknown", "no"},
+		{"bad deadline", func(r *fasthttp.Request) { r.Header.Set("Yucca-Deadline", "soon") }, 400, "malformed", "no"},
+		{"deadline over", func(r *fasthttp.Request) { r.Header.Set("Yucca-Deadline", "0s") }, 504, "expired", "no"},
+		{"deadline in work", func(r *fasthttp.Request) { r.Header.Set("Yucca-Deadline", "20ms") }, 504, "overdue", "maybe"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(t, yuccafake.Behaviour{Slots: 1, Work: time.Minute})
+			resp, err := w.call(test.change)
+			c.Assert(err, qt.IsNil)
+			c.Assert(resp.StatusCode(), qt.Equals, test.status)
+			c.Assert(string(resp.Header.Peek("Yucca-Error")), qt.Equals, test.kind)
+			c.Assert(string(resp.Header.Peek("Yucca-Run")), qt.Equals, test.ran)
+			c.Assert(w.picker.Busy("s", "a"), qt.Equals, 0)
+		})
+	}
+}
+
+func TestRelayTriesAnotherServer(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, yuccafake.Behaviour{Slots: 2}, yuccafake.Behaviour{Slots: 2})
+	w.servers[0].Close()
+	for i := range 10 {
+		token := fmt.Sprint("t", i)
+		resp, err := w.call(func(r *fasthttp.Request) {
+			r.Header.SetMethod("POST")
+			r.Header.Set(yuccafake.TokenHeader, token)
+		})
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(resp.Body()), qt.Equals, token+"\n")
+		c.Assert(w.ledger.Times(token), qt.Equals, 1)
+	}
+}
+
+func TestRelayCutAnswerLooksCut(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, yuccafake.Behaviour{Slots: 1, Cut: true})
+	_, err := w.call(func(r *fasthttp.Request) { r.SetRequestURI("http://s.example/file/f?size=3000000") })
+	c.Assert(err, qt.IsNotNil)
+}
--- /dev/null
+++ b/core/yuccarule/fault.go
@@ -0,0 +1,45 @@
+package yuccarule
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"yuccawell.example/core/yuccafault"
+)
+
+// Fault is one thing wrong in a rules file. Line and Column count from 1.
+type Fault struct {
+	File   string `json:"file"`
+	Line   int    `json:"line"`
+	Column int    `json:"column"`
+	Wrong  string `json:"wrong"`
+	Right  string `json:"right"`
+}
+
+// String prints the fault as file:line:column: wrong; want right.
+func (f Fault) String() string {
+	return fmt.Sprintf("%s:%d:%d: %s; want %s", f.File, f.Line, f.Column, f.Wrong, f.Right)
+}
+
+// Refuse returns an error of kind Refused that lists the faults, nil when there
+// are none.
+func Refuse(faults []Fault) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	lines := make([]string, len(faults))
+	for i, f := range faults {
+		lines[i] = f.String()
+	}
+	return yuccafault.New(yuccafault.Refused, "%s", strings.Join(lines, "\n"))
+}
+
+func sortFaults(faults []Fault) {
+	sort.SliceStable(faults, func(i, j int) bool {
+		if faults[i].Line != faults[j].Line {
+			return faults[i].Line < faults[j].Line
+		}
+		return faults[i].Column < faults[j].Column
+	})
+}
--- /dev/null
+++ b/core/yuccarule/print.go
@@ -0,0 +1,94 @@
+package yuccarule
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// String prints the rules in canonical form: one rule a line, kind by kind.
+// Parsing what it prints gives the same rules.
+func (r Rules) String() string {
+	var b strings.Builder
+	for _, l := range r.lines() {
+		b.WriteString(l.text)
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// printed is a rule's canonical line and the name by which two versions of it
+// are matched.
+type printed struct {
+	id   string
+	text string
+}
+
+func (r Rules) lines() []printed {
+	var all []printed
+	all = appendLines(all, r.Regions, printRegion)
+	all = appendLines(all, r.Links, printLink)
+	all = appendLines(all, r.Services, printService)
+	all = appendLines(all, r.Caps, printCap)
+	all = appendLines(all, r.Shifts, printShift)
+	all = appendLines(all, r.Drains, printDrain)
+	all = appendLines(all, r.Events, printEvent)
+	all = appendLines(all, r.Goals, printGoal)
+	all = appendLines(all, r.Sites, printSite)
+	return appendLines(all, r.Blocks, printBlock)
+}
+
+func appendLines[T any](all []printed, list []T, format func(T) (string, Note)) []printed {
+	for _, v := range list {
+		text, note := format(v)
+		all = append(all, printed{identities(v)[0], text + "  # " + note.Who})
+	}
+	return all
+}
+
+func printRegion(v Region) (string, Note) {
+	return fmt.Sprintf("region  %s domains=%s", v.Name, strings.Join(v.Domains, ",")), v.Note
+}
+
+func printLink(v Link) (string, Note) {
+	return fmt.Sprintf("link    %s %s cap=%s", v.A, v.B, v.Cap), v.Note
+}
+
+func printService(v Service) (string, Note) {
+	text := fmt.Sprintf("service %s host=%s regions=%s", v.Name, strings.Join(v.Hosts, ","), strings.Join(v.Regions, ","))
+	if v.Weight != 1 {
+		text += " weight=" + strconv.Itoa(v.Weight)
+	}
+	return text, v.Note
+}
+
+func printCap(v Cap) (string, Note) {
+	return fmt.Sprintf("cap     %s step=%s every=%s", v.Service, v.Step, printDuration(v.Every)), v.Note
+}
+
+func printShift(v Shift) (string, Note) {
+	return fmt.Sprintf("shift   %s from=%s to=%s share=%s", v.Service, v.From, v.To, v.Share), v.Note
+}
+
+func printDrain(v Drain) (string, Note) {
+	return fmt.Sprintf("drain   %s %s", v.Kind, v.Name), v.Note
+}
+
+func printEvent(v Event) (string, Note) {
+	factor := strconv.FormatFloat(v.Factor, 'g', -1, 64)
+	return fmt.Sprintf("event   %s service=%s start=%s lead=%s length=%s factor=%s", v.Name, v.Service,
+		v.Start.Format(time.RFC3339Nano), printDuration(v.Lead), printDuration(v.Length), factor), v.Note
+}
+
+func printGoal(v Goal) (string, Note) {
+	return fmt.Sprintf("goal    %s latency=%s share=%s window=%s", v.Service, printDuration(v.Latency), v.Share, printDuration(v.Window)), v.Note
+}
+
+func printSite(v Site) (string, Note) {
+	return fmt.Sprintf("site    %s region=%s", v.Name, v.Region), v.Note
+}
+
+func printBlock(v Block) (string, Note) {
+	return fmt.Sprintf("block   %s site=%s", v.Prefix, v.Site), v.Note
+}
--- /dev/null
+++ b/core/yuccarule/rule.go
@@ -0,0 +1,196 @@
+// Package yuccarule reads, checks, prints and compares the rules by which
+// operators steer. A rules file holds one rule a line; every line ends in a
+// comment that names who asked for it.
+//
+//	rules, faults := yuccarule.Parse("rules.txt", text)
+//	if len(faults) > 0 {
+//		// nothing changes; print every fault
+//	}
+package yuccarule
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Note says where a rule stands and who asked for it.
+type Note struct {
+	Who  string
+	Line int
+}
+
+// Region is a place with servers, made of failure domains.
+type Region struct {
+	Name    string
+	Domains []string
+	Note
+}
+
+// Link is the connection between two regions. Cap is its rate each way.
+type Link struct {
+	A, B string
+	Cap  Rate
+	Note
+}
+
+// Service is what callers ask for by host name. Weight orders services when
+// some must be shed: the lowest is shed first.
+type Service struct {
+	Name    string
+	Hosts   []string
+	Regions []string
+	Weight  int
+	Note
+}
+
+// Cap bounds how much of a service's traffic moves in any window of length
+// Every.
+type Cap struct {
+	Service string
+	Step    Share
+	Every   time.Duration
+	Note
+}
+
+// Shift moves a share of a service's traffic that arises in one region to
+// another.
+type Shift struct {
+	Service  string
+	From, To string
+	Share    Share
+	Note
+}
+
+// Drain takes a region or a server out of use.
+type Drain struct {
+	Kind DrainKind
+	Name string
+	Note
+}
+
+// DrainKind says what a Drain names.
+type DrainKind string
+
+// What may be drained.
+const (
+	DrainRegion DrainKind = "region"
+	DrainServer DrainKind = "server"
+)
+
+// Event is a peak known beforehand. Factor is its load as a multiple of the
+// usual; Lead is how long before Start all moves have ended.
+type Event struct {
+	Name    string
+	Service string
+	Start   time.Time
+	Lead    time.Duration
+	Length  time.Duration
+	Factor  float64
+	Note
+}
+
+// Goal is a service level: Share of requests answered within Latency over
+// Window.
+type Goal struct {
+	Service string
+	Latency time.Duration
+	Share   Share
+	Window  time.Duration
+	Note
+}
+
+// Site is a place of callers that belongs to a region.
+type Site struct {
+	Name   string
+	Region string
+	Note
+}
+
+// Block places the callers of a network prefix at a site. A region's name is
+// also the name of a site.
+type Block struct {
+	Prefix netip.Prefix
+	Site   string
+	Note
+}
+
+// Rules is the content of one rules file.
+type Rules struct {
+	Regions  []Region
+	Links    []Link
+	Services []Service
+	Caps     []Cap
+	Shifts   []Shift
+	Drains   []Drain
+	Events   []Event
+	Goals    []Goal
+	Sites    []Site
+	Blocks   []Block
+}
+
+// DefaultCap bounds the shifts of a service without a cap rule.
+var DefaultCap = Cap{Step: 10 * Percent, Every: time.Minute}
+
+// Parse reads a rules file. The name is used in faults only. When any fault is
+// returned, the rules must not be used.
+func Parse(name string, text []byte) (Rules, []Fault) {
+	lines, faults := lex(name, string(text))
+	var rules Rules
+	var read []statement
+	for _, l := range lines {
+		r := &reader{file: name, line: l}
+		rule := readRule(r, &rules)
+		r.end()
+		faults = append(faults, r.faults...)
+		if len(r.faults) == 0 {
+			read = append(read, statement{rule, l})
+		}
+	}
+	faults = append(faults, check(name, rules, read)...)
+	sortFaults(faults)
+	return rules, faults
+}
+
+// CapOf returns the cap of a service, DefaultCap where no rule sets one.
+func (r Rules) CapOf(service string) Cap {
+	for _, c := range r.Caps {
+		if c.Service == service {
+			return c
+		}
+	}
+	c := DefaultCap
+	c.Service = service
+	return c
+}
+
+// ServiceOf returns the service whose rule names host, which carries no port.
+func (r Rules) ServiceOf(host string) (Service, bool) {
+	for _, s := range r.Services {
+		for _, h := range s.Hosts {
+			if h == host {
+				return s, true
+			}
+		}
+	}
+	return Service{}, false
+}
+
+// Service returns the service with the given name.
+func (r Rules) Service(name string) (Service, bool) {
+	for _, s := range r.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
+// Drained reports whether a drain rule names the region or server.
+func (r Rules) Drained(kind DrainKind, name string) bool {
+	for _, d := range r.Drains {
+		if d.Kind == kind && d.Name == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/yuccaset/set_test.go
@@ -0,0 +1,65 @@
+package yuccaset_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccaset"
+)
+
+type settings struct {
+	Name string
+	Wait yuccaset.Duration
+	Size int
+}
+
+func (s *settings) Check() []yuccaset.Fault {
+	var faults []yuccaset.Fault
+	if s.Name == "" {
+		faults = append(faults, yuccaset.Fault{Key: "name", Wrong: "missing", Allowed: "a name"})
+	}
+	if s.Size < 1 {
+		faults = append(faults, yuccaset.Fault{Key: "size", Wrong: "too small", Allowed: "1 or more"})
+	}
+	return faults
+}
+
+func TestParse(t *testing.T) {
+	tests := []struct {
+		name string
+		text string
+		want []string
+	}{
+		{"good", "name='a'\nwait='250ms'\nsize=3", nil},
+		{"two values wrong", "wait='1s'", []string{"f.toml: name: missing; allowed: a name", "f.toml: size: too small"}},
+		{"two unknown keys", "name='a'\nsize=1\nsice=2\nmame='b'", []string{"sice: unknown key", "mame: unknown key"}},
+		{"bad duration", "name='a'\nsize=1\nwait='soon'", []string{"is not a duration"}},
+		{"bad type", "name=3", []string{"f.toml: name"}},
+		{"bad syntax", "name=", []string{"f.toml: "}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var s settings
+			err := yuccaset.Parse("f.toml", []byte(test.text), &s)
+			if test.want == nil {
+				c.Assert(err, qt.IsNil)
+				c.Assert(time.Duration(s.Wait), qt.Equals, 250*time.Millisecond)
+				return
+			}
+			c.Assert(yuccafault.KindOf(err), qt.Equals, yuccafault.Refused)
+			for _, part := range test.want {
+				c.Assert(strings.Contains(err.Error(), part), qt.IsTrue, qt.Commentf("%q in %q", part, err))
+			}
+		})
+	}
+}
+
+func TestLoadMissingFile(t *testing.T) {
+	err := yuccaset.Load("no-such-file.toml", &settings{})
+	qt.Assert(t, yuccafault.KindOf(err), qt.Equals, yuccafault.Refused)
+}
--- /dev/null
+++ b/core/yuccaview/view.go
@@ -0,0 +1,64 @@
+// Package yuccaview holds what an entry believes about which instances exist.
+package yuccaview
+
+import (
+	"cmp"
+	"slices"
+
+	"yuccawell.example/core/yuccastore"
+)
+
+// View is an immutable set of instances, ordered by name.
+type View struct {
+	entries []yuccastore.Instance
+	servers []yuccastore.Instance
+}
+
+// New returns a view of the given instances. Of two with the same name the last
+// one counts.
+func New(list []yuccastore.Instance) View {
+	byName := make(map[string]yuccastore.Instance, len(list))
+	for _, i := range list {
+		byName[i.Name] = i
+	}
+	var v View
+	for _, i := range byName {
+		if i.Kind == yuccastore.Entry {
+			v.entries = append(v.entries, i)
+		} else {
+			v.servers = append(v.servers, i)
+		}
+	}
+	order := func(a, b yuccastore.Instance) int { return cmp.Compare(a.Name, b.Name) }
+	slices.SortFunc(v.entries, order)
+	slices.SortFunc(v.servers, order)
+	return v
+}
+
+// Entries returns the entry instances. The caller must not change the slice.
+func (v View) Entries() []yuccastore.Instance { return v.entries }
+
+// Servers returns the backend servers. The caller must not change the slice.
+func (v View) Servers() []yuccastore.Instance { return v.servers }
+
+// Entry returns the entry instance with the given name.
+func (v View) Entry(name string) (yuccastore.Instance, bool) {
+	for _, e := range v.entries {
+		if e.Name == name {
+			return e, true
+		}
+	}
+	return yuccastore.Instance{}, false
+}
+
+// WithLeaving returns the view with the named instances marked as leaving.
+func (v View) WithLeaving(names ...string) View {
+	mark := func(list []yuccastore.Instance) []yuccastore.Instance {
+		list = slices.Clone(list)
+		for i := range list {
+			list[i].Leaving = list[i].Leaving || slices.Contains(names, list[i].Name)
+		}
+		return list
+	}
+	return View{entries: mark(v.entries), servers: mark(v.servers)}
+}
--- /dev/null
+++ b/ctl/status.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccastore"
+)
+
+const (
+	askTimeout   = 2 * time.Second
+	waitInterval = 100 * time.Millisecond
+)
+
+// entryStatus is what an entry's /status shows.
+type entryStatus struct {
+	Name    string `json:"name"`
+	Region  string `json:"region"`
+	Domain  string `json:"domain"`
+	Ready   bool   `json:"ready"`
+	Leaving bool   `json:"leaving"`
+	Rules   uint64 `json:"rules"`
+	Plan    uint64 `json:"plan"`
+	Entries int    `json:"entries"`
+	Servers int    `json:"servers"`
+	// Fault says why the entry gave no status.
+	Fault string `json:"fault,omitempty"`
+}
+
+func (a *app) statusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "status",
+		Short:   "Show the entries and the versions they have in force",
+		Example: "  yuccactl status\n  yuccactl status --json",
+		Args:    exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			store, err := a.store()
+			if err != nil {
+				return err
+			}
+			defer store.Close()
+			all, err := askAll(c.Context(), store)
+			if err != nil {
+				return err
+			}
+			return a.show(all, func() { a.printStatus(all) })
+		},
+	}
+}
+
+func (a *app) printStatus(all []entryStatus) {
+	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
+	defer w.Flush()
+	row := func(cells ...string) { _, _ = w.Write([]byte(strings.Join(cells, "\t") + "\n")) }
+	row("ENTRY", "REGION", "DOMAIN", "STATE", "RULES", "PLAN", "SERVERS")
+	for _, e := range all {
+		row(e.Name, e.Region, e.Domain, e.state(), number(e.Rules), number(e.Plan), number(uint64(e.Servers)))
+	}
+}
+
+func (e entryStatus) state() string {
+	switch {
+	case e.Fault != "":
+		return e.Fault
+	case e.Leaving:
+		return "leaving"
+	case !e.Ready:
+		return "not ready"
+	}
+	return "ready"
+}
+
+// askAll asks every entry of the platform's list for its status.
+func askAll(ctx context.Context, store yuccastore.Store) ([]entryStatus, error) {
+	list, err := store.Instances(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var all []entryStatus
+	for _, i := range list.Instances {
+		if i.Kind == yuccastore.Entry && i.Admin != "" {
+			all = append(all, ask(i))
+		}
+	}
+	slices.SortFunc(all, func(x, y entryStatus) int { return strings.Compare(x.Name, y.Name) })
+	return all, nil
+}
+
+func ask(i yuccastore.Instance) entryStatus {
+	s := entryStatus{Name: i.Name, Region: i.Region, Domain: i.Domain}
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+i.Admin+"/status", askTimeout)
+	switch {
+	case err != nil:
+		s.Fault = "unreachable"
+	case status != fasthttp.StatusOK:
+		s.Fault = "no status"
+	case json.Unmarshal(body, &s) != nil:
+		s.Fault = "status unreadable"
+	}
+	return s
+}
+
+// waitInForce returns when every live entry has the version in force. When ctx
+// ends first, it names those that do not.
+func waitInForce(ctx context.Context, store yuccastore.Store, version uint64) ([]string, error) {
+	var behind []string
+	for {
+		all, err := askAll(ctx, store)
+		if err == nil {
+			behind = behindOf(all, version)
+			if len(behind) == 0 {
+				return nil, nil
+			}
+		}
+		select {
+		case <-time.After(waitInterval):
+		case <-ctx.Done():
+			return behind, yuccafault.New(yuccafault.Platform, "version %d is accepted but not in force at %s", version, strings.Join(behind, ", "))
+		}
+	}
+}
+
+func behindOf(all []entryStatus, version uint64) []string {
+	var names []string
+	for _, e := range all {
+		if e.Rules < version {
+			names = append(names, e.Name)
+		}
+	}
+	return names
+}
+
+func (a *app) versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version of the command",
+		Args:  exactly(0),
+		RunE: func(*cobra.Command, []string) error {
+			v := buildVersion()
+			return a.show(v, func() { a.printf("yuccactl %s %s\n", v.Version, v.Revision) })
+		},
+	}
+}
+
+type build struct {
+	Version  string `json:"version"`
+	Revision string `json:"revision"`
+}
+
+func buildVersion() build {
+	b := build{Version: "unknown", Revision: "unknown"}
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return b
+	}
+	b.Version = info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			b.Revision = s.Value
+		}
+	}
+	return b
+}
+
+func number(n uint64) string { return strconv.FormatUint(n, 10) }
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,90 @@
+// Command yucca-entry is the daemon on each entry instance. It answers look-ups
+// and relays requests to backend servers.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccalog"
+	"yuccawell.example/core/yuccaset"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := command().ExecuteContext(ctx)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(yuccafault.KindOf(err).Row().Exit)
+	}
+}
+
+func command() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "yucca-entry",
+		Short:         "Answers look-ups and relays requests to backend servers",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return yuccafault.Wrap(yuccafault.Usage, err) })
+	root.AddCommand(runCommand(), settingsCommand(), versionCommand())
+	return root
+}
+
+func runCommand() *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use:     "run",
+		Short:   "Run the entry until it is told to stop",
+		Example: "  yucca-entry settings > entry.toml\n  yucca-entry run --settings entry.toml",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			set := defaults()
+			if err := yuccaset.Load(path, &set); err != nil {
+				return err
+			}
+			return run(c.Context(), set, yuccalog.New(os.Stderr, set.Log))
+		},
+	}
+	c.Flags().StringVar(&path, "settings", "entry.toml", "settings file")
+	return c
+}
+
+func settingsCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "settings",
+		Short: "Print example settings",
+		Args:  cobra.NoArgs,
+		Run:   func(c *cobra.Command, _ []string) { fmt.Fprint(c.OutOrStdout(), example) },
+	}
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run:   func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), version()) },
+	}
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return info.Main.Version + " " + s.Value
+		}
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/entry/run.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"yuccawell.example/core/yuccadmin"
+	"yuccawell.example/core/yuccafeed"
+	"yuccawell.example/core/yuccafront"
+	"yuccawell.example/core/yuccakernel"
+	"yuccawell.example/core/yuccameter"
+	"yuccawell.example/core/yuccapick"
+	"yuccawell.example/core/yuccarelay"
+	"yuccawell.example/core/yuccastore"
+)
+
+// run serves until ctx ends and then stops without cutting a request.
+func run(ctx context.Context, set settings, log zerolog.Logger) error {
+	log = log.With().Str("entry", set.Name).Logger()
+	store := yuccastore.NewHTTP(set.Store)
+	defer store.Close()
+	meter := yuccameter.New()
+	feed := yuccafeed.New(yuccafeed.Settings{Name: set.Name, Region: set.Region}, store, log)
+	picker := yuccapick.New(set.Name)
+	feed.Subscribe(func(s yuccafeed.Snapshot) { picker.Update(s.Plan, s.Rules, s.View) })
+	relay := yuccarelay.New(yuccarelay.Options{Region: set.Region, Picker: picker, Source: feed, Observer: meter, Log: log})
+	defer relay.Close()
+	front := yuccafront.New(yuccafront.Settings{
+		Addr:   set.Addr,
+		TTL:    time.Duration(set.TTL),
+		Linger: time.Duration(set.Linger),
+	}, feed, relay.Serve, log)
+
+	kernel := yuccakernel.New(log)
+	kernel.Add("admin", yuccadmin.New(set.Admin, meter.Registry(), probe(feed, front), status(set, feed, front)))
+	kernel.Add("feed", feed)
+	kernel.Add("front", front)
+	kernel.Add("leave", newLeave(set.Name, store, log))
+	return kernel.Run(ctx)
+}
+
+func probe(feed *yuccafeed.Feed, front *yuccafront.Front) yuccadmin.Probe {
+	return func() (bool, string) {
+		switch {
+		case front.Leaving():
+			return false, "leaving"
+		case !feed.Snapshot().Ready():
+			return false, "no rules yet: neither the platform nor a peer has given any"
+		}
+		return true, ""
+	}
+}
+
+// Status is what /status shows.
+type Status struct {
+	Name    string `json:"name"`
+	Region  string `json:"region"`
+	Domain  string `json:"domain"`
+	Ready   bool   `json:"ready"`
+	Leaving bool   `json:"leaving"`
+	Rules   uint64 `json:"rules"`
+	Plan    uint64 `json:"plan"`
+	Entries int    `json:"entries"`
+	Servers int    `json:"servers"`
+}
+
+func status(set settings, feed *yuccafeed.Feed, front *yuccafront.Front) yuccadmin.Status {
+	return func() any {
+		s := feed.Snapshot()
+		return Status{
+			Name:    set.Name,
+			Region:  set.Region,
+			Domain:  set.Domain,
+			Ready:   s.Ready() && !front.Leaving(),
+			Leaving: front.Leaving(),
+			Rules:   s.Document.Version,
+			Plan:    s.Plan.Version,
+			Entries: len(s.View.Entries()),
+			Servers: len(s.View.Servers()),
+		}
+	}
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"net/netip"
+	"net/url"
+	"time"
+
+	"yuccawell.example/core/yuccaset"
+)
+
+// settings is the content of an entry's settings file.
+type settings struct {
+	// Name is the instance's identity in the platform's list.
+	Name   string `toml:"name"`
+	Region string `toml:"region"`
+	Domain string `toml:"domain"`
+	// Store is the base address of the platform's object API.
+	Store string `toml:"store"`
+	// Addr, Peer and Admin are the addresses for callers, entries and operators.
+	Addr  string `toml:"addr"`
+	Peer  string `toml:"peer"`
+	Admin string `toml:"admin"`
+	// TTL is how long callers keep a look-up.
+	TTL yuccaset.Duration `toml:"ttl"`
+	// Linger is how long a leaving entry serves after it left the look-ups.
+	Linger yuccaset.Duration `toml:"linger"`
+	// Log is the lowest level that is logged.
+	Log string `toml:"log"`
+}
+
+const example = `# Settings of one entry.
+name   = "e1"                     # identity in the platform's list
+region = "palermo"
+domain = "palermo-a"
+store  = "http://127.0.0.1:7000"  # the platform's object API
+addr   = "127.0.1.1:7101"         # for callers
+peer   = "127.0.1.1:7102"         # for other entries
+admin  = "127.0.1.1:7103"         # for operators
+ttl    = "5s"                     # how long callers keep a look-up
+linger = "10s"                    # how long a leaving entry goes on serving
+log    = "info"                   # debug, info, warn or error
+`
+
+func defaults() settings {
+	return settings{
+		TTL:    yuccaset.Duration(5 * time.Second),
+		Linger: yuccaset.Duration(10 * time.Second),
+		Log:    "info",
+	}
+}
+
+// Check returns every fault of the values.
+func (s *settings) Check() []yuccaset.Fault {
+	var faults []yuccaset.Fault
+	fail := func(key, wrong, allowed string) {
+		faults = append(faults, yuccaset.Fault{Key: key, Wrong: wrong, Allowed: allowed})
+	}
+	for _, v := range []struct{ key, value string }{{"name", s.Name}, {"region", s.Region}, {"domain", s.Domain}} {
+		if v.value == "" {
+			fail(v.key, "missing", "a name")
+		}
+	}
+	for _, v := range []struct{ key, value string }{{"addr", s.Addr}, {"peer", s.Peer}, {"admin", s.Admin}} {
+		if _, err := netip.ParseAddrPort(v.value); err != nil {
+			fail(v.key, "not an address", "an IP number and port such as 127.0.0.1:7101")
+		}
+	}
+	if u, err := url.Parse(s.Store); err != nil || u.Scheme != "http" || u.Host == "" {
+		fail("store", "not an address", "a base address such as http://127.0.0.1:7000")
+	}
+	if time.Duration(s.TTL) < time.Second {
+		fail("ttl", "too short", "1s or more")
+	}
+	if s.Linger < 0 {
+		fail("linger", "negative", "0s or more")
+	}
+	return faults
+}
--- /dev/null
+++ b/standin/load.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccaset"
+)
+
+// loadSettings is the settings file of a load.
+type loadSettings struct {
+	// Entries are tried in turn for the first look-up.
+	Entries []string `toml:"entries"`
+	// Out is the file for the result as JSON; empty means standard output.
+	Out string `toml:"out"`
+	// Delay is added before each request, for the way from caller to entry.
+	Delay   yuccaset.Duration `toml:"delay"`
+	Streams []streamSettings  `toml:"stream"`
+	Phases  []phaseSettings   `toml:"phase"`
+}
+
+// streamSettings is the load of one service from one region.
+type streamSettings struct {
+	Service string `toml:"service"`
+	Host    string `toml:"host"`
+	// Caller is an address in the region where the requests arise.
+	Caller string `toml:"caller"`
+	// Callers is how many addresses, from Caller upwards, share the rate.
+	Callers int `toml:"callers"`
+	// Rate is in requests per second.
+	Rate   float64 `toml:"rate"`
+	Method string  `toml:"method"`
+	Path   string  `toml:"path"`
+	// Size is the length of the answer's body in bytes.
+	Size int `toml:"size"`
+	// Deadline is passed on with each request; zero leaves it out.
+	Deadline yuccaset.Duration `toml:"deadline"`
+}
+
+type phaseSettings struct {
+	Name   string            `toml:"name"`
+	Length yuccaset.Duration `toml:"length"`
+	// Factor multiplies the rates.
+	Factor float64 `toml:"factor"`
+}
+
+// Check implements yuccaset.Checked.
+func (s *loadSettings) Check() []yuccaset.Fault {
+	var faults []yuccaset.Fault
+	if len(s.Entries) == 0 {
+		faults = append(faults, yuccaset.Fault{Key: "entries", Wrong: "missing", Allowed: "addresses of entries"})
+	}
+	for _, e := range s.Entries {
+		faults = append(faults, checkAddr("entries", e)...)
+	}
+	for _, p := range s.Phases {
+		if p.Length <= 0 || p.Factor < 0 {
+			faults = append(faults, yuccaset.Fault{Key: "phase", Wrong: "length or factor out of range", Allowed: "a positive length and a factor of 0 or more"})
+		}
+	}
+	return faults
+}
+
+// load is one run. Arrivals follow the schedule whatever the answers do.
+type load struct {
+	set     *loadSettings
+	callers []*caller
+	mu      sync.Mutex
+	phase   int
+	results []*phaseResult
+}
+
+func runLoad(ctx context.Context, set *loadSettings) error {
+	l := &load{set: set}
+	for _, p := range set.Phases {
+		l.results = append(l.results, newPhaseResult(p.Name))
+	}
+	for _, s := range set.Streams {
+		callers, err := newCallers(s, set.Entries)
+		if err != nil {
+			return err
+		}
+		l.callers = append(l.callers, callers...)
+	}
+	group := &errgroup.Group{}
+	l.drive(ctx, group)
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	return l.write()
+}
+
+func (l *load) drive(ctx context.Context, group *errgroup.Group) {
+	progress := time.NewTicker(time.Second)
+	defer progress.Stop()
+	for i, p := range l.set.Phases {
+		l.mu.Lock()
+		l.phase = i
+		l.mu.Unlock()
+		l.drivePhase(ctx, group, p, l.results[i], progress.C)
+	}
+}
+
+func (l *load) drivePhase(ctx context.Context, group *errgroup.Group, p phaseSettings, result *phaseResult, tick <-chan time.Time) {
+	inner, stop := context.WithTimeout(ctx, time.Duration(p.Length))
+	defer stop()
+	streams := &errgroup.Group{}
+	for _, c := range l.callers {
+		streams.Go(func() error {
+			l.stream(inner, group, c, p.Factor, result)
+			return nil
+		})
+	}
+	for inner.Err() == nil {
+		select {
+		case <-tick:
+			fmt.Fprintf(os.Stderr, "phase=%s %s\n", p.Name, result.line())
+		case <-inner.Done():
+		}
+	}
+	_ = streams.Wait()
+}
+
+// stream starts requests at fixed intervals. A request's latency counts from
+// the moment at which it was due.
+func (l *load) stream(ctx context.Context, group *errgroup.Group, c *caller, factor float64, result *phaseResult) {
+	rate := c.set.Rate * factor
+	if rate <= 0 {
+		<-ctx.Done()
+		return
+	}
+	interval := time.Duration(float64(time.Second) / rate)
+	due := time.Now()
+	for {
+		if !wait(ctx, time.Until(due)) {
+			return
+		}
+		at := due
+		group.Go(func() error {
+			wait(context.Background(), time.Duration(l.set.Delay))
+			result.add(c.set.Service, c.call(), time.Since(at))
+			return nil
+		})
+		due = due.Add(interval)
+	}
+}
+
+func (l *load) write() error {
+	out := os.Stdout
+	if l.set.Out != "" {
+		f, err := os.Create(l.set.Out)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		out = f
+	}
+	return writeResults(out, l.results)
+}
--- /dev/null
+++ b/standin/server.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccafake"
+	"yuccawell.example/core/yuccaset"
+)
+
+// serverSettings is the settings file of backend servers' stand-ins.
+type serverSettings struct {
+	// Control is the address for behaviour and the ledger.
+	Control string `toml:"control"`
+	// Revive is how long a server that crashed stays away; zero means for good.
+	Revive  yuccaset.Duration `toml:"revive"`
+	Servers []serverRow       `toml:"server"`
+}
+
+type serverRow struct {
+	Name  string            `toml:"name"`
+	Addr  string            `toml:"addr"`
+	Slots int               `toml:"slots"`
+	Conns int               `toml:"conns"`
+	Work  yuccaset.Duration `toml:"work"`
+	Rate  int               `toml:"rate"`
+	Shed  bool              `toml:"shed"`
+}
+
+// Check implements yuccaset.Checked.
+func (s *serverSettings) Check() []yuccaset.Fault {
+	faults := checkAddr("control", s.Control)
+	for _, r := range s.Servers {
+		faults = append(faults, checkAddr("server.addr", r.Addr)...)
+		if r.Slots < 1 {
+			faults = append(faults, yuccaset.Fault{Key: "server.slots", Wrong: "too small", Allowed: "1 or more"})
+		}
+	}
+	return faults
+}
+
+func runServers(ctx context.Context, set *serverSettings) error {
+	ledger := yuccafake.NewLedger()
+	servers := map[string]*yuccafake.Server{}
+	for _, r := range set.Servers {
+		s := yuccafake.NewServer(r.Addr, yuccafake.Behaviour{
+			Slots: r.Slots,
+			Conns: r.Conns,
+			Work:  time.Duration(r.Work),
+			Rate:  r.Rate,
+			Shed:  r.Shed,
+			Lie:   -1,
+		}, ledger)
+		if err := s.Start(); err != nil {
+			return err
+		}
+		defer s.Close()
+		servers[r.Name] = s
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return serveAll(ctx, []listener{{set.Control, serverControl(servers, ledger)}}) })
+	if set.Revive > 0 {
+		group.Go(func() error { return revive(ctx, servers, time.Duration(set.Revive)) })
+	}
+	return group.Wait()
+}
+
+// revive starts crashed servers again.
+func revive(ctx context.Context, servers map[string]*yuccafake.Server, after time.Duration) error {
+	for wait(ctx, after) {
+		for _, s := range servers {
+			if !s.Alive() {
+				if err := s.Start(); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// serverControl serves /ledger, /total and /servers/NAME.
+func serverControl(servers map[string]*yuccafake.Server, ledger *yuccafake.Ledger) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		path := string(ctx.Path())
+		if path == "/ledger" {
+			answer(ctx, ledger)
+			return
+		}
+		if path == "/total" {
+			answer(ctx, ledger.Total())
+			return
+		}
+		name, _ := strings.CutPrefix(path, "/servers/")
+		s, ok := servers[name]
+		if !ok {
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
+		if ctx.IsDelete() {
+			s.Crash()
+			return
+		}
+		s.Act(func(b *yuccafake.Behaviour) { decode(ctx, b) })
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/standin/sum.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+
+	"yuccawell.example/core/yuccafake"
+	"yuccawell.example/core/yuccafault"
+)
+
+// sumCommand prints the table of a load's result and fails when a promise was
+// broken.
+func sumCommand() *cobra.Command {
+	var result, total string
+	c := &cobra.Command{
+		Use:     "sum",
+		Short:   "Print a load's result; fail when a request was lost, doubled or cut",
+		Example: "  yucca-standin sum --result result.json --total total.json",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			rows, err := readRows(result)
+			if err != nil {
+				return err
+			}
+			t, err := readTotal(total)
+			if err != nil {
+				return err
+			}
+			printRows(c.OutOrStdout(), rows, t)
+			return verdict(rows, t)
+		},
+	}
+	c.Flags().StringVar(&result, "result", "result.json", "what load wrote")
+	c.Flags().StringVar(&total, "total", "total.json", "what the servers' /total gave")
+	return c
+}
+
+func readRows(path string) ([]row, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, yuccafault.Wrap(yuccafault.Usage, err)
+	}
+	defer f.Close()
+	var rows []row
+	for d := json.NewDecoder(f); ; {
+		var r row
+		err := d.Decode(&r)
+		if errors.Is(err, io.EOF) {
+			return rows, nil
+		}
+		if err != nil {
+			return nil, yuccafault.Wrap(yuccafault.Refused, err)
+		}
+		rows = append(rows, r)
+	}
+}
+
+func readTotal(path string) (yuccafake.Total, error) {
+	var t yuccafake.Total
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return t, yuccafault.Wrap(yuccafault.Usage, err)
+	}
+	return t, yuccafault.Wrap(yuccafault.Refused, json.Unmarshal(text, &t))
+}
+
+func printRows(out io.Writer, rows []row, t yuccafake.Total) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "PHASE\tSERVICE\tWHOLE\tREFUSED\tUNSURE\tLOST\tCUT\tP50 MS\tP99 MS\tMAX MS\t")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t\n", r.Phase, r.Service, r.Whole, r.Refused, r.Unsure, r.Lost, r.Wrong, r.P50, r.P99, r.Max)
+	}
+	_ = w.Flush()
+	fmt.Fprintf(out, "requests that ran: %d, doubled: %d\n", t.Tokens, t.Doubled)
+}
+
+func verdict(rows []row, t yuccafake.Total) error {
+	lost, cut, served := 0, 0, 0
+	for _, r := range rows {
+		lost += r.Lost
+		cut += r.Wrong
+		served += r.Whole
+	}
+	if lost > 0 || cut > 0 || t.Doubled > 0 || served == 0 {
+		return yuccafault.New(yuccafault.Refused, "whole %d, lost %d, cut %d, doubled %d", served, lost, cut, t.Doubled)
+	}
+	return nil
+}
+
+func getCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "get URL",
+		Short: "Print what an address answers; fail unless the status is 200",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			status, body, err := fasthttp.Get(nil, args[0])
+			if err != nil {
+				return yuccafault.Wrap(yuccafault.Unreachable, err)
+			}
+			fmt.Fprint(c.OutOrStdout(), string(body))
+			if status != fasthttp.StatusOK {
+				return yuccafault.New(yuccafault.Refused, "status %d", status)
+			}
+			return nil
+		},
+	}
+}
