--- /dev/null
+++ b/core/yuccaclaim/claim.go
@@ -0,0 +1,42 @@
+// Package yuccaclaim lets a request with an idempotency key run at most once,
+// whichever entries receive it.
+package yuccaclaim
+
+import "time"
+
+// Request is what a claim is made for.
+type Request struct {
+	Service string
+	// Key is the caller's Idempotency-Key.
+	Key string
+	// Sum is a hash of the method, the target and the body. The same key with
+	// another sum is a conflict.
+	Sum uint64
+	// Deadline is when the caller stops waiting; the zero time means never.
+	Deadline time.Time
+}
+
+// Answer is a first answer that is held for repeats.
+type Answer struct {
+	Status int
+	Header []Field
+	Body   []byte
+}
+
+// Field is one header field of an Answer.
+type Field struct{ Name, Value string }
+
+// Claim is the permission to run a request once. Give it back with End.
+type Claim struct {
+	Request
+	// Replay, when not nil, is the first answer: pass it on and run nothing.
+	Replay *Answer
+}
+
+// Outcome is what came of a claim.
+type Outcome struct {
+	// Ran is false only when the request certainly did not run.
+	Ran bool
+	// Answer is the server's whole answer, nil when there is none to hold.
+	Answer *Answer
+}
