Service-level burn: windows, report and drawing

Cause: operators need to see what a goal's error budget was spent on, also for entries that are gone. Change: windows at six resolutions that merge in any order; copies given to two other entries every 15 s and at a stop; yuccactl report with text, JSON and SVG; a goal's window is at most 90 days. The entry's side waits for the bus.

--- /dev/null
+++ b/core/yuccaburn/judge.go
@@ -0,0 +1,37 @@
+package yuccaburn
+
+import (
+	"time"
+
+	"yuccawell.example/core/yuccafault"
+)
+
+// Judge says how a request counts that ended in a kind, with the status of the
+// server's answer where there is one, after the given time. A latency of zero
+// means that the service has no goal.
+func Judge(k yuccafault.Kind, status int, took, latency time.Duration) Outcome {
+	switch k {
+	case yuccafault.None:
+		return judgeAnswer(status, took, latency)
+	case yuccafault.Shed, yuccafault.Empty, yuccafault.Unready, yuccafault.Unclaimed, yuccafault.Leaving:
+		return Shed
+	case yuccafault.Expired, yuccafault.Overdue:
+		return Late
+	case yuccafault.Malformed, yuccafault.Unknown, yuccafault.Canceled, yuccafault.Conflict, yuccafault.Large,
+		yuccafault.Running, yuccafault.Spent, yuccafault.Poison:
+		return Ignored
+	}
+	return Broken
+}
+
+const serverError = 500
+
+func judgeAnswer(status int, took, latency time.Duration) Outcome {
+	switch {
+	case status >= serverError:
+		return Broken
+	case latency > 0 && took > latency:
+		return Late
+	}
+	return Good
+}
--- /dev/null
+++ b/core/yuccaburn/keep.go
@@ -0,0 +1,78 @@
+package yuccaburn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Copy is what one run of one entry counted, as of the time At.
+type Copy struct {
+	Origin string
+	Run    string
+	Seq    uint64
+	At     time.Time
+	// Last is set when the entry stopped after this copy.
+	Last    bool
+	Windows *Windows
+}
+
+// Keep is an immutable set of copies, the newest of each run. Older runs of the
+// same origin stay, since each run counts other requests.
+type Keep struct{ copies []Copy }
+
+// With returns the set with a copy taken in. A copy older than the one held is
+// left out, so copies may arrive in any order, twice or by several ways.
+func (k Keep) With(c Copy) Keep {
+	at, found := slices.BinarySearchFunc(k.copies, c, compareRuns)
+	copies := slices.Clone(k.copies)
+	switch {
+	case !found:
+		copies = slices.Insert(copies, at, c)
+	case copies[at].Seq < c.Seq:
+		copies[at] = c
+	}
+	return Keep{copies}
+}
+
+// Without returns the set without copies made before a time.
+func (k Keep) Without(before time.Time) Keep {
+	return Keep{slices.DeleteFunc(slices.Clone(k.copies), func(c Copy) bool { return c.At.Before(before) })}
+}
+
+// Copies returns the copies ordered by origin and run. The caller must not
+// change the slice.
+func (k Keep) Copies() []Copy { return k.copies }
+
+// Windows returns the counts of every copy. They cover different requests.
+func (k Keep) Windows() []*Windows {
+	all := make([]*Windows, len(k.copies))
+	for i, c := range k.copies {
+		all[i] = c.Windows
+	}
+	return all
+}
+
+func compareRuns(a, b Copy) int {
+	return cmp.Or(cmp.Compare(a.Origin, b.Origin), cmp.Compare(a.Run, b.Run))
+}
+
+// Gaps returns what is missing. A run that ended without its last copy may have
+// counted requests after its newest one; an entry that answers must have a copy
+// at all.
+func (k Keep) Gaps(now time.Time, expected []string, fresh time.Duration) []Gap {
+	gaps := []Gap{}
+	seen := map[string]bool{}
+	for _, c := range k.copies {
+		seen[c.Origin] = true
+		if !c.Last && now.Sub(c.At) > fresh {
+			gaps = append(gaps, Gap{c.Origin, c.At, "ended or unreachable without handing over"})
+		}
+	}
+	for _, name := range expected {
+		if !seen[name] {
+			gaps = append(gaps, Gap{Entry: name, Why: "no counts from this entry"})
+		}
+	}
+	return gaps
+}
--- /dev/null
+++ b/core/yuccaburn/service_test.go
@@ -0,0 +1,58 @@
+package yuccaburn_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccaburn"
+	"yuccawell.example/core/yuccafake"
+)
+
+// TestCountsOutliveTheirEntry stops one entry as planned and cuts another off,
+// and expects the third to hold what they counted.
+func TestCountsOutliveTheirEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx := context.Background()
+		net := yuccafake.NewNet()
+		names := []string{"e1", "e2", "e3"}
+		members := func() []string { return names }
+		group := &errgroup.Group{}
+		services := map[string]*yuccaburn.Service{}
+		for _, name := range names {
+			s := yuccaburn.New(name, net.Bus(name), members, zerolog.Nop())
+			c.Assert(s.Start(ctx, group), qt.IsNil)
+			s.Windows().Record(time.Now(), here, yuccaburn.Good, false)
+			services[name] = s
+		}
+		time.Sleep(yuccaburn.CopyInterval + time.Second)
+		services["e2"].Windows().Record(time.Now(), here, yuccaburn.Broken, false)
+		services["e3"].Windows().Record(time.Now(), here, yuccaburn.Broken, false)
+		c.Assert(services["e2"].Stop(ctx), qt.IsNil)
+		net.Cut("e3", true)
+		time.Sleep(10 * yuccaburn.CopyInterval)
+
+		copies := services["e1"].Copies()
+		got := yuccaburn.NewReport(time.Now(), goals, copies.Windows()).Goals[0].Count
+		c.Assert(got, qt.Equals, yuccaburn.Count{Total: 4, Broken: 1}, qt.Commentf("all but what e3 counted after its last copy"))
+		gaps := copies.Gaps(time.Now(), names, time.Minute)
+		c.Assert(gaps, qt.HasLen, 1)
+		c.Assert(gaps[0].Entry, qt.Equals, "e3")
+
+		shared, err := yuccaburn.Share(copies)
+		c.Assert(err, qt.IsNil)
+		again, err := yuccaburn.Gather(copies, shared, time.Now())
+		c.Assert(err, qt.IsNil)
+		c.Assert(yuccaburn.NewReport(time.Now(), goals, again.Windows()).Goals[0].Count, qt.Equals, got)
+		for _, name := range []string{"e1", "e3"} {
+			c.Assert(services[name].Stop(ctx), qt.IsNil)
+		}
+		c.Assert(group.Wait(), qt.IsNil)
+	})
+}
--- /dev/null
+++ b/core/yuccaburn/wire.go
@@ -0,0 +1,38 @@
+package yuccaburn
+
+import (
+	"time"
+
+	"yuccawell.example/core/yuccafault"
+)
+
+// Shared is a copy as an entry shows it to operators, and as a report reads it.
+type Shared struct {
+	// Body is an encoded CopyMessage.
+	Body []byte `json:"body"`
+}
+
+// Share returns the copies in the form that operators' commands read.
+func Share(k Keep) ([]Shared, error) {
+	all := []Shared{}
+	for _, c := range k.Copies() {
+		body, err := encodeCopy(c)
+		if err != nil {
+			return nil, yuccafault.Wrap(yuccafault.Internal, err)
+		}
+		all = append(all, Shared{body})
+	}
+	return all, nil
+}
+
+// Gather takes shared copies into a set. The error is of kind Protocol.
+func Gather(k Keep, all []Shared, now time.Time) (Keep, error) {
+	for _, s := range all {
+		c, err := decodeCopy(s.Body, now)
+		if err != nil {
+			return k, err
+		}
+		k = k.With(c)
+	}
+	return k, nil
+}
--- a/core/yuccadmin/admin.go
+++ b/core/yuccadmin/admin.go
@@ -1,5 +1,5 @@
 // Package yuccadmin serves operators on an address of its own: /live, /ready,
-// /metrics and /status.
+// /metrics and pages of JSON such as /status.
 package yuccadmin
 
 import (
@@ -18,8 +18,8 @@
 // Probe says whether the entry can serve, and why not when it cannot.
 type Probe func() (ready bool, reason string)
 
-// Status returns what /status shows as JSON.
-type Status func() any
+// Page returns what a path shows as JSON.
+type Page func() (any, error)
 
 // Admin is the service for operators. Make one with New.
 type Admin struct {
@@ -29,19 +29,23 @@
 	done   chan struct{}
 }
 
-// New returns an admin service for the given address.
-func New(addr string, registry *prometheus.Registry, probe Probe, status Status) *Admin {
+// New returns an admin service for the given address. Each of the pages is served
+// under its path, such as /status.
+func New(addr string, registry *prometheus.Registry, probe Probe, pages map[string]Page) *Admin {
 	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	handler := func(ctx *fasthttp.RequestCtx) {
-		switch string(ctx.Path()) {
+		path := string(ctx.Path())
+		if page, ok := pages[path]; ok {
+			serveJSON(ctx, page)
+			return
+		}
+		switch path {
 		case "/live":
 			ctx.SetBodyString("live\n")
 		case "/ready":
 			serveReady(ctx, probe)
 		case "/metrics":
 			metrics(ctx)
-		case "/status":
-			serveJSON(ctx, status())
 		default:
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
 		}
@@ -59,8 +63,12 @@
 	ctx.SetBodyString("ready\n")
 }
 
-func serveJSON(ctx *fasthttp.RequestCtx, v any) {
-	body, err := json.Marshal(v)
+func serveJSON(ctx *fasthttp.RequestCtx, page Page) {
+	v, err := page()
+	var body []byte
+	if err == nil {
+		body, err = json.Marshal(v)
+	}
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
--- a/core/yuccarule/read.go
+++ b/core/yuccarule/read.go
@@ -100,7 +100,7 @@
 }
 
 func readGoal(r *reader, rules *Rules) any {
-	v := Goal{Service: r.name("a service's name"), Latency: r.duration("latency"), Share: r.share("share"), Window: r.duration("window"), Note: r.note()}
+	v := Goal{Service: r.name("a service's name"), Latency: r.duration("latency"), Share: r.share("share"), Window: r.window("window"), Note: r.note()}
 	return keep(r, &rules.Goals, v)
 }
 
@@ -256,6 +256,19 @@
 	return valueOf(r, key, "a duration such as 300ms, 45m, 4h or 30d, at most 3650d", parseDuration)
 }
 
+// maxWindow is the longest window of a goal.
+const maxWindow = 90 * day
+
+func (r *reader) window(key string) time.Duration {
+	return valueOf(r, key, "a duration of at most 90d, such as 30d", func(text string) (time.Duration, error) {
+		d, err := parseDuration(text)
+		if err == nil && d > maxWindow {
+			err = fmt.Errorf("%q is too long a window", text)
+		}
+		return d, err
+	})
+}
+
 func (r *reader) time(key string) time.Time {
 	return valueOf(r, key, "a time such as 2027-03-27T20:00:00Z", func(text string) (time.Time, error) {
 		t, err := time.Parse(time.RFC3339, text)
--- a/core/yuccarule/rule.go
+++ b/core/yuccarule/rule.go
@@ -10,6 +10,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -194,3 +195,28 @@
 	}
 	return false
 }
+
+// Moving reports whether a shift of the service or a drain of one of its
+// regions is in the rules.
+func (r Rules) Moving(service string) bool {
+	for _, s := range r.Shifts {
+		if s.Service == service {
+			return true
+		}
+	}
+	s, ok := r.Service(service)
+	if !ok {
+		return false
+	}
+	return slices.ContainsFunc(s.Regions, func(name string) bool { return r.Drained(DrainRegion, name) })
+}
+
+// GoalOf returns the goal of a service.
+func (r Rules) GoalOf(service string) (Goal, bool) {
+	for _, g := range r.Goals {
+		if g.Service == service {
+			return g, true
+		}
+	}
+	return Goal{}, false
+}
--- a/core/yuccarule/rule_test.go
+++ b/core/yuccarule/rule_test.go
@@ -48,6 +48,7 @@
 		{"rate overflow", "link a b cap=99999999999Gbit # o", []string{"is not a rate"}},
 		{"bad duration", "cap s step=1% every=1min # o", []string{`f:5:21: "1min" is not a duration`}},
 		{"negative duration", "cap s step=1% every=-1m # o", []string{"is not a duration"}},
+		{"window too long", "goal s latency=1s share=99% window=91d # o", []string{`f:5:36: "91d" is too long a window`}},
 		{"bad time", "event e service=s start=tomorrow lead=1m length=1h factor=2 # o", []string{`f:5:25: "tomorrow" is not a time`}},
 		{"bad factor", "event e service=s start=2027-03-27T20:00:00Z lead=1m length=1h factor=NaN # o", []string{`"NaN" is not a factor`}},
 		{"bad prefix", "block 10.0.0.1/8 site=a # o", []string{`f:5:7: "10.0.0.1/8" is not a prefix`}},
--- a/entry/run.go
+++ b/entry/run.go
@@ -33,8 +33,11 @@
 		Linger: time.Duration(set.Linger),
 	}, feed, relay.Serve, log)
 
+	pages := map[string]yuccadmin.Page{
+		"/status": status(set, feed, front),
+	}
 	kernel := yuccakernel.New(log)
-	kernel.Add("admin", yuccadmin.New(set.Admin, meter.Registry(), probe(feed, front), status(set, feed, front)))
+	kernel.Add("admin", yuccadmin.New(set.Admin, meter.Registry(), probe(feed, front), pages))
 	kernel.Add("feed", feed)
 	kernel.Add("front", front)
 	kernel.Add("leave", newLeave(set.Name, store, log))
@@ -66,8 +69,8 @@
 	Servers int    `json:"servers"`
 }
 
-func status(set settings, feed *yuccafeed.Feed, front *yuccafront.Front) yuccadmin.Status {
-	return func() any {
+func status(set settings, feed *yuccafeed.Feed, front *yuccafront.Front) yuccadmin.Page {
+	return func() (any, error) {
 		s := feed.Snapshot()
 		return Status{
 			Name:    set.Name,
@@ -79,6 +82,6 @@
 			Plan:    s.Plan.Version,
 			Entries: len(s.View.Entries()),
 			Servers: len(s.View.Servers()),
-		}
+		}, nil
 	}
 }
