--- a/core/yuccaburn/merge_test.go
+++ b/core/yuccaburn/merge_test.go
@@ -75,7 +75,7 @@
 	qt.Assert(f, err, qt.IsNil)
 	f.Add(body)
 	f.Add([]byte{0x0a, 0x02, 0x1a, 0x00})
-	f.Fuzz(func(t *testing.T, body []byte) {
+	f.Fuzz(func(_ *testing.T, body []byte) {
 		w, err := yuccaburn.DecodeWindows(body, noon)
 		if err == nil {
 			yuccaburn.NewReport(noon, goals, []*yuccaburn.Windows{w})
--- /dev/null
+++ b/core/yuccafeed/use.go
@@ -0,0 +1,25 @@
+package yuccafeed
+
+import "yuccawell.example/core/yuccaplan"
+
+// Use is how much of its budget an entry uses for a service in a region.
+type Use struct {
+	Service string `json:"service"`
+	Region  string `json:"region"`
+	// Busy is how many requests are in flight.
+	Busy int `json:"busy"`
+	// Slots is how many the plan allows.
+	Slots int `json:"slots"`
+}
+
+// UseOf returns an entry's use of every budget that a plan gives it. The
+// function busy counts its requests in flight.
+func UseOf(p yuccaplan.Plan, entry string, busy func(service, region string) int) []Use {
+	all := []Use{}
+	for _, b := range p.Budgets {
+		if b.Entry == entry {
+			all = append(all, Use{b.Service, b.Region, busy(b.Service, b.Region), b.Slots})
+		}
+	}
+	return all
+}
--- a/ctl/command.go
+++ b/ctl/command.go
@@ -46,6 +46,8 @@
 		Long:          "yuccactl checks and applies rules files and shows what they do.\n\nExit codes: 0 done, 1 refused, 2 wrong usage, 3 unreachable.",
 		SilenceUsage:  true,
 		SilenceErrors: true,
+		Args: noCommand,
+		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 		PersistentPreRun: func(c *cobra.Command, _ []string) {
 			a.out = c.OutOrStdout()
 		},
@@ -57,6 +59,14 @@
 	return root
 }
 
+// noCommand refuses a word that is not a command.
+func noCommand(c *cobra.Command, args []string) error {
+	if len(args) == 0 {
+		return nil
+	}
+	return yuccafault.New(yuccafault.Usage, "unknown command %q; %s --help lists them", args[0], c.Name())
+}
+
 // exactly is cobra.ExactArgs with an error of kind Usage.
 func exactly(n int) cobra.PositionalArgs {
 	return func(c *cobra.Command, args []string) error {
--- a/ctl/report.go
+++ b/ctl/report.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -145,7 +147,10 @@
 	return strings.ToUpper(alert)
 }
 
-func percent(f float64) string { return fmt.Sprintf("%.4g%%", f*100) }
+// percent prints a fraction in percent, to a ten-thousandth of a percent.
+func percent(f float64) string {
+	return strconv.FormatFloat(math.Round(f*1e6)/1e4, 'f', -1, 64) + "%"
+}
 
 func times(r yuccaburn.Rate) string { return fmt.Sprintf("%.3gx", r.Burn) }
 
--- a/ctl/rules.go
+++ b/ctl/rules.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"os"
 	"strconv"
@@ -157,20 +158,18 @@
 	if err := a.submit(ctx, store, text, result.Version, tag); err != nil {
 		return err
 	}
+	var waitErr error
 	if wait {
-		result.Behind, err = waitInForce(ctx, store, result.Version)
+		result.Behind, waitErr = waitInForce(ctx, store, result.Version)
 	}
 	printErr := a.show(result, func() {
 		a.printChanges(changes)
 		a.printf("version %d accepted\n", result.Version)
-		if wait && err == nil {
+		if wait && waitErr == nil {
 			a.printf("version %d in force at every live entry\n", result.Version)
 		}
 	})
-	if err != nil {
-		return err
-	}
-	return printErr
+	return cmp.Or(waitErr, printErr)
 }
 
 // submit writes a new version. When another operator's write comes first, the
--- a/ctl/status.go
+++ b/ctl/status.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"runtime/debug"
@@ -14,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccafeed"
 	"yuccawell.example/core/yuccastore"
 )
 
@@ -33,15 +35,20 @@
 	Plan    uint64 `json:"plan"`
 	Entries int    `json:"entries"`
 	Servers int    `json:"servers"`
+	// Use is how much of its budgets the entry uses.
+	Use []yuccafeed.Use `json:"use,omitempty"`
 	// Fault says why the entry gave no status.
 	Fault string `json:"fault,omitempty"`
 }
 
+const watchInterval = time.Second
+
 func (a *app) statusCommand() *cobra.Command {
-	return &cobra.Command{
+	var watch bool
+	c := &cobra.Command{
 		Use:     "status",
-		Short:   "Show the entries and the versions they have in force",
-		Example: "  yuccactl status\n  yuccactl status --json",
+		Short:   "Show the entries, the versions in force and the use of every region",
+		Example: "  yuccactl status\n  yuccactl status --watch\n  yuccactl status --json",
 		Args:    exactly(0),
 		RunE: func(c *cobra.Command, _ []string) error {
 			store, err := a.store()
@@ -49,16 +56,38 @@
 				return err
 			}
 			defer store.Close()
-			all, err := askAll(c.Context(), store)
-			if err != nil {
-				return err
+			for {
+				if err := a.showStatus(c.Context(), store, watch); err != nil || !watch {
+					return err
+				}
+				select {
+				case <-time.After(watchInterval):
+				case <-c.Context().Done():
+					return nil
+				}
 			}
-			return a.show(all, func() { a.printStatus(all) })
 		},
 	}
+	c.Flags().BoolVar(&watch, "watch", false, "show again every second")
+	return c
+}
+
+func (a *app) showStatus(ctx context.Context, store yuccastore.Store, watch bool) error {
+	all, err := askAll(ctx, store)
+	if err != nil {
+		return err
+	}
+	return a.show(all, func() {
+		plain := isPlain(a.out)
+		if watch && !plain {
+			a.printf("\x1b[H\x1b[2J")
+		}
+		a.printEntries(all)
+		a.printUse(sumUse(all), plain)
+	})
 }
 
-func (a *app) printStatus(all []entryStatus) {
+func (a *app) printEntries(all []entryStatus) {
 	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
 	defer w.Flush()
 	row := func(cells ...string) { _, _ = w.Write([]byte(strings.Join(cells, "\t") + "\n")) }
@@ -68,6 +97,37 @@
 	}
 }
 
+// sumUse adds the entries' use up by service and region.
+func sumUse(all []entryStatus) []yuccafeed.Use {
+	var total []yuccafeed.Use
+	for _, e := range all {
+		for _, u := range e.Use {
+			i := slices.IndexFunc(total, func(t yuccafeed.Use) bool { return t.Service == u.Service && t.Region == u.Region })
+			if i < 0 {
+				total = append(total, u)
+				continue
+			}
+			total[i].Busy += u.Busy
+			total[i].Slots += u.Slots
+		}
+	}
+	slices.SortFunc(total, func(x, y yuccafeed.Use) int {
+		return cmp.Or(strings.Compare(x.Region, y.Region), strings.Compare(x.Service, y.Service))
+	})
+	return total
+}
+
+func (a *app) printUse(total []yuccafeed.Use, plain bool) {
+	if len(total) == 0 {
+		return
+	}
+	a.printf("\n%-12s %-12s %-31s %s\n", "REGION", "SERVICE", "IN USE", "SLOTS")
+	for _, u := range total {
+		used, whole := float64(u.Busy), float64(u.Slots)
+		a.printf("%-12s %-12s %s %d of %d\n", u.Region, u.Service, paint(bar(used, whole, plain), used, whole, plain), u.Busy, u.Slots)
+	}
+}
+
 func (e entryStatus) state() string {
 	switch {
 	case e.Fault != "":
--- a/entry/run.go
+++ b/entry/run.go
@@ -34,7 +34,7 @@
 	}, feed, relay.Serve, log)
 
 	pages := map[string]yuccadmin.Page{
-		"/status": status(set, feed, front),
+		"/status": status(set, feed, front, picker),
 	}
 	kernel := yuccakernel.New(log)
 	kernel.Add("admin", yuccadmin.New(set.Admin, meter.Registry(), probe(feed, front), pages))
@@ -67,9 +67,11 @@
 	Plan    uint64 `json:"plan"`
 	Entries int    `json:"entries"`
 	Servers int    `json:"servers"`
+	// Use is how much of its budgets the entry uses.
+	Use []yuccafeed.Use `json:"use"`
 }
 
-func status(set settings, feed *yuccafeed.Feed, front *yuccafront.Front) yuccadmin.Page {
+func status(set settings, feed *yuccafeed.Feed, front *yuccafront.Front, picker *yuccapick.Picker) yuccadmin.Page {
 	return func() (any, error) {
 		s := feed.Snapshot()
 		return Status{
@@ -82,6 +84,7 @@
 			Plan:    s.Plan.Version,
 			Entries: len(s.View.Entries()),
 			Servers: len(s.View.Servers()),
+			Use:     yuccafeed.UseOf(s.Plan, set.Name, picker.Busy),
 		}, nil
 	}
 }
