Retry budget per service, and lives that count each declined try

Cause: a life took the mark of a try back only when the first try was declined, so two declined tries were answered with "maybe"; nothing bounded second tries. Before: with the old rule TestNotRunIsTrue fails with "answered shed with maybe, though each of 2 tries was declined"; without the token check TestBudgetBoundsSecondTries fails. After: both pass.

--- a/core/yuccalife/life.go
+++ b/core/yuccalife/life.go
@@ -40,8 +40,12 @@
 type Life struct {
 	phase      Phase
 	idempotent bool
-	ran        bool
-	tries      int
+	// sent counts the tries of which a byte may have left, declined those that
+	// a server said it did not run.
+	sent, declined int
+	// running counts the tries that have not ended.
+	running int
+	tries   int
 	// last is how the try before this one failed.
 	last yuccafault.Kind
 }
@@ -53,11 +57,16 @@
 func (l Life) Phase() Phase { return l.phase }
 
 // MayHaveRun reports whether the request may have run on some server.
-func (l Life) MayHaveRun() bool { return l.ran }
+func (l Life) MayHaveRun() bool { return l.sent > l.declined }
 
 // Tries returns how many servers the request was given to.
 func (l Life) Tries() int { return l.tries }
 
+// Repeatable reports whether the request may be given to another server.
+func (l Life) Repeatable() bool {
+	return l.tries < MaxTries && (l.idempotent || !l.MayHaveRun())
+}
+
 // Message is something that happened to a request.
 type Message interface{ message() }
 
@@ -68,6 +77,8 @@
 	Refused struct{ Kind yuccafault.Kind }
 	// Picked says that a server was chosen.
 	Picked struct{}
+	// Hedged says that a second server was chosen while the first works.
+	Hedged struct{}
 	// Left says that a byte of the request may leave for the server.
 	Left struct{}
 	// Failed says that the connection to the server is of no more use. Budget
@@ -91,6 +102,7 @@
 func (Admitted) message() {}
 func (Refused) message()  {}
 func (Picked) message()   {}
+func (Hedged) message()   {}
 func (Left) message()     {}
 func (Failed) message()   {}
 func (Declined) message() {}
@@ -143,10 +155,15 @@
 	case Picked:
 		l.phase = Chosen
 		l.tries++
+		l.running++
+		return l, Command{Action: Connect}
+	case Hedged:
+		l.tries++
+		l.running++
 		return l, Command{Action: Connect}
 	case Left:
 		l.phase = Sent
-		l.ran = true
+		l.sent++
 		return l, Command{}
 	case Replied:
 		l.phase = Answered
@@ -154,7 +171,7 @@
 	case Refused:
 		return l.refused(m)
 	case Declined:
-		return l.declined(m)
+		return l.decline(m)
 	case Failed:
 		return l.failed(m)
 	case TimedOut:
@@ -170,44 +187,47 @@
 // refused answers with how the last try failed when there is no further server:
 // that says more than the lack of one.
 func (l Life) refused(m Refused) (Life, Command) {
-	if l.last != yuccafault.None {
+	lacking := m.Kind == yuccafault.Empty || m.Kind == yuccafault.Shed
+	if lacking && l.last != yuccafault.None {
 		return l.answer(l.last)
 	}
 	return l.answer(m.Kind)
 }
 
-// declined takes back the mark of the last try: the server said that it did
-// not run the request.
-func (l Life) declined(m Declined) (Life, Command) {
-	if l.tries == 1 {
-		l.ran = false
-	}
-	l.last = yuccafault.Shed
-	if m.Budget && l.tries < MaxTries {
-		l.phase = Waiting
-		return l, Command{Action: Pick}
-	}
-	return l.answer(yuccafault.Shed)
+// decline takes back the mark of one try: the server said that it did not run
+// the request.
+func (l Life) decline(m Declined) (Life, Command) {
+	l.declined++
+	return l.again(yuccafault.Shed, m.Budget)
 }
 
 func (l Life) failed(m Failed) (Life, Command) {
 	if l.phase == Answered {
 		return l.end(Command{Action: Close, Kind: m.Kind})
 	}
-	l.last = m.Kind
-	safe := !l.ran || l.idempotent
-	if safe && m.Budget && l.tries < MaxTries {
+	return l.again(m.Kind, m.Budget)
+}
+
+// again ends one try and asks for another server where that is safe. A try that
+// is still running goes on alone.
+func (l Life) again(k yuccafault.Kind, budget bool) (Life, Command) {
+	l.last = k
+	l.running--
+	if l.running > 0 {
+		return l, Command{}
+	}
+	if budget && l.Repeatable() {
 		l.phase = Waiting
 		return l, Command{Action: Pick}
 	}
-	return l.answer(m.Kind)
+	return l.answer(k)
 }
 
 func (l Life) timedOut() (Life, Command) {
 	switch {
 	case l.phase == Answered:
 		return l.end(Command{Action: Close, Kind: yuccafault.Overdue})
-	case l.ran:
+	case l.MayHaveRun():
 		return l.answer(yuccafault.Overdue)
 	}
 	return l.answer(yuccafault.Expired)
@@ -216,7 +236,7 @@
 // answer ends the request with an answer that is true of whether it ran.
 func (l Life) answer(k yuccafault.Kind) (Life, Command) {
 	ran := k.Row().Ran
-	if l.ran {
+	if l.MayHaveRun() {
 		ran = yuccafault.MayRun
 	}
 	return l.end(Command{Action: Answer, Kind: k, Ran: ran})
--- a/core/yuccalife/life_test.go
+++ b/core/yuccalife/life_test.go
@@ -38,6 +38,12 @@
 		{"broken but idempotent", true, []yuccalife.Message{admitted, picked, left, broken}, yuccalife.Pick, yuccafault.None, ""},
 		{"declined", false, []yuccalife.Message{admitted, picked, left, yuccalife.Declined{Budget: true}}, yuccalife.Pick, yuccafault.None, ""},
 		{"declined, no budget", false, []yuccalife.Message{admitted, picked, left, yuccalife.Declined{}}, yuccalife.Answer, yuccafault.Shed, yuccafault.NotRun},
+		{"unsure, then declined", true, []yuccalife.Message{admitted, picked, left, broken, picked, left, yuccalife.Declined{}}, yuccalife.Answer, yuccafault.Shed, yuccafault.MayRun},
+		{"declined, then declined", false, []yuccalife.Message{admitted, picked, left, yuccalife.Declined{Budget: true}, picked, left, yuccalife.Declined{}}, yuccalife.Answer, yuccafault.Shed, yuccafault.NotRun},
+		{"declined, then unreachable", false, []yuccalife.Message{admitted, picked, left, yuccalife.Declined{Budget: true}, picked, yuccalife.Failed{Kind: yuccafault.Unreachable}}, yuccalife.Answer, yuccafault.Unreachable, yuccafault.NotRun},
+		{"quarantined after a try", true, []yuccalife.Message{admitted, picked, left, broken, yuccalife.Refused{Kind: yuccafault.Poison}}, yuccalife.Answer, yuccafault.Poison, yuccafault.MayRun},
+		{"one of two fails", true, []yuccalife.Message{admitted, picked, left, yuccalife.Hedged{}, left, broken}, yuccalife.Nothing, yuccafault.None, ""},
+		{"both of two fail", true, []yuccalife.Message{admitted, picked, left, yuccalife.Hedged{}, left, broken, yuccalife.Failed{Kind: yuccafault.Broken}}, yuccalife.Answer, yuccafault.Broken, yuccafault.MayRun},
 		{"ran before, then refused", true, []yuccalife.Message{admitted, picked, left, broken, yuccalife.Refused{Kind: yuccafault.Shed}}, yuccalife.Answer, yuccafault.Broken, yuccafault.MayRun},
 		{"deadline before sending", false, []yuccalife.Message{admitted, picked, yuccalife.TimedOut{}}, yuccalife.Answer, yuccafault.Expired, yuccafault.NotRun},
 		{"deadline after sending", false, []yuccalife.Message{admitted, picked, left, yuccalife.TimedOut{}}, yuccalife.Answer, yuccafault.Overdue, yuccafault.MayRun},
@@ -57,34 +63,43 @@
 // of the tries that may have run.
 func TestNotRunIsTrue(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		idempotent := rapid.Bool().Draw(t, "idempotent")
-		l := yuccalife.New(idempotent)
-		l, cmd := l.Update(yuccalife.Admitted{})
-		sent, declined := 0, 0
-		for !cmd.Final() {
-			var m yuccalife.Message
-			budget := rapid.Bool().Draw(t, "budget")
-			switch l.Phase() {
-			case yuccalife.Waiting:
-				m = rapid.SampledFrom([]yuccalife.Message{yuccalife.Picked{}, yuccalife.Refused{Kind: yuccafault.Empty}, yuccalife.TimedOut{}}).Draw(t, "m")
-			case yuccalife.Chosen:
-				m = rapid.SampledFrom([]yuccalife.Message{yuccalife.Left{}, yuccalife.Failed{Kind: yuccafault.Unreachable, Budget: budget}, yuccalife.TimedOut{}}).Draw(t, "m")
-			default:
-				m = rapid.SampledFrom([]yuccalife.Message{yuccalife.Replied{}, yuccalife.Declined{Budget: budget}, yuccalife.Failed{Kind: yuccafault.Broken, Budget: budget}, yuccalife.TimedOut{}, yuccalife.Finished{}}).Draw(t, "m")
-			}
-			switch m.(type) {
-			case yuccalife.Left:
-				sent++
-			case yuccalife.Declined:
-				declined++
-			}
-			l, cmd = l.Update(m)
+		for range 30 {
+			drive(t)
 		}
-		if !idempotent && sent-declined > 1 {
-			t.Fatalf("a request that is not idempotent was sent %d times, declined %d times", sent, declined)
+	})
+}
+
+func drive(t *rapid.T) {
+	idempotent := rapid.Bool().Draw(t, "idempotent")
+	l := yuccalife.New(idempotent)
+	l, cmd := l.Update(yuccalife.Admitted{})
+	sent, declined := 0, 0
+	for !cmd.Final() {
+		var m yuccalife.Message
+		budget := rapid.Bool().Draw(t, "budget")
+		switch l.Phase() {
+		case yuccalife.Waiting:
+			m = rapid.SampledFrom([]yuccalife.Message{yuccalife.Picked{}, yuccalife.Picked{}, yuccalife.Picked{}, yuccalife.Refused{Kind: yuccafault.Empty}, yuccalife.TimedOut{}}).Draw(t, "m")
+		case yuccalife.Chosen:
+			m = rapid.SampledFrom([]yuccalife.Message{yuccalife.Left{}, yuccalife.Left{}, yuccalife.Left{}, yuccalife.Failed{Kind: yuccafault.Unreachable, Budget: budget}, yuccalife.TimedOut{}}).Draw(t, "m")
+		default:
+			m = rapid.SampledFrom([]yuccalife.Message{yuccalife.Replied{}, yuccalife.Declined{Budget: budget}, yuccalife.Declined{Budget: true}, yuccalife.Failed{Kind: yuccafault.Broken, Budget: budget}, yuccalife.TimedOut{}, yuccalife.Finished{}}).Draw(t, "m")
 		}
-		if cmd.Ran == yuccafault.NotRun && sent > declined {
-			t.Fatalf("answered %s with not run, sent %d times, declined %d times", cmd.Kind, sent, declined)
+		switch m.(type) {
+		case yuccalife.Left:
+			sent++
+		case yuccalife.Declined:
+			declined++
 		}
-	})
+		l, cmd = l.Update(m)
+	}
+	if !idempotent && sent-declined > 1 {
+		t.Fatalf("a request that is not idempotent was sent %d times, declined %d times", sent, declined)
+	}
+	if cmd.Action == yuccalife.Answer && cmd.Ran == yuccafault.MayRun && sent == declined {
+		t.Fatalf("answered %s with maybe, though each of %d tries was declined", cmd.Kind, sent)
+	}
+	if cmd.Ran == yuccafault.NotRun && sent > declined {
+		t.Fatalf("answered %s with not run, sent %d times, declined %d times", cmd.Kind, sent, declined)
+	}
 }
--- /dev/null
+++ b/core/yuccaretry/budget.go
@@ -0,0 +1,94 @@
+// Package yuccaretry bounds the load that second tries of requests add. Each
+// service has one Budget; retries, hedged requests and resumed downloads all
+// draw on it.
+//
+//	b, ok := b.Update(now, yuccaretry.Retry)
+//	if !ok {
+//		// answer without another try
+//	}
+package yuccaretry
+
+import "time"
+
+// Message is something that happened to a service's requests.
+type Message uint8
+
+// The messages.
+const (
+	// Request says that a caller's request has arrived.
+	Request Message = iota
+	// Retry asks to send a failed request to another server.
+	Retry
+	// Hedge asks to send a request to a second server while the first works.
+	Hedge
+	// Served says that a server answered a request.
+	Served
+	// Overloaded says that a server or the admission refused a request.
+	Overloaded
+)
+
+const (
+	retryShare = 0.10
+	hedgeShare = 0.02
+	// maxTokens bounds how many second tries may come in one burst.
+	maxTokens = 10
+	// tokensPerSecond lets a service with few requests retry.
+	tokensPerSecond = 1
+	// overloadWeight is the weight of one outcome in the moving average.
+	overloadWeight = 1.0 / 64
+	// overloadLimit is the share of refusals above which the budget is closed.
+	overloadLimit = 0.10
+)
+
+// Budget is the state of one service's second tries. The zero value is not
+// useful; make one with New.
+type Budget struct {
+	retries, hedges float64
+	refused         float64
+	at              time.Time
+}
+
+// New returns a full budget.
+func New(now time.Time) Budget { return Budget{retries: maxTokens, hedges: maxTokens, at: now} }
+
+// Closed reports whether the service is overloaded, so that no second try is
+// allowed.
+func (b Budget) Closed() bool { return b.refused > overloadLimit }
+
+// Update takes what happened and reports whether a Retry or Hedge is allowed.
+// A Hedge draws on the tokens of retries too, so that both together stay within
+// the share of retries.
+func (b Budget) Update(now time.Time, m Message) (Budget, bool) {
+	switch m {
+	case Request:
+		return b.deposit(now), true
+	case Served:
+		b.refused -= b.refused * overloadWeight
+		return b, true
+	case Overloaded:
+		b.refused += (1 - b.refused) * overloadWeight
+		return b, true
+	case Retry:
+		if b.Closed() || b.retries < 1 {
+			return b, false
+		}
+		b.retries--
+		return b, true
+	case Hedge:
+		if b.Closed() || b.hedges < 1 || b.retries < 1 {
+			return b, false
+		}
+		b.hedges--
+		b.retries--
+		return b, true
+	}
+	return b, false
+}
+
+func (b Budget) deposit(now time.Time) Budget {
+	idle := max(0, now.Sub(b.at).Seconds()) * tokensPerSecond
+	b.at = now
+	b.retries = min(maxTokens, b.retries+max(retryShare, idle))
+	b.hedges = min(maxTokens, b.hedges+hedgeShare)
+	return b
+}
--- /dev/null
+++ b/core/yuccaretry/budget_test.go
@@ -0,0 +1,77 @@
+package yuccaretry_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"yuccawell.example/core/yuccaretry"
+)
+
+const (
+	burst      = 10
+	maxRetries = 0.10
+	maxHedges  = 0.02
+)
+
+// TestBudgetBoundsSecondTries asks for as many second tries as it can.
+func TestBudgetBoundsSecondTries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		b := yuccaretry.New(now)
+		asks := []yuccaretry.Message{yuccaretry.Request, yuccaretry.Retry, yuccaretry.Hedge, yuccaretry.Served}
+		requests, tries, hedges := 0.0, 0.0, 0.0
+		for _, m := range rapid.SliceOfN(rapid.SampledFrom(asks), 1, 2000).Draw(t, "messages") {
+			var ok bool
+			b, ok = b.Update(now, m)
+			switch {
+			case m == yuccaretry.Request:
+				requests++
+			case m == yuccaretry.Hedge && ok:
+				hedges++
+				tries++
+			case m == yuccaretry.Retry && ok:
+				tries++
+			}
+			if tries > burst+maxRetries*requests+1e-6 || hedges > burst+maxHedges*requests+1e-6 {
+				t.Fatalf("%v second tries, %v hedges for %v requests", tries, hedges, requests)
+			}
+		}
+	})
+}
+
+func TestBudgetClosesUnderOverload(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(0, 0)
+	b := yuccaretry.New(now)
+	for range 16 {
+		b, _ = b.Update(now, yuccaretry.Overloaded)
+	}
+	c.Assert(b.Closed(), qt.IsTrue)
+	for _, m := range []yuccaretry.Message{yuccaretry.Retry, yuccaretry.Hedge} {
+		_, ok := b.Update(now, m)
+		c.Assert(ok, qt.IsFalse)
+	}
+	for range 128 {
+		b, _ = b.Update(now, yuccaretry.Served)
+	}
+	c.Assert(b.Closed(), qt.IsFalse)
+}
+
+func TestLatencyQuantile(t *testing.T) {
+	c := qt.New(t)
+	var l yuccaretry.Latency
+	_, ok := l.Quantile(0.5)
+	c.Assert(ok, qt.IsFalse)
+	for i := range 1000 {
+		l.Add(time.Duration(i+1) * time.Millisecond)
+	}
+	for _, q := range []float64{0.5, 0.95, 0.99} {
+		d, ok := l.Quantile(q)
+		c.Assert(ok, qt.IsTrue)
+		exact := q * float64(time.Second)
+		c.Assert(float64(d) >= exact && float64(d) <= 1.1*exact, qt.IsTrue, qt.Commentf("%v: %v", q, d))
+	}
+}
