Relay: attempts side by side, caller hang-up, guards, resumed downloads

Cause: one attempt ran on the caller's goroutine, so that a caller's hang-up, a silent connection and a second server could not be seen to. Heads are checked for ambiguous framing both ways; idle connections on which something came are not used; a chunked body without its end counts as cut. Downloads with a strong ETag go on from another server. Retry-After is spread.

--- a/core/yuccalife/life.go
+++ b/core/yuccalife/life.go
@@ -162,7 +162,7 @@
 		l.running++
 		return l, Command{Action: Connect}
 	case Left:
-		l.phase = Sent
+		l.phase = max(l.phase, Sent)
 		l.sent++
 		return l, Command{}
 	case Replied:
--- a/core/yuccarelay/exchange.go
+++ b/core/yuccarelay/exchange.go
@@ -1,6 +1,7 @@
 package yuccarelay
 
 import (
+	"errors"
 	"io"
 	"net/http/httputil"
 	"time"
@@ -10,8 +11,13 @@
 	"yuccawell.example/core/yuccafault"
 )
 
-// stallTimeout bounds the wait for the next byte of a server.
-const stallTimeout = 30 * time.Second
+const (
+	// stallTimeout bounds the wait for the next byte to or from a server.
+	stallTimeout = 30 * time.Second
+	// maxInterim is how many 1xx heads may come before the final one.
+	maxInterim = 8
+	copySize   = 32 << 10
+)
 
 // What fasthttp gives in place of a body's length.
 const (
@@ -19,34 +25,42 @@
 	noLength = -2
 )
 
+var (
+	errSwitch  = errors.New("server switched protocols unasked")
+	errInterim = errors.New("too many interim answers")
+	errCaller  = errors.New("the caller's body ended early")
+)
+
 // exchange is one request and its answer on one connection. It is the reader of
 // the answer's body.
 type exchange struct {
 	conn  *conn
-	pool  *pool
 	head  fasthttp.ResponseHeader
 	body  io.Reader
+	stall time.Duration
 	left  int64
 	count int64
 	ended bool
-	end   func(int64, error)
+	// end is called once, with the error that ended the exchange.
+	end func(n int64, err error)
 }
 
-func newExchange(c *conn) *exchange { return &exchange{conn: c, left: -1} }
+func newExchange(c *conn, end func(int64, error)) *exchange {
+	return &exchange{conn: c, left: -1, stall: stallTimeout, end: end}
+}
 
 // send writes the request and reads the head of the answer.
-func (x *exchange) send(t *task) error {
-	x.pool = t.relay.pool
-	if err := x.conn.SetDeadline(limit(t.deadline)); err != nil {
+func (x *exchange) send(t *task, h *fasthttp.RequestHeader) error {
+	if err := x.write(t, h); err != nil {
 		return err
 	}
-	if err := x.write(t); err != nil {
+	if err := x.conn.SetReadDeadline(limit(t.deadline)); err != nil {
 		return err
 	}
 	if err := x.readHead(); err != nil {
 		return err
 	}
-	x.openBody(t.ctx.IsHead())
+	x.openBody(t.head)
 	return nil
 }
 
@@ -59,17 +73,7 @@
 	return end
 }
 
-func (x *exchange) write(t *task) error {
-	var h fasthttp.RequestHeader
-	t.ctx.Request.Header.CopyTo(&h)
-	removeHopHeaders(&h)
-	h.Del(DeadlineHeader)
-	if !t.deadline.IsZero() {
-		h.Set(DeadlineHeader, time.Until(t.deadline).Round(time.Millisecond).String())
-	}
-	if t.body.length != noLength {
-		h.SetContentLength(t.body.length)
-	}
+func (x *exchange) write(t *task, h *fasthttp.RequestHeader) error {
 	if err := h.Write(x.conn.w); err != nil {
 		return err
 	}
@@ -81,11 +85,14 @@
 
 func (x *exchange) writeBody(s *source) error {
 	if s.length != chunked {
-		_, err := io.Copy(x.conn.w, s.reader())
+		n, err := copyBody(x.conn.w, s)
+		if err == nil && s.length >= 0 && n != int64(s.length) {
+			return errCaller
+		}
 		return err
 	}
 	w := httputil.NewChunkedWriter(x.conn.w)
-	if _, err := io.Copy(w, s.reader()); err != nil {
+	if _, err := copyBody(w, s); err != nil {
 		return err
 	}
 	if err := w.Close(); err != nil {
@@ -95,17 +102,32 @@
 	return err
 }
 
+func copyBody(w io.Writer, s *source) (int64, error) {
+	if s.rest == nil {
+		n, err := w.Write(s.head)
+		return int64(n), err
+	}
+	return io.CopyBuffer(struct{ io.Writer }{w}, s.reader(), make([]byte, copySize))
+}
+
 // readHead reads heads until one is final.
 func (x *exchange) readHead() error {
-	for {
+	for range maxInterim {
 		x.head.Reset()
+		if err := checkHead(x.conn.r); err != nil {
+			return err
+		}
 		if err := x.head.Read(x.conn.r); err != nil {
 			return err
 		}
-		if x.head.StatusCode() >= fasthttp.StatusOK {
+		switch status := x.head.StatusCode(); {
+		case status == fasthttp.StatusSwitchingProtocols:
+			return errSwitch
+		case status >= fasthttp.StatusOK:
 			return nil
 		}
 	}
+	return errInterim
 }
 
 func (x *exchange) openBody(head bool) {
@@ -141,8 +163,6 @@
 	return x.status() == fasthttp.StatusServiceUnavailable && string(x.head.Peek(RunHeader)) == string(yuccafault.NotRun)
 }
 
-func (x *exchange) onEnd(fn func(int64, error)) { x.end = fn }
-
 // Read implements io.Reader on the body. A body that was cut short gives
 // io.ErrUnexpectedEOF, never io.EOF.
 func (x *exchange) Read(p []byte) (int, error) {
@@ -153,7 +173,8 @@
 	if x.left > 0 && int64(len(p)) > x.left {
 		p = p[:x.left]
 	}
-	if err := x.conn.SetReadDeadline(time.Now().Add(stallTimeout)); err != nil {
+	if err := x.conn.SetReadDeadline(time.Now().Add(x.stall)); err != nil {
+		x.finish(err)
 		return 0, err
 	}
 	n, err := x.body.Read(p)
@@ -161,17 +182,40 @@
 	if x.left > 0 {
 		x.left -= int64(n)
 	}
-	if err == io.EOF && x.left > 0 {
-		err = io.ErrUnexpectedEOF
+	err = x.bodyError(err)
+	if err != nil {
+		x.finish(unlessEnd(err))
 	}
+	return n, err
+}
+
+// bodyError turns the error of a read into io.EOF when the body is whole, and
+// into io.ErrUnexpectedEOF when it was cut short.
+func (x *exchange) bodyError(err error) error {
 	switch {
-	case err == io.EOF || x.left == 0:
-		x.finish(nil)
-		return n, io.EOF
-	case err != nil:
-		x.finish(err)
+	case x.left == 0:
+		return io.EOF
+	case err == io.EOF && x.left > 0:
+		return io.ErrUnexpectedEOF
+	case err == io.EOF && x.head.ContentLength() == chunked:
+		return x.readTrailer()
 	}
-	return n, err
+	return err
+}
+
+// readTrailer reads what follows the last chunk.
+func (x *exchange) readTrailer() error {
+	if err := x.head.ReadTrailer(x.conn.r); err != nil {
+		return io.ErrUnexpectedEOF
+	}
+	return io.EOF
+}
+
+func unlessEnd(err error) error {
+	if err == io.EOF {
+		return nil
+	}
+	return err
 }
 
 // Close ends the exchange; a body that was not read whole counts as broken.
@@ -185,39 +229,8 @@
 		return
 	}
 	x.ended = true
-	if err == nil && !x.head.ConnectionClose() {
-		x.keep()
-	} else {
-		_ = x.conn.Close()
-	}
-	if x.end != nil {
-		x.end(x.count, err)
-	}
-}
-
-// keep gives the connection back. A chunked body is followed by its trailer.
-func (x *exchange) keep() {
-	if x.head.ContentLength() == chunked && x.body != nil {
-		if err := x.head.ReadTrailer(x.conn.r); err != nil && err != io.EOF {
-			_ = x.conn.Close()
-			return
-		}
-	}
-	x.pool.put(x.conn)
-}
-
-// abandon closes the connection of a try that is of no use.
-func (x *exchange) abandon() {
-	x.ended = true
-	_ = x.conn.Close()
+	x.end(x.count, err)
 }
 
-// copyAnswer copies the head of the server's answer to the caller's.
-func copyAnswer(to *fasthttp.Response, x *exchange) {
-	closing := x.head.ConnectionClose()
-	x.head.CopyTo(&to.Header)
-	removeHopHeaders(&to.Header)
-	if closing {
-		to.Header.ResetConnectionClose()
-	}
-}
+// reusable reports whether the connection may carry another request.
+func (x *exchange) reusable() bool { return !x.head.ConnectionClose() }
--- a/core/yuccarelay/header.go
+++ b/core/yuccarelay/header.go
@@ -1,6 +1,7 @@
 package yuccarelay
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -42,6 +43,27 @@
 	}
 }
 
+// requestHead returns the head of the request as every attempt sends it.
+func requestHead(from *fasthttp.RequestHeader, body *source) *fasthttp.RequestHeader {
+	h := &fasthttp.RequestHeader{}
+	from.CopyTo(h)
+	removeHopHeaders(h)
+	h.Del(DeadlineHeader)
+	// The caller's body is at hand or on its way already.
+	h.Del(fasthttp.HeaderExpect)
+	if body.length != noLength {
+		h.SetContentLength(body.length)
+	}
+	return h
+}
+
+// retryAfter spreads the returns of refused callers over three times the base,
+// so that they do not come back together.
+func retryAfter(base time.Duration) int {
+	s := int(base / time.Second)
+	return s + rand.IntN(2*s+1)
+}
+
 // idempotent reports whether the request may be sent again after it may have
 // run.
 func idempotent(h *fasthttp.RequestHeader) bool {
@@ -71,7 +93,7 @@
 	ctx.Response.Header.Set(ErrorHeader, row.Name)
 	ctx.Response.Header.Set(RunHeader, string(ran))
 	if row.Retry > 0 {
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(row.Retry/time.Second)))
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(retryAfter(row.Retry)))
 	}
 	ctx.SetContentType("text/plain; charset=utf-8")
 	ctx.Response.SetBodyString(row.Name + "\n")
--- a/core/yuccarelay/pool.go
+++ b/core/yuccarelay/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,7 +27,33 @@
 	addr  string
 	r     *bufio.Reader
 	w     *bufio.Writer
+	born  time.Time
 	since time.Time
+	// read counts the bytes that came on it.
+	read atomic.Int64
+}
+
+func newConn(raw net.Conn, addr string) *conn {
+	c := &conn{Conn: raw, addr: addr, born: time.Now()}
+	c.r = bufio.NewReaderSize(c, bufferSize)
+	c.w = bufio.NewWriterSize(c, bufferSize)
+	return c
+}
+
+// Read implements net.Conn and counts progress.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn. A server that takes no bytes for the stall timeout
+// is given up on.
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(stallTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
 }
 
 // pool keeps idle connections by address, the most recently used first.
@@ -42,21 +69,24 @@
 	return &pool{dial: dial, idle: map[string][]*conn{}}
 }
 
-func (p *pool) get(addr string, deadline time.Time) (*conn, error) {
-	if c := p.take(addr); c != nil {
-		return c, nil
+func (p *pool) get(ctx context.Context, addr string, deadline time.Time) (*conn, error) {
+	for c := p.take(addr); c != nil; c = p.take(addr) {
+		if untouched(c.Conn) {
+			return c, nil
+		}
+		_ = c.Close()
 	}
 	end := time.Now().Add(dialTimeout)
 	if !deadline.IsZero() && deadline.Before(end) {
 		end = deadline
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	raw, err := p.dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, addr: addr, r: bufio.NewReaderSize(raw, bufferSize), w: bufio.NewWriterSize(raw, bufferSize)}, nil
+	return newConn(raw, addr), nil
 }
 
 func (p *pool) take(addr string) *conn {
@@ -85,6 +115,22 @@
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
+// doubt closes the idle connections to the place of a silent one that are as old
+// as it or older.
+func (p *pool) doubt(silent *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[silent.addr][:0]
+	for _, c := range p.idle[silent.addr] {
+		if c.born.After(silent.born) {
+			kept = append(kept, c)
+			continue
+		}
+		_ = c.Close()
+	}
+	p.idle[silent.addr] = kept
+}
+
 func (p *pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/core/yuccarelay/resume.go
@@ -0,0 +1,149 @@
+package yuccarelay
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"yuccawell.example/core/yuccalife"
+	"yuccawell.example/core/yuccaretry"
+)
+
+const (
+	// resumeStall is how long a server that can be replaced may be silent.
+	resumeStall = time.Second
+	// maxResumes is how many times one download is carried on.
+	maxResumes = 16
+	// rateWindow is the number of bytes over which a server's rate is taken.
+	rateWindow = 256 << 10
+	// slowFactor is how many times slower than the median a server may be.
+	slowFactor = 10
+	// slowAfter is how long a server has to be slow.
+	slowAfter = 500 * time.Millisecond
+)
+
+var errRange = errors.New("answer is not the rest of the same body")
+
+// resume carries a download on from another server.
+type resume struct {
+	task *task
+	tag  string
+	// base and last are the first and last offset of the body in the file, whose
+	// size is total.
+	base, last, total int64
+	tries             int
+	// bytes came from the present server within the time blocked on it, since
+	// the last window.
+	bytes   int64
+	blocked time.Duration
+}
+
+// newResume returns nil when the answer cannot be carried on: that takes a known
+// length and a strong ETag.
+func newResume(t *task, x *exchange) *resume {
+	r := &resume{task: t, tag: string(x.head.Peek(fasthttp.HeaderETag))}
+	if t.relay.opt.NoResume || !t.ctx.IsGet() || !strings.HasPrefix(r.tag, `"`) || x.left <= 0 {
+		return nil
+	}
+	switch x.status() {
+	case fasthttp.StatusOK:
+		r.last, r.total = x.left-1, x.left
+	case fasthttp.StatusPartialContent:
+		if !r.parse(x) {
+			return nil
+		}
+	default:
+		return nil
+	}
+	x.stall = resumeStall
+	return r
+}
+
+// parse takes base, last and total from the answer's Content-Range.
+func (r *resume) parse(x *exchange) bool {
+	text := string(x.head.Peek(fasthttp.HeaderContentRange))
+	n, err := fmt.Sscanf(text, "bytes %d-%d/%d", &r.base, &r.last, &r.total)
+	return err == nil && n == 3 && r.last-r.base+1 == x.left
+}
+
+// slow counts n bytes for which the present server was waited for, and reports
+// whether it is so much slower than others that the download is better carried
+// on elsewhere.
+func (r *resume) slow(n int, waited time.Duration) bool {
+	if r == nil {
+		return false
+	}
+	r.bytes += int64(n)
+	r.blocked += waited
+	if r.bytes < rateWindow && r.blocked < slowAfter {
+		return false
+	}
+	took := time.Duration(float64(r.blocked) * rateWindow / float64(max(r.bytes, 1)))
+	long := r.blocked >= slowAfter
+	rates := r.task.relay.rates
+	median, known := rates.Quantile(r.task.service, 0.5)
+	rates.Observe(time.Now(), r.task.service, took)
+	r.bytes, r.blocked = 0, 0
+	return known && long && took > slowFactor*median && r.tries < maxResumes
+}
+
+// next returns the rest of the body from another server, after the first count
+// bytes; nil when there is none.
+func (r *resume) next(count int64) *exchange {
+	if r == nil {
+		return nil
+	}
+	start := r.base + count
+	for ; r.tries < maxResumes && start <= r.last; r.tries++ {
+		if r.task.work.Err() != nil || r.task.expired() {
+			return nil
+		}
+		if !r.task.relay.services.Update(time.Now(), r.task.service, yuccaretry.Retry) {
+			return nil
+		}
+		if x := r.from(start); x != nil {
+			r.tries++
+			r.bytes, r.blocked = 0, 0
+			return x
+		}
+	}
+	return nil
+}
+
+// from asks one server for the rest of the body.
+func (r *resume) from(start int64) *exchange {
+	t := r.task
+	t.avoid = t.avoid[max(0, len(t.avoid)-1):]
+	ticket, err := t.choose()
+	if err != nil {
+		return nil
+	}
+	a := t.newAttempt(ticket)
+	a.extra = []field{
+		{fasthttp.HeaderRange, fmt.Sprintf("bytes=%d-%d", start, r.last)},
+		{fasthttp.HeaderIfRange, r.tag},
+	}
+	if _, ok := a.run().(yuccalife.Replied); !ok {
+		return nil
+	}
+	return r.accept(a, start)
+}
+
+// accept checks that the answer is the rest of the same body.
+func (r *resume) accept(a *attempt, start int64) *exchange {
+	x := a.exchange
+	want := fmt.Sprintf("bytes %d-%d/%d", start, r.last, r.total)
+	same := x.status() == fasthttp.StatusPartialContent &&
+		x.left == r.last-start+1 &&
+		string(x.head.Peek(fasthttp.HeaderContentRange)) == want &&
+		string(x.head.Peek(fasthttp.HeaderETag)) == r.tag
+	if !same {
+		x.finish(errRange)
+		return nil
+	}
+	x.stall = resumeStall
+	return x
+}
--- a/core/yuccarelay/source.go
+++ b/core/yuccarelay/source.go
@@ -32,6 +32,9 @@
 	if err != nil {
 		return nil, yuccafault.New(yuccafault.Malformed, "request body: %w", err)
 	}
+	if len(head) <= maxReplay && s.length > len(head) {
+		return nil, yuccafault.New(yuccafault.Malformed, "request body ends after %d of %d bytes", len(head), s.length)
+	}
 	s.head = head
 	if len(head) > maxReplay {
 		s.rest = stream
@@ -39,14 +42,26 @@
 	return s, nil
 }
 
-// reader returns the body from its start.
+// reader returns the body from its start, once when it is not whole in memory.
 func (s *source) reader() io.Reader {
 	s.used = true
-	if s.rest == nil {
-		return bytes.NewReader(s.head)
-	}
-	return io.MultiReader(bytes.NewReader(s.head), s.rest)
+	return io.MultiReader(bytes.NewReader(s.head), &callerBody{s.rest})
 }
 
+// whole reports whether the body is in memory.
+func (s *source) whole() bool { return s.rest == nil }
+
 // rewind reports whether the body can be sent once more.
-func (s *source) rewind() bool { return s.rest == nil || !s.used }
+func (s *source) rewind() bool { return s.whole() || !s.used }
+
+// callerBody tells failures of the caller's body from those of the server.
+type callerBody struct{ io.Reader }
+
+// Read implements io.Reader.
+func (b *callerBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil && err != io.EOF {
+		err = errCaller
+	}
+	return n, err
+}
--- /dev/null
+++ b/core/yuccarelay/stream.go
@@ -0,0 +1,135 @@
+package yuccarelay
+
+import (
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"yuccawell.example/core/yuccaclaim"
+	"yuccawell.example/core/yuccafault"
+)
+
+// stream is the body of an answer on its way to the caller.
+type stream struct {
+	task   *task
+	x      *exchange
+	first  *exchange
+	count  int64
+	ended  bool
+	held   *holding
+	resume *resume
+}
+
+// pass hands the answer to the caller.
+func (t *task) pass() {
+	t.took = time.Since(t.arrived)
+	x := t.winner.exchange
+	copyAnswer(&t.ctx.Response, x)
+	s := &stream{task: t, x: x, first: x, resume: newResume(t, x)}
+	if t.claim != nil {
+		s.held = &holding{}
+	}
+	if x.bodyless(t.head) {
+		t.ctx.Response.SkipBody = true
+		x.finish(nil)
+		s.finish(nil)
+		return
+	}
+	t.ctx.Response.SetBodyStream(s, x.length())
+}
+
+// Read implements io.Reader. It gives io.EOF only at the end of a whole body.
+func (s *stream) Read(p []byte) (int, error) {
+	for {
+		asked := time.Now()
+		n, err := s.x.Read(p)
+		s.count += int64(n)
+		if s.held != nil {
+			s.held.add(p[:n])
+		}
+		switch {
+		case err == io.EOF:
+			s.finish(nil)
+			return n, err
+		case err == nil && s.resume.slow(n, time.Since(asked)):
+			_ = s.x.Close()
+			err = io.ErrUnexpectedEOF
+		}
+		if err == nil {
+			return n, nil
+		}
+		x := s.resume.next(s.count)
+		if x == nil {
+			s.finish(err)
+			return n, err
+		}
+		s.x = x
+		if n > 0 {
+			return n, nil
+		}
+	}
+}
+
+// Close ends the stream; a body that was not read whole counts as broken.
+func (s *stream) Close() error {
+	s.finish(io.ErrUnexpectedEOF)
+	return nil
+}
+
+func (s *stream) finish(err error) {
+	if s.ended {
+		return
+	}
+	s.ended = true
+	s.x.finish(err)
+	t := s.task
+	if err != nil {
+		t.ctx.SetConnectionClose()
+		t.observe(s.kind(), s.first.status(), s.count)
+		t.end(nil)
+		return
+	}
+	copyTrailer(&t.ctx.Response.Header, &s.x.head)
+	t.observe(yuccafault.None, s.first.status(), s.count)
+	t.end(s.answer())
+}
+
+func (s *stream) answer() *yuccaclaim.Answer {
+	if s.held == nil {
+		return nil
+	}
+	return s.held.answer(&s.first.head)
+}
+
+// kind tells a caller that hung up from a server that broke.
+func (s *stream) kind() yuccafault.Kind {
+	select {
+	case <-s.task.gone:
+		return yuccafault.Canceled
+	default:
+		return yuccafault.Broken
+	}
+}
+
+// copyAnswer copies the head of the server's answer to the caller's.
+func copyAnswer(to *fasthttp.Response, x *exchange) {
+	closing := x.head.ConnectionClose()
+	x.head.CopyTo(&to.Header)
+	removeHopHeaders(&to.Header)
+	if closing {
+		to.Header.ResetConnectionClose()
+	}
+	for name := range x.head.Trailers() {
+		_ = to.Header.AddTrailerBytes(name)
+	}
+}
+
+// copyTrailer copies the fields that came after the body.
+func copyTrailer(to, from *fasthttp.ResponseHeader) {
+	for name := range from.Trailers() {
+		if v := from.PeekBytes(name); len(v) > 0 {
+			to.SetBytesKV(name, v)
+		}
+	}
+}
--- /dev/null
+++ b/core/yuccarelay/task.go
@@ -0,0 +1,370 @@
+package yuccarelay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccaclaim"
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccalife"
+	"yuccawell.example/core/yuccapick"
+	"yuccawell.example/core/yuccapoison"
+	"yuccawell.example/core/yuccaretry"
+)
+
+// hedgeQuantile is the quantile of a service's latency after which a second
+// server is asked.
+const hedgeQuantile = 0.99
+
+// task is one request on its way.
+type task struct {
+	relay      *Relay
+	ctx        *fasthttp.RequestCtx
+	arrived    time.Time
+	deadline   time.Time
+	service    string
+	from       string
+	idempotent bool
+	head       bool
+	request    *fasthttp.RequestHeader
+	body       *source
+	print      yuccapoison.Print
+	claim      *yuccaclaim.Claim
+	avoid      []string
+	ticket     yuccapick.Ticket
+	took       time.Duration
+
+	// work ends when the caller hangs up or has its answer.
+	work   context.Context
+	cancel context.CancelFunc
+	gone   chan struct{}
+	watch  *watch
+	group  errgroup.Group
+	// outcomes has room for every attempt, so that none waits to report.
+	outcomes chan outcome
+	attempts []*attempt
+	winner   *attempt
+	hedge    *time.Timer
+
+	mu   sync.Mutex
+	life yuccalife.Life
+}
+
+func newTask(r *Relay, ctx *fasthttp.RequestCtx) *task {
+	t := &task{
+		relay:    r,
+		ctx:      ctx,
+		arrived:  time.Now(),
+		gone:     make(chan struct{}),
+		outcomes: make(chan outcome, yuccalife.MaxTries),
+	}
+	t.work, t.cancel = context.WithCancel(context.Background())
+	return t
+}
+
+func (t *task) prepare() error {
+	if err := checkRequest(t.ctx.Request.Header.RawHeaders()); err != nil {
+		return err
+	}
+	snapshot := t.relay.opt.Source.Snapshot()
+	if !snapshot.Ready() {
+		return yuccafault.New(yuccafault.Unready, "no rules yet")
+	}
+	host := hostName(string(t.ctx.Host()))
+	service, ok := snapshot.Rules.ServiceOf(host)
+	if !ok {
+		return yuccafault.New(yuccafault.Unknown, "no service for host %q", host)
+	}
+	t.service = service.Name
+	t.from = t.relay.opt.Region
+	deadline, err := parseDeadline(t.arrived, &t.ctx.Request.Header)
+	if err != nil {
+		return err
+	}
+	t.deadline = deadline
+	if t.body, err = newSource(t.ctx); err != nil {
+		return err
+	}
+	t.idempotent = idempotent(&t.ctx.Request.Header)
+	t.head = t.ctx.IsHead()
+	t.request = requestHead(&t.ctx.Request.Header, t.body)
+	t.print = printOf(t.service, &t.ctx.Request, t.body.head)
+	return nil
+}
+
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
+
+// run carries the commands of the request's life out until it ends.
+func (t *task) run() {
+	t.life = yuccalife.New(t.idempotent)
+	t.relay.services.Update(t.arrived, t.service, yuccaretry.Request)
+	if t.body.whole() {
+		t.watch = watchCaller(t.ctx.Conn(), t.hangUp)
+	}
+	if err := t.guard(); err != nil {
+		k := yuccafault.KindOf(err)
+		t.answer(k, k.Row().Ran)
+		return
+	}
+	if t.claim != nil && t.claim.Replay != nil {
+		t.replay(t.claim.Replay)
+		return
+	}
+	cmd := t.step(yuccalife.Admitted{})
+	for {
+		switch cmd.Action {
+		case yuccalife.Pick:
+			cmd = t.step(t.pick())
+		case yuccalife.Connect:
+			t.launch()
+			cmd = yuccalife.Command{}
+		case yuccalife.Nothing:
+			cmd = t.step(t.wait())
+		case yuccalife.Relay:
+			t.pass()
+			return
+		case yuccalife.Answer:
+			t.answer(cmd.Kind, cmd.Ran)
+			return
+		default:
+			t.cut()
+			return
+		}
+	}
+}
+
+func (t *task) step(m yuccalife.Message) yuccalife.Command {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var cmd yuccalife.Command
+	t.life, cmd = t.life.Update(m)
+	return cmd
+}
+
+func (t *task) mayHaveRun() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.life.MayHaveRun()
+}
+
+func (t *task) hangUp() {
+	close(t.gone)
+	t.cancel()
+}
+
+// pick chooses the server of the next attempt.
+func (t *task) pick() yuccalife.Message {
+	if t.expired() {
+		return yuccalife.TimedOut{}
+	}
+	ticket, err := t.choose()
+	if err != nil {
+		return yuccalife.Refused{Kind: yuccafault.KindOf(err)}
+	}
+	t.ticket = ticket
+	return yuccalife.Picked{}
+}
+
+func (t *task) choose() (yuccapick.Ticket, error) {
+	if err := t.relay.opt.Poison.Check(t.print); err != nil {
+		return yuccapick.Ticket{}, err
+	}
+	ticket, err := t.relay.opt.Picker.Pick(yuccapick.Ask{
+		Now:     time.Now(),
+		Service: t.service,
+		From:    t.from,
+		Dice:    rand.Uint64(),
+		Avoid:   t.avoid,
+	})
+	if yuccafault.Is(err, yuccafault.Shed) {
+		t.relay.services.Update(time.Now(), t.service, yuccaretry.Overloaded)
+	}
+	if err == nil {
+		t.avoid = append(t.avoid, ticket.Server)
+	}
+	return ticket, err
+}
+
+// launch starts an attempt at the chosen server.
+func (t *task) launch() {
+	a := t.newAttempt(t.ticket)
+	t.attempts = append(t.attempts, a)
+	t.group.Go(func() error {
+		t.outcomes <- outcome{a, a.run()}
+		return nil
+	})
+	if len(t.attempts) == 1 {
+		t.armHedge()
+	}
+}
+
+func (t *task) armHedge() {
+	if !t.idempotent || !t.body.whole() || t.relay.opt.NoHedge {
+		return
+	}
+	if d, ok := t.relay.services.Quantile(t.service, hedgeQuantile); ok {
+		t.hedge = time.NewTimer(d)
+	}
+}
+
+// wait returns what happens next to the request.
+func (t *task) wait() yuccalife.Message {
+	var hedge <-chan time.Time
+	if t.hedge != nil {
+		hedge = t.hedge.C
+	}
+	for {
+		select {
+		case o := <-t.outcomes:
+			return t.settle(o)
+		case <-t.gone:
+			return yuccalife.HungUp{}
+		case <-hedge:
+			if t.second() {
+				return yuccalife.Hedged{}
+			}
+		}
+	}
+}
+
+// second chooses a second server while the first works.
+func (t *task) second() bool {
+	if t.expired() || !t.repeatable() {
+		return false
+	}
+	if !t.relay.services.Update(time.Now(), t.service, yuccaretry.Hedge) {
+		return false
+	}
+	ticket, err := t.choose()
+	t.ticket = ticket
+	return err == nil
+}
+
+func (t *task) repeatable() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.life.Repeatable()
+}
+
+// settle turns what came of an attempt into a message to the request's life.
+func (t *task) settle(o outcome) yuccalife.Message {
+	switch m := o.message.(type) {
+	case yuccalife.Replied:
+		t.win(o.attempt)
+		return m
+	case yuccalife.Declined:
+		t.relay.services.Update(time.Now(), t.service, yuccaretry.Overloaded)
+		return yuccalife.Declined{Budget: t.again(true)}
+	case yuccalife.Failed:
+		if t.expired() {
+			return yuccalife.TimedOut{}
+		}
+		if o.attempt.err == errCaller {
+			return yuccalife.HungUp{}
+		}
+		return yuccalife.Failed{Kind: m.Kind, Budget: t.again(false)}
+	}
+	return o.message
+}
+
+// again reports whether another try is possible and within the budget. A
+// declined try is one that did not run, so that it alone does not stand against
+// another.
+func (t *task) again(declined bool) bool {
+	if !t.body.rewind() || !declined && !t.repeatable() {
+		return false
+	}
+	return t.relay.services.Update(time.Now(), t.service, yuccaretry.Retry)
+}
+
+func (t *task) win(a *attempt) {
+	t.winner = a
+	a.replied()
+	for _, other := range t.attempts {
+		if other != a {
+			other.outrun()
+		}
+	}
+}
+
+func (t *task) expired() bool {
+	return !t.deadline.IsZero() && !time.Now().Before(t.deadline)
+}
+
+// answer ends the request with an answer of the system's own.
+func (t *task) answer(k yuccafault.Kind, ran yuccafault.Ran) {
+	WriteError(t.ctx, k, ran)
+	t.observe(k, k.Row().Status, 0)
+	t.end(nil)
+}
+
+// cut closes the connection to the caller without an answer.
+func (t *task) cut() {
+	t.ctx.SetConnectionClose()
+	t.ctx.HijackSetNoResponse(true)
+	t.ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+	t.observe(yuccafault.Canceled, 0, 0)
+	t.end(nil)
+}
+
+// end stops everything that works for the request. It is called once.
+func (t *task) end(a *yuccaclaim.Answer) {
+	t.watch.stop()
+	t.cancel()
+	if t.hedge != nil {
+		t.hedge.Stop()
+	}
+	_ = t.group.Wait()
+	t.discard()
+	t.unclaim(a)
+}
+
+// discard gives up on answers that came after the request had ended.
+func (t *task) discard() {
+	for {
+		select {
+		case o := <-t.outcomes:
+			if _, ok := o.message.(yuccalife.Replied); ok && o.attempt != t.winner {
+				o.attempt.drop(yuccapick.Result{Kind: yuccafault.Canceled})
+			}
+		default:
+			return
+		}
+	}
+}
+
+func (t *task) observe(k yuccafault.Kind, status int, n int64) {
+	if t.relay.opt.Observer == nil {
+		return
+	}
+	took := t.took
+	if took == 0 {
+		took = time.Since(t.arrived)
+	}
+	t.mu.Lock()
+	tries := t.life.Tries()
+	t.mu.Unlock()
+	t.relay.opt.Observer.Observe(Record{
+		Service: t.service,
+		From:    t.from,
+		Region:  t.ticket.Region,
+		Kind:    k,
+		Status:  status,
+		Tries:   tries,
+		Bytes:   n,
+		Took:    took,
+		At:      t.arrived,
+	})
+}
