Server choice by owned slots, with loans between entries

Cause: entries chose servers by their own counts alone, so two entries could take the same slot, and a full budget was refused at once. Change: each slot of a server belongs to one entry, by a division that every entry computes alike from plan and view. Requests wait for a slot for a bounded time; entries lend each other free slots. The choice weighs latency, ejects failing servers up to a bounded share and opens a new server's slots slowly.

--- /dev/null
+++ b/core/yuccapick/ask.go
@@ -0,0 +1,95 @@
+// Package yuccapick admits requests inside an entry's budgets and chooses a
+// server for each.
+//
+//	ticket, err := p.Pick(ask)
+//	if err != nil {
+//		// of kind Shed, Empty or Unknown
+//	}
+//	defer p.Done(ticket, yuccapick.Result{Now: now, Kind: kind})
+//
+// Core holds the decisions: it has no clock, lock or socket. Picker puts a lock
+// and a clock around it, and Sharer connects it to the other entries.
+package yuccapick
+
+import (
+	"time"
+
+	"yuccawell.example/core/yuccafault"
+)
+
+// Ask is a request that needs a server.
+type Ask struct {
+	Now     time.Time
+	Service string
+	// From is the region where the request arises.
+	From string
+	// Dice is a random number that spreads requests over regions and servers.
+	Dice uint64
+	// Avoid names servers that were tried already.
+	Avoid []string
+	// Deadline is when the request is of no more use; zero means never.
+	Deadline time.Time
+}
+
+// Ticket is the permission to send one request to one server. Give it back with
+// Done exactly once.
+type Ticket struct {
+	Service string
+	Region  string
+	Server  string
+	Addr    string
+	Started time.Time
+
+	seat *seat
+}
+
+// Result is what came of a ticket.
+type Result struct {
+	Now time.Time
+	// Kind is None for an answer of the server's own.
+	Kind yuccafault.Kind
+	// Declined is set when the server shed the request.
+	Declined bool
+	// Bytes is the length of the answer's body.
+	Bytes int64
+}
+
+// Answer is what Core makes of an Ask.
+type Answer struct {
+	Ticket Ticket
+	// Waiting is set when the request waits for a slot. A Command with the same
+	// ID follows.
+	Waiting bool
+	// ID names the waiting request, and Until is when its wait ends.
+	ID    uint64
+	Until time.Time
+	// Kind is why the request was refused, None otherwise.
+	Kind yuccafault.Kind
+}
+
+// Command is something that the surroundings of Core have to do.
+type Command interface{ command() }
+
+type (
+	// Grant gives a waiting request its ticket.
+	Grant struct {
+		ID     uint64
+		Ticket Ticket
+	}
+	// Refuse ends the wait of a request.
+	Refuse struct {
+		ID   uint64
+		Kind yuccafault.Kind
+	}
+	// Borrow asks another entry for slots.
+	Borrow struct {
+		To      string
+		Service string
+		Region  string
+		Count   int
+	}
+)
+
+func (Grant) command()  {}
+func (Refuse) command() {}
+func (Borrow) command() {}
--- /dev/null
+++ b/core/yuccapick/core.go
@@ -0,0 +1,263 @@
+package yuccapick
+
+import (
+	"time"
+
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccaplan"
+)
+
+// Core decides which requests are admitted and where they go. It is not safe
+// for several goroutines. Make one with NewCore.
+type Core struct {
+	self string
+	run  uint64
+	// step counts updates; servers of the first are taken to be warm.
+	step    int
+	plan    yuccaplan.Plan
+	servers map[string]*server
+	pools   map[place]*pool
+	order   []*pool
+	peers   map[string]*peer
+	nextID  uint64
+	out     []Command
+	now     time.Time
+	tidied  time.Time
+}
+
+// NewCore returns the core of the named entry. The run tells this start of the
+// entry from earlier ones.
+func NewCore(self string, run uint64) *Core {
+	return &Core{self: self, run: run, servers: map[string]*server{}, pools: map[place]*pool{}, peers: map[string]*peer{}}
+}
+
+// Commands returns what has to be done since the last call. The slice is valid
+// until the next call of any method.
+func (c *Core) Commands() []Command {
+	out := c.out
+	c.out = c.out[:0]
+	return out
+}
+
+// Ask admits a request, lets it wait or refuses it. The kind of a refusal is
+// Unknown when the plan has no route for it, Empty when no server can take it
+// and Shed when what the entry may use is used up.
+func (c *Core) Ask(ask Ask) Answer {
+	c.now = later(c.now, ask.Now)
+	c.tidy()
+	route, ok := c.plan.Route(ask.Service, ask.From)
+	if !ok {
+		return Answer{Kind: yuccafault.Unknown}
+	}
+	first, spare := c.region(route, ask.Dice)
+	if first == nil {
+		return Answer{Kind: c.refusal(route)}
+	}
+	if s := c.choose(first, ask, spare, 0); s != nil {
+		return c.take(s, ask)
+	}
+	wait := first.wait(1)
+	if wait > farCost || wait > first.patience() {
+		if s := c.spill(route, first, ask, spare); s != nil {
+			return c.take(s, ask)
+		}
+	}
+	if wait > first.patience() || !first.reachable(ask) {
+		return Answer{Kind: c.refusal(route)}
+	}
+	return c.enqueue(first, ask)
+}
+
+// region draws the region by the route's shares. A lost region's share is
+// spread over the others, and spare is set.
+func (c *Core) region(route yuccaplan.Route, dice uint64) (first *pool, spare bool) {
+	sum, live := 0.0, 0.0
+	for _, share := range route.Shares {
+		sum += share.Part
+		p := c.pools[place{route.Service, share.Region}]
+		if p == nil || p.lost() {
+			spare = spare || share.Part > 0
+			if p != nil && p.tryLost(c.now) {
+				return p, spare
+			}
+			continue
+		}
+		live += share.Part
+	}
+	at := unit(dice)
+	if at >= sum+shareError {
+		return nil, spare
+	}
+	if sum > 0 {
+		at *= live / sum
+	}
+	var last *pool
+	for _, share := range route.Shares {
+		p := c.pools[place{route.Service, share.Region}]
+		if p == nil || p.lost() {
+			continue
+		}
+		last = p
+		if at < share.Part {
+			return p, spare
+		}
+		at -= share.Part
+	}
+	return last, spare
+}
+
+// shareError covers the rounding of shares that add up to one.
+const shareError = 1e-9
+
+// unit turns random bits into a number from 0 up to 1. The bits are mixed, as
+// the choice of a server uses them too.
+func unit(dice uint64) float64 {
+	dice *= 0x9e3779b97f4a7c15
+	return float64(dice>>11) / (1 << 53)
+}
+
+// choose returns the seat to use, nil when there is none or waiting is better.
+func (c *Core) choose(p *pool, ask Ask, spare bool, extra time.Duration) *seat {
+	if p.busy >= p.limit(spare) {
+		return nil
+	}
+	s, cost := p.best(c.now, ask.Dice, ask.Avoid)
+	if s == nil {
+		return nil
+	}
+	if cost+extra > p.typical+max(p.wait(1), extra) && p.wait(1) <= p.patience() {
+		return nil
+	}
+	return s
+}
+
+// spill looks for a slot in the route's other regions.
+func (c *Core) spill(route yuccaplan.Route, first *pool, ask Ask, spare bool) *seat {
+	for _, share := range route.Shares {
+		p := c.pools[place{route.Service, share.Region}]
+		if p == nil || p == first || p.lost() {
+			continue
+		}
+		if s := c.choose(p, ask, spare, farCost); s != nil {
+			return s
+		}
+	}
+	return nil
+}
+
+func (c *Core) refusal(route yuccaplan.Route) yuccafault.Kind {
+	for _, share := range route.Shares {
+		if p := c.pools[place{route.Service, share.Region}]; p != nil && p.alive > 0 {
+			return yuccafault.Shed
+		}
+	}
+	return yuccafault.Empty
+}
+
+func (c *Core) take(s *seat, ask Ask) Answer {
+	p := s.pool
+	s.busy++
+	p.busy++
+	if p.free(c.now) == 0 {
+		c.borrow(p)
+	}
+	return Answer{Ticket: Ticket{Service: p.service, Region: p.region, Server: s.Name, Addr: s.Addr, Started: ask.Now, seat: s}}
+}
+
+func (c *Core) enqueue(p *pool, ask Ask) Answer {
+	c.nextID++
+	expires := c.now.Add(2 * p.patience())
+	if !ask.Deadline.IsZero() && ask.Deadline.Before(expires) {
+		expires = ask.Deadline
+	}
+	p.waiting = append(p.waiting, waiter{id: c.nextID, ask: ask, expires: expires})
+	c.borrow(p)
+	return Answer{Waiting: true, ID: c.nextID, Until: expires}
+}
+
+// Done takes a ticket back.
+func (c *Core) Done(t Ticket, r Result) {
+	c.now = later(c.now, r.Now)
+	s := t.seat
+	if s == nil {
+		return
+	}
+	s.busy--
+	s.pool.busy--
+	s.learn(t.Started, r)
+	s.pool.learn(r)
+	if s.failures >= failuresToEject && !s.resting(c.now) && s.pool.mayEject(c.now) {
+		s.eject(c.now, uint64(c.now.UnixNano())*0x9e3779b97f4a7c15>>8)
+	}
+	c.dispatch(s.pool)
+}
+
+// dispatch gives free slots to waiting requests, the oldest first.
+func (c *Core) dispatch(p *pool) {
+	for len(p.waiting) > 0 {
+		w := p.waiting[0]
+		s := c.choose(p, w.ask, false, 0)
+		if s == nil {
+			return
+		}
+		p.waiting = p.waiting[1:]
+		w.ask.Now = c.now
+		c.out = append(c.out, Grant{ID: w.id, Ticket: c.take(s, w.ask).Ticket})
+	}
+}
+
+const (
+	// TickInterval is how often Tick is to be called.
+	TickInterval = 10 * time.Millisecond
+	tidyInterval = 100 * time.Millisecond
+)
+
+// Tick moves time on: waits end, averages age and idle loans go back.
+func (c *Core) Tick(now time.Time) {
+	c.now = later(c.now, now)
+	for _, p := range c.order {
+		c.expire(p)
+		c.dispatch(p)
+		if len(p.waiting) > 0 {
+			c.borrow(p)
+		}
+	}
+	c.tidy()
+}
+
+// tidy does what is due every tidyInterval.
+func (c *Core) tidy() {
+	passed := c.now.Sub(c.tidied)
+	if passed < tidyInterval {
+		return
+	}
+	c.tidied = c.now
+	for _, p := range c.order {
+		p.refresh(c.now, min(passed, time.Second))
+		c.giveBack(p)
+	}
+}
+
+// expire refuses requests that have waited too long, after a try elsewhere.
+func (c *Core) expire(p *pool) {
+	kept := p.waiting[:0]
+	for _, w := range p.waiting {
+		if c.now.Before(w.expires) {
+			kept = append(kept, w)
+			continue
+		}
+		route, _ := c.plan.Route(w.ask.Service, w.ask.From)
+		s := c.spill(route, p, w.ask, false)
+		if s == nil && p.busy < p.limit(false) {
+			s, _ = p.best(c.now, w.ask.Dice, w.ask.Avoid)
+		}
+		if s != nil {
+			w.ask.Now = c.now
+			c.out = append(c.out, Grant{ID: w.id, Ticket: c.take(s, w.ask).Ticket})
+			continue
+		}
+		c.out = append(c.out, Refuse{ID: w.id, Kind: c.refusal(route)})
+	}
+	clear(p.waiting[len(kept):])
+	p.waiting = kept
+}
--- a/core/yuccapick/pick.go
+++ b/core/yuccapick/pick.go
@@ -1,171 +1,131 @@
-// Package yuccapick admits requests inside an entry's budgets and chooses a
-// server for each.
-//
-//	ticket, err := p.Pick(ask)
-//	if err != nil {
-//		// of kind Shed, Empty or Unknown
-//	}
-//	defer p.Done(ticket, yuccapick.Result{Kind: kind, Took: took})
 package yuccapick
 
 import (
-	"slices"
 	"sync"
 	"time"
 
 	"yuccawell.example/core/yuccafault"
 	"yuccawell.example/core/yuccaplan"
 	"yuccawell.example/core/yuccarule"
-	"yuccawell.example/core/yuccastore"
 	"yuccawell.example/core/yuccaview"
 )
 
-// Ask is a request that needs a server.
-type Ask struct {
-	Now     time.Time
-	Service string
-	// From is the region where the request arises.
-	From string
-	// Dice is a random number that spreads requests over regions and servers.
-	Dice uint64
-	// Avoid names servers that were tried already.
-	Avoid []string
-}
-
-// Ticket is the permission to send one request to one server. Give it back with
-// Done exactly once.
-type Ticket struct {
-	Service string
-	Region  string
-	Server  string
-	Addr    string
-	Started time.Time
-}
-
-// Result is what came of a ticket.
-type Result struct {
-	Now time.Time
-	// Kind is None for an answer of the server's own.
-	Kind yuccafault.Kind
-	// Declined is set when the server shed the request.
-	Declined bool
-	// Bytes is the length of the answer's body.
-	Bytes int64
-}
-
-// Picker holds the servers, the budgets and what is in flight. Its methods may
-// be called from several goroutines. Make one with New.
+// Picker is a Core for several goroutines. Make one with New.
 type Picker struct {
-	mu       sync.Mutex
-	self     string
-	plan     yuccaplan.Plan
-	services map[string][]*server
-	inflight map[place]int
+	mu      sync.Mutex
+	core    *Core
+	waits   map[uint64]chan Answer
+	borrows chan Borrow
 }
 
-type place struct{ service, region string }
-
-type server struct {
-	yuccastore.Instance
-	busy int
-}
+// maxBorrows is how many wishes may stand before they are sent; more are
+// dropped, as they are made again.
+const maxBorrows = 64
 
 // New returns a picker for the entry with the given name. It refuses everything
 // until Update is called.
 func New(self string) *Picker {
-	return &Picker{self: self, services: map[string][]*server{}, inflight: map[place]int{}}
+	return &Picker{
+		core:    NewCore(self, uint64(time.Now().UnixNano())),
+		waits:   map[uint64]chan Answer{},
+		borrows: make(chan Borrow, maxBorrows),
+	}
 }
 
-// Update takes a new plan and a new view. What is in flight stays counted.
+// Update takes a new plan, new rules and a new view. What is in flight stays
+// counted.
 func (p *Picker) Update(plan yuccaplan.Plan, rules yuccarule.Rules, view yuccaview.View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.plan = plan
-	old := map[string]*server{}
-	for _, list := range p.services {
-		for _, s := range list {
-			old[s.Name] = s
-		}
-	}
-	p.services = map[string][]*server{}
-	for _, i := range view.Servers() {
-		i.Leaving = i.Leaving || rules.Drained(yuccarule.DrainServer, i.Addr)
-		s, ok := old[i.Name]
-		if !ok {
-			s = &server{}
-		}
-		s.Instance = i
-		for _, name := range i.Services {
-			p.services[name] = append(p.services[name], s)
-		}
-	}
+	p.core.now = later(p.core.now, time.Now())
+	p.core.Update(plan, rules, view)
+	p.carryOut()
 }
 
-// Pick admits a request and chooses its server. The error is of kind Unknown
-// when the plan has no route for it, Empty when no server can take it and Shed
-// when the budget is used up.
+// Pick admits a request and chooses its server. It waits for a slot for a time
+// bounded by the service's latency. The error is of kind Unknown when the plan
+// has no route for the request, Empty when no server can take it and Shed when
+// what the entry may use is used up.
 func (p *Picker) Pick(ask Ask) (Ticket, error) {
+	if ask.Now.IsZero() {
+		ask.Now = time.Now()
+	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	route, ok := p.plan.Route(ask.Service, ask.From)
-	if !ok {
-		return Ticket{}, yuccafault.New(yuccafault.Unknown, "no route for %s from %s", ask.Service, ask.From)
+	a := p.core.Ask(ask)
+	var granted chan Answer
+	if a.Waiting {
+		granted = make(chan Answer, 1)
+		p.waits[a.ID] = granted
 	}
-	kind := yuccafault.Empty
-	for _, share := range route.Shares {
-		if !p.within(ask.Service, share.Region) {
-			kind = yuccafault.Shed
-			continue
-		}
-		if s := p.choose(ask, share.Region); s != nil {
-			return p.take(ask, share.Region, s), nil
-		}
+	p.carryOut()
+	p.mu.Unlock()
+	if a.Waiting {
+		a = p.wait(granted, a.Until)
+	}
+	if a.Kind != yuccafault.None {
+		return Ticket{}, yuccafault.New(a.Kind, "no capacity for %s from %s", ask.Service, ask.From)
 	}
-	return Ticket{}, yuccafault.New(kind, "no capacity for %s from %s", ask.Service, ask.From)
+	return a.Ticket, nil
 }
 
-func (p *Picker) within(service, region string) bool {
-	b, ok := p.plan.Budget(p.self, service, region)
-	return ok && p.inflight[place{service, region}] < b.Slots
+// wait returns the end of a wait, which Tick brings about at the latest.
+func (p *Picker) wait(granted <-chan Answer, until time.Time) Answer {
+	t := time.NewTimer(time.Until(until))
+	defer t.Stop()
+	select {
+	case a := <-granted:
+		return a
+	case <-t.C:
+		p.tick(later(until, time.Now()))
+		return <-granted
+	}
 }
 
-// choose returns the server in the region with the most free slots.
-func (p *Picker) choose(ask Ask, region string) *server {
-	var best *server
-	list := p.services[ask.Service]
-	for i := range list {
-		s := list[(i+int(ask.Dice%uint64(len(list))))%len(list)]
-		if s.Region != region || s.Leaving || s.busy >= s.Slots || slices.Contains(ask.Avoid, s.Name) {
-			continue
-		}
-		if best == nil || s.Slots-s.busy > best.Slots-best.busy {
-			best = s
+func (p *Picker) tick(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.Tick(now)
+	p.carryOut()
+}
+
+// carryOut does what the core has asked for.
+func (p *Picker) carryOut() {
+	for _, cmd := range p.core.Commands() {
+		switch cmd := cmd.(type) {
+		case Grant:
+			p.wake(cmd.ID, Answer{Ticket: cmd.Ticket})
+		case Refuse:
+			p.wake(cmd.ID, Answer{Kind: cmd.Kind})
+		case Borrow:
+			select {
+			case p.borrows <- cmd:
+			default:
+			}
 		}
 	}
-	return best
 }
 
-func (p *Picker) take(ask Ask, region string, s *server) Ticket {
-	s.busy++
-	p.inflight[place{ask.Service, region}]++
-	return Ticket{Service: ask.Service, Region: region, Server: s.Name, Addr: s.Addr, Started: ask.Now}
+func (p *Picker) wake(id uint64, a Answer) {
+	if wait, ok := p.waits[id]; ok {
+		delete(p.waits, id)
+		wait <- a
+	}
 }
 
 // Done gives a ticket back.
-func (p *Picker) Done(t Ticket, _ Result) {
+func (p *Picker) Done(t Ticket, r Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.inflight[place{t.Service, t.Region}]--
-	for _, s := range p.services[t.Service] {
-		if s.Name == t.Server {
-			s.busy--
-		}
-	}
+	p.core.Done(t, r)
+	p.carryOut()
 }
 
 // Busy returns how many requests of a service are in flight to a region.
 func (p *Picker) Busy(service, region string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.inflight[place{service, region}]
+	if pool := p.core.pools[place{service, region}]; pool != nil {
+		return pool.busy
+	}
+	return 0
 }
--- /dev/null
+++ b/core/yuccapick/share.go
@@ -0,0 +1,131 @@
+package yuccapick
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccapeer"
+)
+
+const (
+	busyTopic    = "busy"
+	lendTopic    = "lend"
+	busyInterval = 200 * time.Millisecond
+	// maxWishes is how many wishes are under way at once.
+	maxWishes = 16
+)
+
+// Sharer is the service that keeps a Picker's time and exchanges slots with the
+// other entries. Make one with NewSharer.
+type Sharer struct {
+	picker *Picker
+	bus    yuccapeer.Bus
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// NewSharer returns a sharer. Call it before the bus starts.
+func NewSharer(picker *Picker, bus yuccapeer.Bus) *Sharer {
+	s := &Sharer{picker: picker, bus: bus, done: make(chan struct{})}
+	bus.Handle(busyTopic, s.heard)
+	bus.Handle(lendTopic, s.lend)
+	return s
+}
+
+// Start implements yuccakernel.Service.
+func (s *Sharer) Start(ctx context.Context, group *errgroup.Group) error {
+	ctx, s.cancel = context.WithCancel(ctx)
+	group.Go(func() error {
+		defer close(s.done)
+		s.work(ctx)
+		return nil
+	})
+	return nil
+}
+
+// Stop implements yuccakernel.Service.
+func (s *Sharer) Stop(context.Context) error {
+	s.cancel()
+	return nil
+}
+
+// Done implements yuccakernel.Service.
+func (s *Sharer) Done() <-chan struct{} { return s.done }
+
+func (s *Sharer) work(ctx context.Context) {
+	tick := time.NewTicker(TickInterval)
+	defer tick.Stop()
+	publish := time.NewTicker(busyInterval)
+	defer publish.Stop()
+	var wishes errgroup.Group
+	wishes.SetLimit(maxWishes)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+			s.picker.tick(time.Now())
+		case <-publish.C:
+			s.publish()
+		case b := <-s.picker.borrows:
+			wishes.TryGo(func() error {
+				s.wish(ctx, b)
+				return nil
+			})
+		}
+	}
+	_ = wishes.Wait()
+}
+
+func (s *Sharer) publish() {
+	s.picker.mu.Lock()
+	message := s.picker.core.Busy()
+	s.picker.mu.Unlock()
+	if body, err := proto.Marshal(message); err == nil {
+		s.bus.Publish(busyTopic, body)
+	}
+}
+
+func (s *Sharer) heard(_ context.Context, from string, body []byte) ([]byte, error) {
+	var b Busy
+	if err := proto.Unmarshal(body, &b); err != nil {
+		return nil, yuccafault.Wrap(yuccafault.Protocol, err)
+	}
+	s.picker.mu.Lock()
+	defer s.picker.mu.Unlock()
+	s.picker.core.Heard(time.Now(), from, &b)
+	s.picker.carryOut()
+	return nil, nil
+}
+
+func (s *Sharer) lend(_ context.Context, from string, body []byte) ([]byte, error) {
+	var w Wish
+	if err := proto.Unmarshal(body, &w); err != nil {
+		return nil, yuccafault.Wrap(yuccafault.Protocol, err)
+	}
+	s.picker.mu.Lock()
+	loan := s.picker.core.Lend(time.Now(), from, &w)
+	s.picker.mu.Unlock()
+	return proto.Marshal(loan)
+}
+
+func (s *Sharer) wish(ctx context.Context, b Borrow) {
+	ctx, cancel := context.WithTimeout(ctx, LoanTimeout)
+	defer cancel()
+	body, err := proto.Marshal(s.picker.core.Wish(b))
+	if err != nil {
+		return
+	}
+	reply, err := s.bus.Call(ctx, b.To, lendTopic, body)
+	var loan Loan
+	if err != nil || ctx.Err() != nil || proto.Unmarshal(reply, &loan) != nil {
+		return
+	}
+	s.picker.mu.Lock()
+	defer s.picker.mu.Unlock()
+	s.picker.core.Borrowed(time.Now(), b.To, &loan)
+	s.picker.carryOut()
+}
