--- a/ctl/command.go
+++ b/ctl/command.go
@@ -46,8 +46,8 @@
 		Long:          "yuccactl checks and applies rules files and shows what they do.\n\nExit codes: 0 done, 1 refused, 2 wrong usage, 3 unreachable.",
 		SilenceUsage:  true,
 		SilenceErrors: true,
-		Args: noCommand,
-		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
+		Args:          noCommand,
+		RunE:          func(c *cobra.Command, _ []string) error { return c.Help() },
 		PersistentPreRun: func(c *cobra.Command, _ []string) {
 			a.out = c.OutOrStdout()
 		},
