--- a/core/yuccafake/main.go
+++ b/core/yuccafake/main.go
@@ -24,13 +24,15 @@
 	goleak.VerifyTestMain(m, endingByThemselves()...)
 }
 
-// endingByThemselves names goroutines of fasthttp that no call waits for and
-// that end within seconds.
+// endingByThemselves names goroutines of fasthttp that no call waits for: those
+// that end within seconds, and the one of its default dialer, of which a process
+// has one.
 func endingByThemselves() []goleak.Option {
 	return []goleak.Option{
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*Client).mCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*TCPDialer).tcpAddrsClean"),
 	}
 }
