Bus between the entries over yamux and protobuf

Cause: the parts that share state had an interface for messages between entries and only a fake of it.

Change: yuccapeer.Peers is the Bus. One session to each peer, greeting with negotiated versions, frames of bounded size, a time limit on every step, calls on streams of their own. A silent connection is found by the lack of frames, which each side promises in time; dials back off with jitter. Sessions go to every entry of the failure domain; two summarizers of each domain, chosen by rendezvous hash, keep sessions to those of the other domains and pass messages on, and each is handled once. The entry starts it as service "peer", with seed addresses in its settings for a start without the platform.

Conclusion: other parts can use the Bus; a far message takes two hops more.

--- /dev/null
+++ b/core/yuccapeer/mesh_test.go
@@ -0,0 +1,134 @@
+package yuccapeer
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"yuccawell.example/core/yuccastore"
+)
+
+// TestEveryEntryIsReached passes a message on along the meshes of any fleet.
+func TestEveryEntryIsReached(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var list []yuccastore.Instance
+		for i := range rapid.IntRange(2, 40).Draw(t, "entries") {
+			list = append(list, yuccastore.Instance{Name: fmt.Sprint("e", i), Peer: "x", Domain: fmt.Sprint("d", rapid.IntRange(0, 5).Draw(t, "domain"))})
+		}
+		everyone := func(string) bool { return true }
+		meshes := map[string]mesh{}
+		for _, e := range list {
+			meshes[e.Name] = newMesh(e.Name, e.Domain, list, everyone)
+		}
+		origin := rapid.SampledFrom(list).Draw(t, "origin").Name
+		reached := map[string]bool{origin: true}
+		var pass func(to map[string]string, reach Reach)
+		pass = func(to map[string]string, reach Reach) {
+			for name := range to {
+				if !reached[name] {
+					reached[name] = true
+					pass(meshes[name].onward(reach))
+				}
+			}
+		}
+		near, far := meshes[origin].near, meshes[origin].far
+		pass(near, Reach_REACH_OUT)
+		pass(far, Reach_REACH_IN)
+		if len(reached) != len(list) {
+			t.Fatalf("%d of %d entries reached", len(reached), len(list))
+		}
+		for name, m := range meshes {
+			if len(m.far) > 5*Summarizers {
+				t.Fatalf("%s keeps %d sessions to other domains", name, len(m.far))
+			}
+		}
+	})
+}
+
+func TestSeenTakesEachMessageOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, taken, top := newSeen(), map[uint64]bool{}, uint64(0)
+		for _, seq := range rapid.SliceOf(rapid.Uint64Range(1, 200)).Draw(t, "seqs") {
+			first := s.first("e1", 1, seq)
+			if first && taken[seq] {
+				t.Fatalf("%d taken twice", seq)
+			}
+			if !first && !taken[seq] && seq+window > top {
+				t.Fatalf("%d not taken, highest was %d", seq, top)
+			}
+			taken[seq] = true
+			top = max(top, seq)
+		}
+		if !s.first("e1", 2, 1) || s.first("e1", 1, 500) {
+			t.Fatalf("a later run does not replace an earlier one")
+		}
+	})
+}
+
+// TestBothEndsKeepTheSameSession lets two entries dial each other at once.
+func TestBothEndsKeepTheSameSession(t *testing.T) {
+	a, b := &Hello{Name: "a", Start: 1}, &Hello{Name: "b", Start: 1}
+	byA := map[string]*session{"a": {peer: b, dialed: true}, "b": {peer: a}}
+	byB := map[string]*session{"a": {peer: b}, "b": {peer: a, dialed: true}}
+	for _, self := range []string{"a", "b"} {
+		qt.Assert(t, replaces(self, byA[self], byB[self]), qt.IsTrue)
+		qt.Assert(t, replaces(self, byB[self], byA[self]), qt.IsFalse)
+	}
+}
+
+func TestNegotiate(t *testing.T) {
+	tests := []struct {
+		name string
+		a, b *Hello
+		want uint32
+		ok   bool
+	}{
+		{"same", &Hello{Lowest: 1, Highest: 1}, &Hello{Lowest: 1, Highest: 1}, 1, true},
+		{"other is newer", &Hello{Lowest: 1, Highest: 2}, &Hello{Lowest: 2, Highest: 3}, 2, true},
+		{"other is too new", &Hello{Lowest: 1, Highest: 2}, &Hello{Lowest: 3, Highest: 4}, 0, false},
+		{"other speaks none", &Hello{Lowest: 1, Highest: 1}, &Hello{}, 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			version, err := negotiate(test.a, test.b)
+			qt.Assert(t, err == nil, qt.Equals, test.ok)
+			qt.Assert(t, version, qt.Equals, test.want)
+		})
+	}
+}
+
+func TestBackoffIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		failures := rapid.IntRange(1, 1000).Draw(t, "failures")
+		got := backoff(failures, rapid.Float64Range(0, 1).Draw(t, "dice"))
+		if got < firstBackoff || got > maxBackoff {
+			t.Fatalf("pause of %v after %d failures", got, failures)
+		}
+	})
+}
+
+// FuzzReadFrame reads frames from any bytes.
+func FuzzReadFrame(f *testing.F) {
+	f.Add([]byte{})
+	f.Add(encode(&Frame{Next: 1000}))
+	f.Add(encode(&Frame{Topic: "beat", Body: []byte("x"), Origin: "e1", Start: 1, Seq: 2, Reach: Reach_REACH_OUT}))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01})
+	f.Add([]byte{0x05, 0x0a, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := bufio.NewReader(bytes.NewReader(data))
+		for {
+			got, err := readFrame(r)
+			if err != nil {
+				return
+			}
+			again, err := readFrame(bufio.NewReader(bytes.NewReader(encode(got))))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, again.Topic, qt.Equals, got.Topic)
+		}
+	})
+}
--- /dev/null
+++ b/core/yuccapeer/peers_test.go
@@ -0,0 +1,230 @@
+package yuccapeer_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccafake"
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccapeer"
+	"yuccawell.example/core/yuccastore"
+)
+
+// logLines counts the log lines that hold an event.
+type logLines chan string
+
+func (l logLines) Write(line []byte) (int, error) {
+	if strings.Contains(string(line), "peer_dropped") {
+		l <- string(line)
+	}
+	return len(line), nil
+}
+
+type fleet struct {
+	peers map[string]*yuccapeer.Peers
+	list  []yuccastore.Instance
+	group errgroup.Group
+	lines logLines
+}
+
+// newFleet makes one bus for each name; a name's first letter is its domain.
+func newFleet(names ...string) *fleet {
+	f := &fleet{peers: map[string]*yuccapeer.Peers{}, lines: make(logLines, 100)}
+	for i, name := range names {
+		f.peers[name] = yuccapeer.New(yuccapeer.Settings{
+			Name: name, Domain: name[:1], Addr: "127.0.0.1:0", Start: uint64(i + 1), Interval: 500 * time.Millisecond,
+		}, zerolog.New(f.lines))
+	}
+	return f
+}
+
+func (f *fleet) start(t *testing.T) {
+	for name, p := range f.peers {
+		qt.Assert(t, p.Start(context.Background(), &f.group), qt.IsNil)
+		f.list = append(f.list, yuccastore.Instance{Name: name, Kind: yuccastore.Entry, Domain: name[:1], Peer: p.Addr()})
+	}
+	t.Cleanup(func() {
+		for _, p := range f.peers {
+			_ = p.Stop(context.Background())
+		}
+		_ = f.group.Wait()
+	})
+}
+
+func (f *fleet) update() {
+	for _, p := range f.peers {
+		p.Update(f.list)
+	}
+}
+
+func (f *fleet) await(t *testing.T, from string, to ...string) {
+	for _, name := range to {
+		qt.Assert(t, f.peers[from].Await(t.Context(), name), qt.IsNil, qt.Commentf("%s to %s", from, name))
+	}
+}
+
+func TestCall(t *testing.T) {
+	f := newFleet("a1", "a2")
+	blocked := make(chan struct{})
+	f.peers["a2"].Handle("echo", func(_ context.Context, from string, body []byte) ([]byte, error) {
+		return append([]byte(from+":"), body...), nil
+	})
+	f.peers["a2"].Handle("raced", func(context.Context, string, []byte) ([]byte, error) {
+		return nil, yuccafault.New(yuccafault.Raced, "x")
+	})
+	f.peers["a2"].Handle("blocked", func(context.Context, string, []byte) ([]byte, error) {
+		<-blocked
+		return nil, nil
+	})
+	f.start(t)
+	t.Cleanup(func() { close(blocked) })
+	f.update()
+	tests := []struct {
+		name, to, topic string
+		size            int
+		want            yuccafault.Kind
+		reply           string
+	}{
+		{"answered", "a2", "echo", 1, yuccafault.None, "a1:x"},
+		{"largest", "a2", "echo", yuccapeer.MaxBody - 3, yuccafault.None, ""},
+		{"too large", "a2", "echo", yuccapeer.MaxBody + 1, yuccafault.Large, ""},
+		{"reply too large", "a2", "echo", yuccapeer.MaxBody, yuccafault.Large, ""},
+		{"handler's kind", "a2", "raced", 1, yuccafault.Raced, ""},
+		{"no such topic", "a2", "other", 1, yuccafault.Protocol, ""},
+		{"no such entry", "a3", "echo", 1, yuccafault.Unreachable, ""},
+		{"no reply", "a2", "blocked", 1, yuccafault.Broken, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			reply, err := f.peers["a1"].Call(ctx, test.to, test.topic, []byte(strings.Repeat("x", test.size)))
+			qt.Assert(t, yuccafault.KindOf(err), qt.Equals, test.want, qt.Commentf("%v", err))
+			if test.reply != "" {
+				qt.Assert(t, string(reply), qt.Equals, test.reply)
+			}
+		})
+	}
+}
+
+// TestPublishReachesEveryDomainOnce has more members in each domain than
+// summarizers.
+func TestPublishReachesEveryDomainOnce(t *testing.T) {
+	names := []string{"a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4", "c1"}
+	f := newFleet(names...)
+	got := make(chan string, 1000)
+	for name, p := range f.peers {
+		p.Handle("news", func(_ context.Context, from string, body []byte) ([]byte, error) {
+			got <- fmt.Sprintf("%s %s from %s", name, body, from)
+			return nil, nil
+		})
+	}
+	f.start(t)
+	f.update()
+	summarizers := map[string][]string{}
+	for _, d := range []string{"a", "b", "c"} {
+		var members []string
+		for _, name := range names {
+			if name[:1] == d {
+				members = append(members, name)
+			}
+		}
+		summarizers[d] = yuccapeer.Choose("summarizer "+d, members, yuccapeer.Summarizers)
+		for _, from := range members {
+			for _, to := range members {
+				if from != to {
+					f.await(t, from, to)
+				}
+			}
+		}
+	}
+	for d, from := range summarizers {
+		for e, to := range summarizers {
+			for _, x := range from {
+				for _, y := range to {
+					if d != e {
+						f.await(t, x, y)
+					}
+				}
+			}
+		}
+	}
+	for _, from := range names {
+		f.peers[from].Publish("news", []byte("first"))
+		f.peers[from].Publish("news", []byte("second"))
+	}
+	count := map[string]int{}
+	for range 2 * len(names) * (len(names) - 1) {
+		line := <-got
+		count[line]++
+		qt.Assert(t, count[line], qt.Equals, 1, qt.Commentf("%s", line))
+	}
+}
+
+// TestNonsenseIsDropped sends bytes that follow no protocol.
+func TestNonsenseIsDropped(t *testing.T) {
+	f := newFleet("a1", "a2")
+	f.peers["a2"].Handle("echo", func(_ context.Context, _ string, body []byte) ([]byte, error) { return body, nil })
+	f.start(t)
+	f.update()
+	f.await(t, "a1", "a2")
+	for _, text := range []string{"GET / HTTP/1.1\r\n\r\n", strings.Repeat("\x00\xff", 4096), strings.Repeat("\x00", 64)} {
+		conn, err := net.Dial("tcp", f.peers["a2"].Addr())
+		qt.Assert(t, err, qt.IsNil)
+		_, _ = conn.Write([]byte(text))
+		_, err = conn.Read(make([]byte, 1))
+		for err == nil {
+			_, err = conn.Read(make([]byte, 1))
+		}
+		_ = conn.Close()
+		<-f.lines
+	}
+	reply, err := f.peers["a1"].Call(t.Context(), "a2", "echo", []byte("x"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(reply), qt.Equals, "x")
+	qt.Assert(t, len(f.lines), qt.Equals, 0)
+}
+
+// TestSilentConnectionIsReplaced loses every connection that is older than a
+// moment, while new ones work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	f := newFleet("a1", "a2")
+	got := make(chan string, 1000)
+	f.peers["a2"].Handle("news", func(_ context.Context, _ string, body []byte) ([]byte, error) {
+		got <- string(body)
+		return nil, nil
+	})
+	f.start(t)
+	link := yuccafake.NewLink("127.0.0.1:0", f.peers["a2"].Addr(), yuccafake.Line{})
+	qt.Assert(t, link.Start(), qt.IsNil)
+	t.Cleanup(link.Close)
+	for i := range f.list {
+		if f.list[i].Name == "a2" {
+			f.list[i].Peer = link.Addr()
+		}
+	}
+	f.update()
+	f.await(t, "a1", "a2")
+	link.Set(yuccafake.Line{Silence: time.Nanosecond})
+	for len(f.peers["a1"].Connected()) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	link.Set(yuccafake.Line{})
+	f.await(t, "a1", "a2")
+	for {
+		f.peers["a1"].Publish("news", []byte("x"))
+		select {
+		case <-got:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -11,6 +11,7 @@
 	"yuccawell.example/core/yuccafront"
 	"yuccawell.example/core/yuccakernel"
 	"yuccawell.example/core/yuccameter"
+	"yuccawell.example/core/yuccapeer"
 	"yuccawell.example/core/yuccapick"
 	"yuccawell.example/core/yuccarelay"
 	"yuccawell.example/core/yuccastore"
@@ -27,6 +28,14 @@
 	feed.Subscribe(func(s yuccafeed.Snapshot) { picker.Update(s.Plan, s.Rules, s.View) })
 	relay := yuccarelay.New(yuccarelay.Options{Region: set.Region, Picker: picker, Source: feed, Observer: meter, Log: log})
 	defer relay.Close()
+	peers := yuccapeer.New(yuccapeer.Settings{
+		Name:   set.Name,
+		Domain: set.Domain,
+		Addr:   set.Peer,
+		Start:  uint64(time.Now().UnixNano()),
+		Seeds:  set.Seeds,
+	}, log)
+	feed.Subscribe(func(s yuccafeed.Snapshot) { peers.Update(s.View.Entries()) })
 	front := yuccafront.New(yuccafront.Settings{
 		Addr:   set.Addr,
 		TTL:    time.Duration(set.TTL),
@@ -35,6 +44,7 @@
 
 	kernel := yuccakernel.New(log)
 	kernel.Add("admin", yuccadmin.New(set.Admin, meter.Registry(), probe(feed, front), status(set, feed, front)))
+	kernel.Add("peer", peers)
 	kernel.Add("feed", feed)
 	kernel.Add("front", front)
 	kernel.Add("leave", newLeave(set.Name, store, log))
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -20,6 +20,9 @@
 	Addr  string `toml:"addr"`
 	Peer  string `toml:"peer"`
 	Admin string `toml:"admin"`
+	// Seeds are the peer addresses of other entries, tried while the platform
+	// has not given any.
+	Seeds []string `toml:"seeds"`
 	// TTL is how long callers keep a look-up.
 	TTL yuccaset.Duration `toml:"ttl"`
 	// Linger is how long a leaving entry serves after it left the look-ups.
@@ -36,6 +39,7 @@
 addr   = "127.0.1.1:7101"         # for callers
 peer   = "127.0.1.1:7102"         # for other entries
 admin  = "127.0.1.1:7103"         # for operators
+seeds  = ["127.0.1.2:7102"]       # other entries, for a start while the platform is down
 ttl    = "5s"                     # how long callers keep a look-up
 linger = "10s"                    # how long a leaving entry goes on serving
 log    = "info"                   # debug, info, warn or error
@@ -65,6 +69,11 @@
 			fail(v.key, "not an address", "an IP number and port such as 127.0.0.1:7101")
 		}
 	}
+	for _, seed := range s.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			fail("seeds", "not an address: "+seed, "IP numbers and ports such as 127.0.0.1:7102")
+		}
+	}
 	if u, err := url.Parse(s.Store); err != nil || u.Scheme != "http" || u.Host == "" {
 		fail("store", "not an address", "a base address such as http://127.0.0.1:7000")
 	}
