--- a/entry/run.go
+++ b/entry/run.go
@@ -6,11 +6,13 @@
 
 	"github.com/rs/zerolog"
 
+	"yuccawell.example/core/yuccaburn"
 	"yuccawell.example/core/yuccadmin"
 	"yuccawell.example/core/yuccafeed"
 	"yuccawell.example/core/yuccafront"
 	"yuccawell.example/core/yuccakernel"
 	"yuccawell.example/core/yuccameter"
+	"yuccawell.example/core/yuccapeer"
 	"yuccawell.example/core/yuccapick"
 	"yuccawell.example/core/yuccarelay"
 	"yuccawell.example/core/yuccastore"
@@ -25,7 +27,22 @@
 	feed := yuccafeed.New(yuccafeed.Settings{Name: set.Name, Region: set.Region}, store, log)
 	picker := yuccapick.New(set.Name)
 	feed.Subscribe(func(s yuccafeed.Snapshot) { picker.Update(s.Plan, s.Rules, s.View) })
-	relay := yuccarelay.New(yuccarelay.Options{Region: set.Region, Picker: picker, Source: feed, Observer: meter, Log: log})
+	peers := yuccapeer.New(yuccapeer.Settings{
+		Name:   set.Name,
+		Domain: set.Domain,
+		Addr:   set.Peer,
+		Start:  uint64(time.Now().UnixNano()),
+		Seeds:  set.Seeds,
+	}, log)
+	feed.Subscribe(func(s yuccafeed.Snapshot) { peers.Update(s.View.Entries()) })
+	burn := yuccaburn.New(set.Name, peers, members(feed), log)
+	relay := yuccarelay.New(yuccarelay.Options{
+		Region:   set.Region,
+		Picker:   picker,
+		Source:   feed,
+		Observer: observers{meter, goals{feed, burn.Windows()}},
+		Log:      log,
+	})
 	defer relay.Close()
 	front := yuccafront.New(yuccafront.Settings{
 		Addr:   set.Addr,
@@ -35,9 +52,12 @@
 
 	pages := map[string]yuccadmin.Page{
 		"/status": status(set, feed, front, picker),
+		"/burn":   func() (any, error) { return yuccaburn.Share(burn.Copies()) },
 	}
 	kernel := yuccakernel.New(log)
 	kernel.Add("admin", yuccadmin.New(set.Admin, meter.Registry(), probe(feed, front), pages))
+	kernel.Add("peer", peers)
+	kernel.Add("burn", burn)
 	kernel.Add("feed", feed)
 	kernel.Add("front", front)
 	kernel.Add("leave", newLeave(set.Name, store, log))
