--- /dev/null
+++ b/core/yuccabench/ours.go
@@ -0,0 +1,136 @@
+package yuccabench
+
+import (
+	"time"
+
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccapick"
+	"yuccawell.example/core/yuccaplan"
+	"yuccawell.example/core/yuccarule"
+	"yuccawell.example/core/yuccaview"
+)
+
+const busyInterval = 200 * time.Millisecond
+
+// ours runs yuccapick.Core for one entry; messages between entries take their
+// time.
+type ours struct {
+	sim   *sim
+	entry int
+	core  *yuccapick.Core
+	waits map[uint64]*request
+}
+
+func newOurs(m *sim, entry int) *ours {
+	o := &ours{sim: m, entry: entry, core: yuccapick.NewCore(entryName(entry), uint64(entry+1)), waits: map[uint64]*request{}}
+	length := m.set.length()
+	m.every(yuccapick.TickInterval, length, func() {
+		o.core.Tick(m.time())
+		o.carryOut()
+	})
+	m.after(time.Duration(entry)*busyInterval/entryCount, func() { m.every(busyInterval, length, o.publish) })
+	return o
+}
+
+func (o *ours) update(plan yuccaplan.Plan, rules yuccarule.Rules, view yuccaview.View) {
+	o.core.Tick(o.sim.time())
+	o.core.Update(plan, rules, view)
+	o.carryOut()
+}
+
+func (o *ours) ask(r *request) {
+	a := o.core.Ask(yuccapick.Ask{
+		Now:     o.sim.time(),
+		Service: serviceName,
+		From:    regionName(entryRegion(o.entry)),
+		Dice:    r.dice,
+		Avoid:   r.avoid,
+	})
+	switch {
+	case a.Waiting:
+		o.waits[a.ID] = r
+	case a.Kind != yuccafault.None:
+		o.sim.shed(r)
+	default:
+		o.send(r, a.Ticket)
+	}
+	o.carryOut()
+}
+
+func (o *ours) send(r *request, t yuccapick.Ticket) {
+	r.state = t
+	o.sim.send(r, o.sim.byName[t.Server])
+}
+
+func (o *ours) done(r *request, out outcome) {
+	result := yuccapick.Result{Now: o.sim.time(), Declined: out.declined}
+	switch {
+	case out.unreachable:
+		result.Kind = yuccafault.Unreachable
+	case out.broken:
+		result.Kind = yuccafault.Broken
+	}
+	o.core.Done(r.state.(yuccapick.Ticket), result)
+	o.carryOut()
+}
+
+func (o *ours) carryOut() {
+	for _, cmd := range o.core.Commands() {
+		switch cmd := cmd.(type) {
+		case yuccapick.Grant:
+			r := o.waits[cmd.ID]
+			delete(o.waits, cmd.ID)
+			o.send(r, cmd.Ticket)
+		case yuccapick.Refuse:
+			r := o.waits[cmd.ID]
+			delete(o.waits, cmd.ID)
+			o.sim.shed(r)
+		case yuccapick.Borrow:
+			o.wish(cmd)
+		}
+	}
+}
+
+// each calls do with every other entry when a message sent now arrives there.
+func (o *ours) each(do func(to *ours)) {
+	for e := range entryCount {
+		if e != o.entry {
+			o.reach(e, do)
+		}
+	}
+}
+
+func (o *ours) reach(e int, do func(to *ours)) {
+	d := farDelay
+	if entryRegion(e) == entryRegion(o.entry) {
+		d = nearDelay
+	}
+	o.sim.after(d, func() {
+		if o.sim.alive[e] {
+			do(o.sim.policies[e].(*ours))
+		}
+	})
+}
+
+func (o *ours) publish() {
+	if !o.sim.alive[o.entry] {
+		return
+	}
+	message := o.core.Busy()
+	o.each(func(to *ours) {
+		to.core.Heard(o.sim.time(), entryName(o.entry), message)
+		to.carryOut()
+	})
+}
+
+func (o *ours) wish(b yuccapick.Borrow) {
+	message := o.core.Wish(b)
+	o.reach(int(b.To[0]-'1'), func(to *ours) {
+		loan := to.core.Lend(o.sim.time(), entryName(o.entry), message)
+		to.carryOut()
+		to.reach(o.entry, func(back *ours) {
+			back.core.Borrowed(o.sim.time(), b.To, loan)
+			back.carryOut()
+		})
+	})
+}
--- a/core/yuccapick/loan.go
+++ b/core/yuccapick/loan.go
@@ -1,6 +1,8 @@
 package yuccapick
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"yuccawell.example/core/yuccaview"
@@ -96,9 +98,9 @@
 // restore gives up to n slots held of a peer back and returns how many.
 func (c *Core) restore(p *pool, other *peer, n int) int {
 	done := 0
-	for s, held := range other.held {
-		back := min(held, n-done, s.free(c.now))
-		if s.pool != p || back <= 0 {
+	for _, s := range p.seats {
+		back := min(other.held[s], n-done, s.free(c.now))
+		if back <= 0 {
 			continue
 		}
 		s.borrowed -= back
@@ -248,8 +250,8 @@
 	if c.now.Sub(p.lastShort) < returnAfter {
 		return
 	}
-	for _, other := range c.peers {
-		if c.restore(p, other, 1) > 0 {
+	for _, name := range slices.Sorted(maps.Keys(c.peers)) {
+		if c.restore(p, c.peers[name], 1) > 0 {
 			return
 		}
 	}
--- a/standin/main.go
+++ b/standin/main.go
@@ -41,6 +41,7 @@
 		worldCommand(),
 		sumCommand(),
 		getCommand(),
+		benchCommand(),
 	)
 	return root
 }
