Loans by need: spare slots flow to where requests arrive

Cause: a quarter of a region's slots lay with entries of other regions, lenders kept a slot always, and a new server's closed slots were refused outright. Change: an entry in use keeps free slots by the root of what it has in flight, one without use keeps none; requests that wait ask the region's entries in turn; a new server's closed slots are used when waiting would cost more.

--- a/core/yuccabench/ours.go
+++ b/core/yuccabench/ours.go
@@ -129,7 +129,7 @@
 		loan := to.core.Lend(o.sim.time(), entryName(o.entry), message)
 		to.carryOut()
 		to.reach(o.entry, func(back *ours) {
-			back.core.Borrowed(o.sim.time(), b.To, loan)
+			back.core.Borrowed(o.sim.time(), b, loan)
 			back.carryOut()
 		})
 	})
--- a/core/yuccabench/sim.go
+++ b/core/yuccabench/sim.go
@@ -159,6 +159,7 @@
 		return
 	}
 	m.after(callerTimeout, func() {
+		r.arrived = m.now - callerDelay
 		for step := 1; step <= entryCount; step++ {
 			e := (r.entry + step*regionCount) % entryCount
 			if m.alive[e] {
--- a/core/yuccapick/ask.go
+++ b/core/yuccapick/ask.go
@@ -87,6 +87,8 @@
 		Service string
 		Region  string
 		Count   int
+		// Urgent is set when requests wait.
+		Urgent bool
 	}
 )
 
--- a/core/yuccapick/core.go
+++ b/core/yuccapick/core.go
@@ -16,6 +16,8 @@
 	step    int
 	plan    yuccaplan.Plan
 	servers map[string]*server
+	// entries holds the names of entries by region.
+	entries map[string][]string
 	pools   map[place]*pool
 	order   []*pool
 	peers   map[string]*peer
@@ -158,9 +160,8 @@
 	p := s.pool
 	s.busy++
 	p.busy++
-	if p.free(c.now) == 0 {
-		c.borrow(p)
-	}
+	p.used = c.now
+	c.borrow(p)
 	return Answer{Ticket: Ticket{Service: p.service, Region: p.region, Server: s.Name, Addr: s.Addr, Started: ask.Now, seat: s}}
 }
 
--- a/core/yuccapick/loan.go
+++ b/core/yuccapick/loan.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -11,12 +12,15 @@
 const (
 	// borrowInterval bounds how often a pool asks others for slots.
 	borrowInterval = 5 * time.Millisecond
+	// maxBorrowInterval is its bound after wishes in vain, each of which doubles
+	// it.
+	maxBorrowInterval = 80 * time.Millisecond
 	// maxBorrow is the most slots that one wish names.
-	maxBorrow = 4
-	// keepFree is how many free slots an entry doesn't lend.
-	keepFree = 1
+	maxBorrow = 8
+	// activeTime is how long after its last use a pool keeps free slots back.
+	activeTime = time.Second
 	// returnAfter is how long slots must stay unused before they go back.
-	returnAfter = 300 * time.Millisecond
+	returnAfter = 2 * time.Second
 	// LoanTimeout is how long a borrower waits for a loan; a later one is not
 	// taken.
 	LoanTimeout = 500 * time.Millisecond
@@ -47,30 +51,62 @@
 	return p
 }
 
-// borrow asks the entry with the most free slots for some.
+// borrow asks another entry for slots when few are free: the one that has the
+// most, or while requests wait, the region's own entries in turn.
 func (c *Core) borrow(p *pool) {
-	if c.now.Sub(p.asked) < borrowInterval {
+	count := p.spare(c.now) - p.free(c.now) + len(p.waiting)
+	if count <= 0 || c.now.Sub(p.asked) < max(p.pause, borrowInterval) {
 		return
 	}
+	to, most := c.richest(p.place)
+	if most == 0 && len(p.waiting) > 0 {
+		to, most = c.neighbour(p), 1
+	}
+	if to == "" {
+		return
+	}
+	p.asked = c.now
+	count = min(count, maxBorrow, most)
+	c.peer(to).free[p.place] -= count
+	c.out = append(c.out, Borrow{To: to, Service: p.service, Region: p.region, Count: count, Urgent: len(p.waiting) > 0})
+}
+
+// richest returns the entry that told of the most free slots.
+func (c *Core) richest(at place) (string, int) {
 	best, most := "", 0
 	for name, other := range c.peers {
-		n := other.free[p.place]
+		n := other.free[at]
 		if n > most || n == most && n > 0 && name < best {
 			best, most = name, n
 		}
 	}
-	if most == 0 {
-		return
+	return best, most
+}
+
+// neighbour returns one of the region's entries, another one each time.
+func (c *Core) neighbour(p *pool) string {
+	list := c.entries[p.region]
+	for range list {
+		p.turn++
+		if name := list[p.turn%len(list)]; name != c.self {
+			return name
+		}
 	}
-	p.asked = c.now
-	count := min(len(p.waiting)+1, maxBorrow, most)
-	c.peers[best].free[p.place] -= count
-	c.out = append(c.out, Borrow{To: best, Service: p.service, Region: p.region, Count: count})
+	return ""
+}
+
+// spare is how many free slots the pool should have for what may arrive while a
+// wish is under way.
+func (p *pool) spare(now time.Time) int {
+	if p.used.IsZero() || now.Sub(p.used) > activeTime {
+		return 0
+	}
+	return 1 + int(math.Sqrt(float64(p.busy))/2)
 }
 
 // Wish returns the message that carries a Borrow.
 func (c *Core) Wish(b Borrow) *Wish {
-	return &Wish{Run: c.run, Service: b.Service, Region: b.Region, Count: uint32(b.Count)}
+	return &Wish{Run: c.run, Service: b.Service, Region: b.Region, Count: uint32(b.Count), Urgent: b.Urgent}
 }
 
 // Lend answers another entry's wish. What is held of that entry goes back to it
@@ -82,7 +118,11 @@
 	p := c.pools[place{w.Service, w.Region}]
 	loan := &Loan{Run: c.run}
 	if p != nil && len(p.waiting) == 0 {
-		left := min(int(w.Count), p.free(c.now)-keepFree)
+		keep := p.spare(c.now)
+		if w.Urgent {
+			keep = 0
+		}
+		left := min(int(w.Count), p.free(c.now)-keep)
 		left -= c.restore(p, other, left)
 		loan.Parts = c.lend(p, other, left)
 	}
@@ -90,6 +130,9 @@
 		other.lentSequence++
 		other.lentAt = c.now
 	}
+	if p != nil {
+		loan.Free = uint32(max(0, p.free(c.now)-p.spare(c.now)))
+	}
 	loan.Sequence = other.lentSequence
 	loan.Held = c.heldOf(from, other)
 	return loan
@@ -134,21 +177,35 @@
 }
 
 // Borrowed takes the answer to a wish.
-func (c *Core) Borrowed(now time.Time, from string, l *Loan) {
+func (c *Core) Borrowed(now time.Time, b Borrow, l *Loan) {
 	c.now = later(c.now, now)
-	other := c.peer(from)
+	other := c.peer(b.To)
 	c.notice(other, l.Run)
+	before := other.lentTotal()
 	if l.Sequence > other.heldSequence {
 		other.heldSequence = l.Sequence
 		c.receive(other, l.Parts)
 	}
-	if len(l.Parts) == 0 {
-		clear(other.free)
-	}
 	c.settle(other, l.Held)
-	for _, p := range c.order {
-		c.dispatch(p)
+	p := c.pools[place{b.Service, b.Region}]
+	if p == nil {
+		return
+	}
+	other.free[p.place] = int(l.Free)
+	if len(l.Parts) > 0 || other.lentTotal() < before {
+		p.pause = 0
+	} else {
+		p.pause = min(max(2*p.pause, borrowInterval), maxBorrowInterval)
+	}
+	c.dispatch(p)
+}
+
+func (p *peer) lentTotal() int {
+	n := 0
+	for _, count := range p.lent {
+		n += count
 	}
+	return n
 }
 
 func (c *Core) receive(other *peer, parts []*Part) {
@@ -174,7 +231,7 @@
 	c.notice(other, b.Run)
 	clear(other.free)
 	for _, s := range b.Spares {
-		other.free[place{s.Service, s.Region}] = max(0, int(s.Free)-keepFree)
+		other.free[place{s.Service, s.Region}] = int(s.Free)
 	}
 	mine := &Held{Lender: c.self}
 	for _, h := range b.Held {
@@ -243,7 +300,7 @@
 
 // giveBack returns borrowed slots that have stayed unused.
 func (c *Core) giveBack(p *pool) {
-	if p.free(c.now) <= keepFree {
+	if p.free(c.now) <= 2*p.spare(c.now) {
 		p.lastShort = c.now
 		return
 	}
@@ -261,7 +318,7 @@
 func (c *Core) Busy() *Busy {
 	b := &Busy{Run: c.run}
 	for _, p := range c.order {
-		if n := p.free(c.now); n > 0 || len(p.waiting) > 0 {
+		if n := p.free(c.now) - p.spare(c.now); n > 0 || len(p.waiting) > 0 {
 			b.Spares = append(b.Spares, &Spare{Service: p.service, Region: p.region, Free: uint32(max(0, n)), Waiting: uint32(len(p.waiting))})
 		}
 	}
--- a/core/yuccapick/pool.go
+++ b/core/yuccapick/pool.go
@@ -12,6 +12,9 @@
 	farCost = 40 * time.Millisecond
 	// similar2 is twice the factor within which latencies count as equal.
 	similar2 = 3
+	// coldCost is the cost of going beyond a new server's open slots, as a
+	// multiple of the latency.
+	coldCost = 2
 	// maxWaitFactor bounds the expected wait as a multiple of the latency.
 	maxWaitFactor = 1.0
 	// minWait and maxWait bound the expected wait from both sides.
@@ -46,6 +49,11 @@
 	// there were last too few.
 	asked     time.Time
 	lastShort time.Time
+	// used is when a request was last sent. The pause between wishes grows
+	// while they are in vain; turn is the neighbour asked last.
+	used  time.Time
+	pause time.Duration
+	turn  int
 	// loans is what is borrowed less what is lent.
 	loans int
 	// alive is how many servers of the region may take work.
@@ -141,7 +149,11 @@
 		if !s.usable(now, avoid) {
 			continue
 		}
-		c, f := p.cost(s), float64(s.busy)/float64(s.open(now))
+		open := s.open(now)
+		c, f := p.cost(s), float64(s.busy)/float64(s.all())
+		if s.busy >= open {
+			c = max(c, coldCost*p.typical)
+		}
 		if found == nil || c < cost || c == cost && f < fill {
 			found, cost, fill = s, c, f
 		}
--- a/core/yuccapick/seat.go
+++ b/core/yuccapick/seat.go
@@ -73,6 +73,9 @@
 	return n
 }
 
+// all returns how many slots there are, open or not.
+func (s *seat) all() int { return len(s.units) - s.lent + s.borrowed }
+
 func (s *seat) free(now time.Time) int { return s.open(now) - s.busy }
 
 func (s *server) resting(now time.Time) bool { return now.Before(s.until) }
@@ -129,5 +132,5 @@
 }
 
 func (s *seat) usable(now time.Time, avoid []string) bool {
-	return s.busy < s.open(now) && !s.Leaving && !s.resting(now) && !slices.Contains(avoid, s.Name)
+	return s.busy < s.all() && !s.Leaving && !s.resting(now) && !slices.Contains(avoid, s.Name)
 }
--- a/core/yuccapick/share.go
+++ b/core/yuccapick/share.go
@@ -126,6 +126,6 @@
 	}
 	s.picker.mu.Lock()
 	defer s.picker.mu.Unlock()
-	s.picker.core.Borrowed(time.Now(), b.To, &loan)
+	s.picker.core.Borrowed(time.Now(), b, &loan)
 	s.picker.carryOut()
 }
--- a/core/yuccapick/update.go
+++ b/core/yuccapick/update.go
@@ -18,6 +18,10 @@
 	c.step++
 	c.updateServers(rules, view)
 	c.dropPeers(view)
+	c.entries = map[string][]string{}
+	for _, e := range view.Entries() {
+		c.entries[e.Region] = append(c.entries[e.Region], e.Name)
+	}
 	claims := gather(plan)
 	old := c.pools
 	c.pools = make(map[place]*pool, len(claims))
