Load: random arrivals, headroom by phase

Cause: all callers of a phase began at the same instant, so 24 recordings came at once and were refused for the load's own reason; headroom was not shown. Change: arrivals are random at the given rate, with fixed seeds; the least headroom of each phase is sampled from the entries.

--- a/standin/caller.go
+++ b/standin/caller.go
@@ -43,6 +43,8 @@
 
 // caller sends the requests of one stream.
 type caller struct {
+	// number tells callers apart.
+	number  uint64
 	set     streamSettings
 	client  *fasthttp.Client
 	entries []string
--- a/standin/load.go
+++ b/standin/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"sync"
 	"time"
@@ -16,6 +17,8 @@
 type loadSettings struct {
 	// Entries are tried in turn for the first look-up.
 	Entries []string `toml:"entries"`
+	// Admins are the entries' addresses for operators, asked for the headroom.
+	Admins []string `toml:"admins"`
 	// Out is the file for the result as JSON; empty means standard output.
 	Out string `toml:"out"`
 	// Delay is added before each request, for the way from caller to entry.
@@ -66,6 +69,9 @@
 	return faults
 }
 
+// arrivalSeed fixes the times at which requests are due.
+const arrivalSeed = 1
+
 // load is one run. Arrivals follow the schedule whatever the answers do.
 type load struct {
 	set     *loadSettings
@@ -73,10 +79,11 @@
 	mu      sync.Mutex
 	phase   int
 	results []*phaseResult
+	sampler sampler
 }
 
 func runLoad(ctx context.Context, set *loadSettings) error {
-	l := &load{set: set}
+	l := &load{set: set, sampler: sampler{admins: set.Admins}}
 	for _, p := range set.Phases {
 		l.results = append(l.results, newPhaseResult(p.Name))
 	}
@@ -85,7 +92,10 @@
 		if err != nil {
 			return err
 		}
-		l.callers = append(l.callers, callers...)
+		for _, c := range callers {
+			c.number = uint64(len(l.callers))
+			l.callers = append(l.callers, c)
+		}
 	}
 	group := &errgroup.Group{}
 	l.drive(ctx, group)
@@ -110,6 +120,10 @@
 	inner, stop := context.WithTimeout(ctx, time.Duration(p.Length))
 	defer stop()
 	streams := &errgroup.Group{}
+	streams.Go(func() error {
+		l.sampler.run(inner, result.sampled)
+		return nil
+	})
 	for _, c := range l.callers {
 		streams.Go(func() error {
 			l.stream(inner, group, c, p.Factor, result)
@@ -126,17 +140,19 @@
 	_ = streams.Wait()
 }
 
-// stream starts requests at fixed intervals. A request's latency counts from
-// the moment at which it was due.
+// stream starts requests at random times of the given rate, fixed beforehand by
+// the caller's number. A request's latency counts from the moment at which it
+// was due.
 func (l *load) stream(ctx context.Context, group *errgroup.Group, c *caller, factor float64, result *phaseResult) {
 	rate := c.set.Rate * factor
 	if rate <= 0 {
 		<-ctx.Done()
 		return
 	}
-	interval := time.Duration(float64(time.Second) / rate)
+	arrivals := rand.New(rand.NewPCG(arrivalSeed, c.number))
 	due := time.Now()
 	for {
+		due = due.Add(time.Duration(arrivals.ExpFloat64() / rate * float64(time.Second)))
 		if !wait(ctx, time.Until(due)) {
 			return
 		}
@@ -146,7 +162,6 @@
 			result.add(c.set.Service, c.call(), time.Since(at))
 			return nil
 		})
-		due = due.Add(interval)
 	}
 }
 
--- a/standin/result.go
+++ b/standin/result.go
@@ -22,6 +22,8 @@
 	name     string
 	mu       sync.Mutex
 	services map[string]*serviceResult
+	// headroom is the least that was sampled.
+	headroom map[string]float64
 }
 
 type serviceResult struct {
@@ -30,7 +32,7 @@
 }
 
 func newPhaseResult(name string) *phaseResult {
-	return &phaseResult{name: name, services: map[string]*serviceResult{}}
+	return &phaseResult{name: name, services: map[string]*serviceResult{}, headroom: map[string]float64{}}
 }
 
 func (p *phaseResult) add(service string, f fate, took time.Duration) {
@@ -47,6 +49,16 @@
 	}
 }
 
+// sampled keeps the least headroom of a service.
+func (p *phaseResult) sampled(service string, headroom float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	least, ok := p.headroom[service]
+	if !ok || headroom < least {
+		p.headroom[service] = headroom
+	}
+}
+
 // line sums the phase up for a progress line.
 func (p *phaseResult) line() string {
 	p.mu.Lock()
@@ -73,6 +85,8 @@
 	P50 float64 `json:"p50"`
 	P99 float64 `json:"p99"`
 	Max float64 `json:"max"`
+	// Headroom is the least free part of the service's slots, from 0 to 1.
+	Headroom float64 `json:"headroom"`
 }
 
 func (p *phaseResult) rows() []row {
@@ -92,6 +106,8 @@
 			P50:     milliseconds(s.latency.ValueAtQuantile(50)),
 			P99:     milliseconds(s.latency.ValueAtQuantile(99)),
 			Max:     milliseconds(s.latency.Max()),
+
+			Headroom: p.headroom[name],
 		})
 	}
 	return rows
--- a/standin/world.go
+++ b/standin/world.go
@@ -273,6 +273,7 @@
 	set := &loadSettings{Out: filepath.Join(dir, "result.json"), Delay: yuccaset.Duration(2 * clientDelay)}
 	for i := range worldEntries {
 		set.Entries = append(set.Entries, entryAddr(i, entryPort))
+		set.Admins = append(set.Admins, entryAddr(i, adminPort))
 	}
 	for i := range d.regions {
 		for _, s := range d.services {
