Failures at every step of an exchange, shown at the socket

Cause: nothing showed what a caller gets when a server fails inside an exchange. Change: yuccafake.Wire, a backend server of bare sockets that fails at a chosen step; a table of steps and faults, 10,000 requests with a token each over faulty connections, a table of framings. Garbage in place of the same number of body bytes, and an answer before its request, cannot be seen in HTTP/1.1 and are left out of the table.

--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,6 +32,8 @@
 	sent    bool
 	read    int64
 	err     error
+	// outrun is set when another server answered first.
+	outrun atomic.Bool
 }
 
 type field struct{ name, value string }
@@ -107,7 +110,7 @@
 		k = yuccafault.Canceled
 	}
 	a.drop(yuccapick.Result{Kind: k})
-	if a.silent() && isTimeout(err) {
+	if a.silent() && (isTimeout(err) || a.outrun.Load()) {
 		a.task.relay.pool.doubt(a.conn)
 	}
 	return yuccalife.Failed{Kind: k}
@@ -150,11 +153,9 @@
 	a.task.relay.opt.Picker.Done(a.ticket, r)
 }
 
-// outrun notes that another server answered first.
-func (a *attempt) outrun() {
-	if a.silent() {
-		a.task.relay.pool.doubt(a.conn)
-	}
+// lose ends the attempt because another server answered first.
+func (a *attempt) lose() {
+	a.outrun.Store(true)
 	a.cancel()
 }
 
--- a/core/yuccarelay/exchange.go
+++ b/core/yuccarelay/exchange.go
@@ -38,9 +38,11 @@
 	head  fasthttp.ResponseHeader
 	body  io.Reader
 	stall time.Duration
-	left  int64
-	count int64
-	ended bool
+	// deadline is when the caller stops waiting; the zero time means never.
+	deadline time.Time
+	left     int64
+	count    int64
+	ended    bool
 	// end is called once, with the error that ended the exchange.
 	end func(n int64, err error)
 }
@@ -54,7 +56,8 @@
 	if err := x.write(t, h); err != nil {
 		return err
 	}
-	if err := x.conn.SetReadDeadline(limit(t.deadline)); err != nil {
+	x.deadline = t.deadline
+	if err := x.conn.SetReadDeadline(x.limit()); err != nil {
 		return err
 	}
 	if err := x.readHead(); err != nil {
@@ -65,10 +68,10 @@
 }
 
 // limit returns when a silent server is given up on.
-func limit(deadline time.Time) time.Time {
-	end := time.Now().Add(stallTimeout)
-	if !deadline.IsZero() && deadline.Before(end) {
-		return deadline
+func (x *exchange) limit() time.Time {
+	end := time.Now().Add(x.stall)
+	if !x.deadline.IsZero() && x.deadline.Before(end) {
+		return x.deadline
 	}
 	return end
 }
@@ -173,7 +176,7 @@
 	if x.left > 0 && int64(len(p)) > x.left {
 		p = p[:x.left]
 	}
-	if err := x.conn.SetReadDeadline(time.Now().Add(x.stall)); err != nil {
+	if err := x.conn.SetReadDeadline(x.limit()); err != nil {
 		x.finish(err)
 		return 0, err
 	}
--- a/core/yuccarelay/relay_test.go
+++ b/core/yuccarelay/relay_test.go
@@ -11,7 +11,6 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
-	"github.com/valyala/fasthttp/fasthttputil"
 	"golang.org/x/sync/errgroup"
 
 	"yuccawell.example/core/yuccafake"
@@ -36,40 +35,63 @@
 	servers []*yuccafake.Server
 	picker  *yuccapick.Picker
 	client  *fasthttp.HostClient
+	addr    string
 }
 
 func newWorld(t *testing.T, acts ...yuccafake.Behaviour) *world {
+	return newWorldWith(t, yuccarelay.Options{}, acts...)
+}
+
+func newWorldWith(t *testing.T, opt yuccarelay.Options, acts ...yuccafake.Behaviour) *world {
 	c := qt.New(t)
-	w := &world{ledger: yuccafake.NewLedger(), picker: yuccapick.New("e1")}
-	rules, faults := yuccarule.Parse("rules", []byte("region a domains=a1 # t\nservice s host=s.example regions=a # t"))
-	c.Assert(faults, qt.HasLen, 0)
-	list := []yuccastore.Instance{{Name: "e1", Kind: yuccastore.Entry, Region: "a"}}
-	for i, act := range acts {
+	w := &world{ledger: yuccafake.NewLedger()}
+	var places []place
+	for _, act := range acts {
 		act.Lie = -1
 		s := yuccafake.NewServer("127.0.0.1:0", act, w.ledger)
 		c.Assert(s.Start(), qt.IsNil)
 		t.Cleanup(s.Close)
 		w.servers = append(w.servers, s)
-		list = append(list, yuccastore.Instance{Name: fmt.Sprint("s", i), Kind: yuccastore.Server, Region: "a", Addr: s.Addr(), Slots: act.Slots, Services: []string{"s"}})
+		places = append(places, place{s.Addr(), act.Slots})
+	}
+	w.open(t, opt, places)
+	return w
+}
+
+// place is a backend server that the relay knows.
+type place struct {
+	addr  string
+	slots int
+}
+
+// open puts a relay before the servers.
+func (w *world) open(t testing.TB, opt yuccarelay.Options, places []place) {
+	rules, faults := yuccarule.Parse("rules", []byte("region a domains=a1 # t\nservice s host=s.example regions=a # t"))
+	qt.Assert(t, faults, qt.HasLen, 0)
+	list := []yuccastore.Instance{{Name: "e1", Kind: yuccastore.Entry, Region: "a"}}
+	for i, p := range places {
+		list = append(list, yuccastore.Instance{Name: fmt.Sprint("s", i), Kind: yuccastore.Server, Region: "a", Addr: p.addr, Slots: p.slots, Services: []string{"s"}})
 	}
 	view := yuccaview.New(list)
 	plan := yuccaplan.Make(yuccaplan.Input{Rules: rules, Version: 1, View: view})
+	w.picker = yuccapick.New("e1")
 	w.picker.Update(plan, rules, view)
 	snapshot := yuccafeed.Snapshot{Document: yuccarule.Document{Version: 1}, Rules: rules, View: view, Plan: plan}
 	snapshot.Table = tableOf(rules)
-	relay := yuccarelay.New(yuccarelay.Options{Region: "a", Picker: w.picker, Source: fixed{snapshot}, Log: zerolog.Nop()})
-	w.serve(t, relay)
-	return w
+	opt.Region, opt.Picker, opt.Source, opt.Log = "a", w.picker, fixed{snapshot}, zerolog.Nop()
+	w.serve(t, yuccarelay.New(opt))
 }
 
-func (w *world) serve(t *testing.T, relay *yuccarelay.Relay) {
-	l := fasthttputil.NewInmemoryListener()
-	server := &fasthttp.Server{Handler: relay.Serve, StreamRequestBody: true, DisablePreParseMultipartForm: true}
+func (w *world) serve(t testing.TB, relay *yuccarelay.Relay) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	w.addr = l.Addr().String()
+	server := &fasthttp.Server{Handler: relay.Serve, StreamRequestBody: true, DisablePreParseMultipartForm: true, MaxRequestBodySize: 1 << 50, NoDefaultDate: true}
 	group := &errgroup.Group{}
 	group.Go(func() error { return server.Serve(l) })
 	w.client = &fasthttp.HostClient{
 		Addr:                      "s.example",
-		Dial:                      func(string) (net.Conn, error) { return l.Dial() },
+		Dial:                      func(string) (net.Conn, error) { return net.Dial("tcp", w.addr) },
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -294,7 +294,7 @@
 	a.replied()
 	for _, other := range t.attempts {
 		if other != a {
-			other.outrun()
+			other.lose()
 		}
 	}
 }
--- /dev/null
+++ b/core/yuccarelay/wire_test.go
@@ -0,0 +1,206 @@
+package yuccarelay_test
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccafake"
+	"yuccawell.example/core/yuccarelay"
+)
+
+// newWires returns a relay before bare servers that share one ledger and one
+// count of requests.
+func newWires(t testing.TB, n int, opt yuccarelay.Options, fault func(int64) yuccafake.Fault, reply func(string) string) *world {
+	w := &world{ledger: yuccafake.NewLedger()}
+	var count atomic.Int64
+	var places []place
+	for range n {
+		wire, err := yuccafake.NewWire(w.ledger, lateBy, func(int64) yuccafake.Fault { return fault(count.Add(1)) }, reply)
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(wire.Close)
+		places = append(places, place{wire.Addr(), 16})
+	}
+	w.open(t, opt, places)
+	return w
+}
+
+const (
+	patience = 80 * time.Millisecond
+	lateBy   = 120 * time.Millisecond
+)
+
+// token sends a request that is the only one with its token.
+func (w *world) token(method, token string) (*fasthttp.Response, error) {
+	return w.call(func(r *fasthttp.Request) {
+		r.Header.SetMethod(method)
+		r.Header.Set(yuccafake.TokenHeader, token)
+		r.Header.Set(yuccarelay.DeadlineHeader, patience.String())
+	})
+}
+
+// judge returns what is wrong with how a request ended, if anything.
+func (w *world) judge(method, token string, resp *fasthttp.Response, err error) error {
+	times := w.ledger.Times(token)
+	said := string(resp.Header.Peek(yuccarelay.RunHeader))
+	switch {
+	case method == fasthttp.MethodPost && times > 1:
+		return fmt.Errorf("ran %d times", times)
+	case err != nil:
+		return nil
+	case resp.StatusCode() == fasthttp.StatusOK && string(resp.Body()) != token+"\n":
+		return fmt.Errorf("answered with %q", resp.Body())
+	case resp.StatusCode() != fasthttp.StatusOK && said == "":
+		return fmt.Errorf("answered %d without %s", resp.StatusCode(), yuccarelay.RunHeader)
+	case said == "no" && times > 0:
+		return fmt.Errorf("said not to have run, ran %d times", times)
+	}
+	return nil
+}
+
+func TestRelayFailuresAtEveryStep(t *testing.T) {
+	steps := []yuccafake.Step{yuccafake.AfterConnect, yuccafake.MidRequest, yuccafake.AfterRequest, yuccafake.MidHead, yuccafake.MidBody}
+	acts := []yuccafake.Act{yuccafake.CloseConn, yuccafake.ResetConn, yuccafake.Silence, yuccafake.Garbage, yuccafake.Late, yuccafake.Twice}
+	names := []string{"close", "reset", "silence", "garbage", "late", "twice"}
+	for _, step := range steps {
+		for i, act := range acts {
+			if hidden(step, act) {
+				continue
+			}
+			for _, method := range []string{fasthttp.MethodGet, fasthttp.MethodPost} {
+				t.Run(fmt.Sprint(step, "/", names[i], "/", method), func(t *testing.T) {
+					c := qt.New(t)
+					fault := func(n int64) yuccafake.Fault {
+						if n == 2 {
+							return yuccafake.Fault{Step: step, Act: act}
+						}
+						return yuccafake.Fault{}
+					}
+					w := newWires(t, 2, yuccarelay.Options{}, fault, yuccafake.Echo)
+					for n := range 6 {
+						token := fmt.Sprint("token-", n)
+						resp, err := w.token(method, token)
+						c.Assert(w.judge(method, token, resp, err), qt.IsNil, qt.Commentf("%s: %s %v", token, resp, err))
+						if n != 1 {
+							c.Assert(err, qt.IsNil)
+							c.Assert(resp.StatusCode(), qt.Equals, 200)
+						}
+					}
+					c.Assert(w.picker.Busy("s", "a"), qt.Equals, 0)
+				})
+			}
+		}
+	}
+}
+
+// hidden reports whether HTTP/1.1 gives no way to see the fault: an answer that
+// comes before its request, and other bytes of the same number inside a body of
+// fixed length.
+func hidden(step yuccafake.Step, act yuccafake.Act) bool {
+	return act == yuccafake.Twice && step < yuccafake.AfterRequest ||
+		act == yuccafake.Garbage && step == yuccafake.MidBody
+}
+
+// TestRelayMatchesAnswers sends 10,000 requests over faulty connections.
+func TestRelayMatchesAnswers(t *testing.T) {
+	const callers, each = 20, 500
+	c := qt.New(t)
+	fault := func(n int64) yuccafake.Fault {
+		if n%10 != 0 {
+			return yuccafake.Fault{}
+		}
+		f := yuccafake.Fault{Step: yuccafake.Step(1 + n/10%5), Act: yuccafake.Act(n / 50 % 6)}
+		if hidden(f.Step, f.Act) {
+			f.Step = yuccafake.AfterRequest
+		}
+		return f
+	}
+	w := newWires(t, 12, yuccarelay.Options{}, fault, yuccafake.Echo)
+	w.client.MaxConns = callers
+	group := &errgroup.Group{}
+	var whole atomic.Int64
+	for n := range callers {
+		group.Go(func() error {
+			for i := range each {
+				method := []string{fasthttp.MethodGet, fasthttp.MethodPost}[i%2]
+				token := fmt.Sprintf("token-%d-%d", n, i)
+				resp, err := w.token(method, token)
+				if wrong := w.judge(method, token, resp, err); wrong != nil {
+					return fmt.Errorf("%s %s: %w", method, token, wrong)
+				}
+				if err == nil && resp.StatusCode() == fasthttp.StatusOK {
+					whole.Add(1)
+				}
+			}
+			return nil
+		})
+	}
+	c.Assert(group.Wait(), qt.IsNil)
+	c.Assert(w.picker.Busy("s", "a"), qt.Equals, 0)
+	c.Assert(w.ledger.Total().Doubled, qt.Equals, 0)
+	c.Assert(whole.Load() > callers*each*9/10, qt.IsTrue, qt.Commentf("%d whole", whole.Load()))
+}
+
+func TestRelayFraming(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	tests := []struct {
+		name, method, answer string
+		// body is what the caller gets; cut says that it must look cut.
+		status int
+		body   string
+		cut    bool
+	}{
+		{"fixed", "GET", ok + "Content-Length: 4\r\n\r\nbody", 200, "body", false},
+		{"chunked", "GET", ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", 200, "body", false},
+		{"trailer", "GET", ok + "Transfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n4\r\nbody\r\n0\r\nSum: 7\r\n\r\n", 200, "body", false},
+		{"until close", "GET", ok + "\r\nbody", 200, "body", false},
+		{"interim", "GET", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok + "Content-Length: 4\r\n\r\nbody", 200, "body", false},
+		{"no content", "GET", "HTTP/1.1 204 No Content\r\n\r\n", 204, "", false},
+		{"not modified", "GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", 304, "", false},
+		{"head", "HEAD", ok + "Content-Length: 9\r\n\r\n", 200, "", false},
+		{"part", "GET", "HTTP/1.1 206 Partial Content\r\nContent-Range: bytes 2-5/9\r\nContent-Length: 4\r\n\r\nbody", 206, "body", false},
+		{"fixed, short", "GET", ok + "Content-Length: 9\r\n\r\nbody", 0, "", true},
+		{"chunk, short", "GET", ok + "Transfer-Encoding: chunked\r\n\r\n9\r\nbody", 0, "", true},
+		{"no last chunk", "GET", ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", 0, "", true},
+		{"no end after last chunk", "GET", ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n", 0, "", true},
+		{"bad chunk", "GET", ok + "Transfer-Encoding: chunked\r\n\r\nx\r\nbody\r\n0\r\n\r\n", 0, "", true},
+		{"two lengths", "GET", ok + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody!", 502, "broken\n", false},
+		{"length and chunks", "GET", ok + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 502, "broken\n", false},
+		{"other coding", "GET", ok + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 502, "broken\n", false},
+		{"bare line feeds", "GET", "HTTP/1.1 200 OK\nContent-Length: 4\n\nbody", 502, "broken\n", false},
+		{"folded", "GET", ok + "A: b\r\n c\r\nContent-Length: 4\r\n\r\nbody", 502, "broken\n", false},
+		{"switch", "GET", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", 502, "broken\n", false},
+		{"endless interim", "GET", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 20) + ok + "Content-Length: 4\r\n\r\nbody", 502, "broken\n", false},
+		{"long head", "GET", ok + "A: " + strings.Repeat("a", 5000) + "\r\nContent-Length: 4\r\n\r\nbody", 502, "broken\n", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			act := yuccafake.Silence
+			if test.cut || test.name == "until close" {
+				act = yuccafake.CloseConn
+			}
+			closing := func(int64) yuccafake.Fault { return yuccafake.Fault{Step: yuccafake.MidBody, Act: act} }
+			// The fault takes the last byte off.
+			w := newWires(t, 1, yuccarelay.Options{}, closing, func(string) string { return test.answer + "!" })
+			resp, err := w.call(func(r *fasthttp.Request) { r.Header.SetMethod(test.method) })
+			if test.cut {
+				c.Assert(err, qt.IsNotNil, qt.Commentf("%s", resp))
+				return
+			}
+			c.Assert(err, qt.IsNil)
+			c.Assert(resp.StatusCode(), qt.Equals, test.status, qt.Commentf("%s", resp))
+			c.Assert(string(resp.Body()), qt.Equals, test.body)
+			if test.name == "trailer" {
+				c.Assert(string(resp.Header.Peek("Sum")), qt.Equals, "7")
+			}
+			c.Assert(w.picker.Busy("s", "a"), qt.Equals, 0)
+		})
+	}
+}
