Waits shrink under lasting overload

Cause: at 95% a request waited up to a whole latency before it was shed or sent, which put p99 above that of ways that don't wait. Change: the bound on waits falls to a fifth once requests have waited without a break for longer than a burst.

--- a/core/yuccabench/policy.go
+++ b/core/yuccabench/policy.go
@@ -74,7 +74,7 @@
 
 func (p *simple) done(r *request, _ outcome) { p.busy[r.server.Name]-- }
 
-func pickRandom(p *simple, list []*server) *server { return list[p.sim.rand.IntN(len(list))] }
+func pickRandom(p *simple, list []*server) *server { return list[p.sim.dice.IntN(len(list))] }
 
 func pickNext(p *simple, list []*server) *server {
 	p.turn++
@@ -82,7 +82,7 @@
 }
 
 func pickLeast(p *simple, list []*server) *server {
-	at := p.sim.rand.IntN(len(list))
+	at := p.sim.dice.IntN(len(list))
 	best := list[at]
 	for i := range list {
 		s := list[(at+i)%len(list)]
--- a/core/yuccabench/server.go
+++ b/core/yuccabench/server.go
@@ -1,7 +1,6 @@
 package yuccabench
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"yuccawell.example/core/yuccastore"
@@ -54,7 +53,7 @@
 func (m *sim) start(s *server, r *request) {
 	s.running++
 	m.count(1)
-	m.after(m.draw(s), func() { m.finish(s, r) })
+	m.after(m.draw(s, r), func() { m.finish(s, r) })
 }
 
 func (m *sim) finish(s *server, r *request) {
@@ -76,8 +75,8 @@
 }
 
 // draw returns how long a request takes: half is fixed, half is exponential.
-func (m *sim) draw(s *server) time.Duration {
-	d := time.Duration((0.5 + 0.5*exponential(m.rand)) * float64(s.work))
+func (m *sim) draw(s *server, r *request) time.Duration {
+	d := time.Duration((0.5 + 0.5*r.size) * float64(s.work))
 	if s.cold > 0 {
 		s.cold--
 		d *= coldFactor
@@ -85,8 +84,6 @@
 	return d
 }
 
-func exponential(r *rand.Rand) float64 { return r.ExpFloat64() }
-
 // kill ends a server and everything on it.
 func (m *sim) kill(s *server) {
 	s.dead = true
--- a/core/yuccabench/sim.go
+++ b/core/yuccabench/sim.go
@@ -29,7 +29,9 @@
 	server  *server
 	avoid   []string
 	dice    uint64
-	state   any
+	// size is the random part of the work.
+	size  float64
+	state any
 }
 
 // outcome is what came of one try; its zero value is an answer.
@@ -40,8 +42,11 @@
 // sim is one run.
 type sim struct {
 	clock
-	set      Setup
+	set Setup
+	// rand is for arrivals, which are the same for every policy; dice is for
+	// what policies draw.
 	rand     *rand.Rand
+	dice     *rand.Rand
 	rules    yuccarule.Rules
 	plan     yuccaplan.Plan
 	servers  []*server
@@ -67,6 +72,7 @@
 	m := &sim{
 		set:     set,
 		rand:    rand.New(rand.NewPCG(set.Seed, 1)),
+		dice:    rand.New(rand.NewPCG(set.Seed, 2)),
 		byName:  map[string]*server{},
 		lost:    -1,
 		leaving: map[string]bool{},
@@ -141,7 +147,7 @@
 
 func (m *sim) caller() {
 	region := m.rand.IntN(m.set.Service.Servers) % regionCount
-	r := &request{arrived: m.now, dice: m.rand.Uint64()}
+	r := &request{arrived: m.now, dice: m.rand.Uint64(), size: m.rand.ExpFloat64()}
 	var list []int
 	for e := range entryCount {
 		if entryRegion(e) == region {
@@ -219,7 +225,7 @@
 			m.shed(r)
 			return
 		}
-		r.dice = m.rand.Uint64()
+		r.dice = m.dice.Uint64()
 		m.policies[r.entry].ask(r)
 	default:
 		m.answered(r)
--- a/core/yuccapick/core.go
+++ b/core/yuccapick/core.go
@@ -59,12 +59,12 @@
 		return c.take(s, ask)
 	}
 	wait := first.wait(1)
-	if wait > farCost || wait > first.patience() {
+	if wait > farCost || wait > first.patience(c.now) {
 		if s := c.spill(route, first, ask, spare); s != nil {
 			return c.take(s, ask)
 		}
 	}
-	if wait > first.patience() || !first.reachable(ask) {
+	if wait > first.patience(c.now) || !first.reachable(ask) {
 		return Answer{Kind: c.refusal(route)}
 	}
 	return c.enqueue(first, ask)
@@ -127,7 +127,7 @@
 	if s == nil {
 		return nil
 	}
-	if cost+extra > p.typical+max(p.wait(1), extra) && p.wait(1) <= p.patience() {
+	if cost+extra > p.typical+max(p.wait(1), extra) && p.wait(1) <= p.patience(c.now) {
 		return nil
 	}
 	return s
@@ -167,7 +167,10 @@
 
 func (c *Core) enqueue(p *pool, ask Ask) Answer {
 	c.nextID++
-	expires := c.now.Add(2 * p.patience())
+	if len(p.waiting) == 0 {
+		p.emptied = c.now
+	}
+	expires := c.now.Add(p.patience(c.now) + minWait)
 	if !ask.Deadline.IsZero() && ask.Deadline.Before(expires) {
 		expires = ask.Deadline
 	}
--- a/core/yuccapick/loan.go
+++ b/core/yuccapick/loan.go
@@ -54,12 +54,17 @@
 // borrow asks another entry for slots when few are free: the one that has the
 // most, or while requests wait, the region's own entries in turn.
 func (c *Core) borrow(p *pool) {
+	urgent := len(p.waiting) > 0
+	if c.now.Sub(p.asked) < max(p.pause, borrowInterval) || !urgent && c.now.Sub(p.checked) < borrowInterval {
+		return
+	}
+	p.checked = c.now
 	count := p.spare(c.now) - p.free(c.now) + len(p.waiting)
-	if count <= 0 || c.now.Sub(p.asked) < max(p.pause, borrowInterval) {
+	if count <= 0 {
 		return
 	}
 	to, most := c.richest(p.place)
-	if most == 0 && len(p.waiting) > 0 {
+	if most == 0 && urgent {
 		to, most = c.neighbour(p), 1
 	}
 	if to == "" {
@@ -68,7 +73,7 @@
 	p.asked = c.now
 	count = min(count, maxBorrow, most)
 	c.peer(to).free[p.place] -= count
-	c.out = append(c.out, Borrow{To: to, Service: p.service, Region: p.region, Count: count, Urgent: len(p.waiting) > 0})
+	c.out = append(c.out, Borrow{To: to, Service: p.service, Region: p.region, Count: count, Urgent: urgent})
 }
 
 // richest returns the entry that told of the most free slots.
--- a/core/yuccapick/pool.go
+++ b/core/yuccapick/pool.go
@@ -15,10 +15,12 @@
 	// coldCost is the cost of going beyond a new server's open slots, as a
 	// multiple of the latency.
 	coldCost = 2
-	// maxWaitFactor bounds the expected wait as a multiple of the latency.
-	maxWaitFactor = 1.0
+	// burstTime is how long a burst may last, besides the latency, and
+	// overloadPart what divides the bound on waits after it.
+	burstTime    = 50 * time.Millisecond
+	overloadPart = 5
 	// minWait and maxWait bound the expected wait from both sides.
-	minWait = 10 * time.Millisecond
+	minWait = 2 * time.Millisecond
 	maxWait = 500 * time.Millisecond
 	// lostAfter is how many connections refused in a row make a region lost.
 	lostAfter = 6
@@ -51,9 +53,12 @@
 	lastShort time.Time
 	// used is when a request was last sent. The pause between wishes grows
 	// while they are in vain; turn is the neighbour asked last.
-	used  time.Time
-	pause time.Duration
-	turn  int
+	used    time.Time
+	checked time.Time
+	pause   time.Duration
+	turn    int
+	// emptied is when no request waited last.
+	emptied time.Time
 	// loans is what is borrowed less what is lent.
 	loans int
 	// alive is how many servers of the region may take work.
@@ -176,9 +181,14 @@
 	return time.Duration(len(p.waiting)+extra) * p.typical / time.Duration(n)
 }
 
-// patience bounds the expected wait; services of less weight get less.
-func (p *pool) patience() time.Duration {
-	d := time.Duration(maxWaitFactor * p.weight * float64(p.typical))
+// patience bounds the expected wait; services of less weight get less. It is
+// long for a burst and short once requests have waited all the time for longer
+// than a burst lasts.
+func (p *pool) patience(now time.Time) time.Duration {
+	d := time.Duration(p.weight * float64(p.typical))
+	if len(p.waiting) > 0 && now.Sub(p.emptied) > burstTime+p.typical {
+		d /= overloadPart
+	}
 	return min(max(d, minWait), maxWait)
 }
 
