A slot that comes free goes to the entry that waits for it

Cause: a wish in vain was forgotten, so a slot could lie free at one entry while requests waited at another until the next wish. Change: wishes in vain are remembered for 50 ms and met by an offer.

--- a/core/yuccabench/ours.go
+++ b/core/yuccabench/ours.go
@@ -87,6 +87,11 @@
 			o.sim.shed(r)
 		case yuccapick.Borrow:
 			o.wish(cmd)
+		case yuccapick.Offer:
+			o.reach(int(cmd.To[0]-'1'), func(to *ours) {
+				to.core.Borrowed(o.sim.time(), entryName(o.entry), cmd.Loan)
+				to.carryOut()
+			})
 		}
 	}
 }
@@ -129,7 +134,7 @@
 		loan := to.core.Lend(o.sim.time(), entryName(o.entry), message)
 		to.carryOut()
 		to.reach(o.entry, func(back *ours) {
-			back.core.Borrowed(o.sim.time(), b, loan)
+			back.core.Borrowed(o.sim.time(), b.To, loan)
 			back.carryOut()
 		})
 	})
--- a/core/yuccapick/ask.go
+++ b/core/yuccapick/ask.go
@@ -90,8 +90,14 @@
 		// Urgent is set when requests wait.
 		Urgent bool
 	}
+	// Offer gives another entry slots that it has asked for in vain.
+	Offer struct {
+		To   string
+		Loan *Loan
+	}
 )
 
 func (Grant) command()  {}
 func (Refuse) command() {}
 func (Borrow) command() {}
+func (Offer) command()  {}
--- a/core/yuccapick/core.go
+++ b/core/yuccapick/core.go
@@ -194,6 +194,7 @@
 		s.eject(c.now, uint64(c.now.UnixNano())*0x9e3779b97f4a7c15>>8)
 	}
 	c.dispatch(s.pool)
+	c.offer(s.pool)
 }
 
 // dispatch gives free slots to waiting requests, the oldest first.
--- a/core/yuccapick/loan.go
+++ b/core/yuccapick/loan.go
@@ -17,6 +17,8 @@
 	maxBorrowInterval = 80 * time.Millisecond
 	// maxBorrow is the most slots that one wish names.
 	maxBorrow = 8
+	// wantTime is how long a wish in vain is remembered.
+	wantTime = 50 * time.Millisecond
 	// activeTime is how long after its last use a pool keeps free slots back.
 	activeTime = time.Second
 	// returnAfter is how long slots must stay unused before they go back.
@@ -121,26 +123,62 @@
 	other := c.peer(from)
 	c.notice(other, w.Run)
 	p := c.pools[place{w.Service, w.Region}]
-	loan := &Loan{Run: c.run}
-	if p != nil && len(p.waiting) == 0 {
+	if p == nil {
+		return c.loan(from, other, nil)
+	}
+	var parts []*Part
+	if len(p.waiting) == 0 {
 		keep := p.spare(c.now)
 		if w.Urgent {
 			keep = 0
 		}
 		left := min(int(w.Count), p.free(c.now)-keep)
 		left -= c.restore(p, other, left)
-		loan.Parts = c.lend(p, other, left)
+		parts = c.lend(p, other, left)
 	}
-	if len(loan.Parts) > 0 {
+	if w.Urgent && len(parts) == 0 {
+		p.wanted = append(p.wanted, want{from, c.now})
+	}
+	loan := c.loan(from, other, parts)
+	loan.Service, loan.Region = p.service, p.region
+	loan.Free = uint32(max(0, p.free(c.now)-p.spare(c.now)))
+	return loan
+}
+
+// loan numbers a loan and adds what is held of the borrower.
+func (c *Core) loan(to string, other *peer, parts []*Part) *Loan {
+	if len(parts) > 0 {
 		other.lentSequence++
 		other.lentAt = c.now
 	}
-	if p != nil {
-		loan.Free = uint32(max(0, p.free(c.now)-p.spare(c.now)))
+	return &Loan{Run: c.run, Sequence: other.lentSequence, Parts: parts, Held: c.heldOf(to, other)}
+}
+
+// want is a wish that came when nothing was free.
+type want struct {
+	entry string
+	at    time.Time
+}
+
+// offer gives a slot that has come free to the entry that has wanted one for
+// longest, if its wish is not too old.
+func (c *Core) offer(p *pool) {
+	for len(p.wanted) > 0 && len(p.waiting) == 0 && p.free(c.now) > 0 {
+		w := p.wanted[0]
+		p.wanted = p.wanted[1:]
+		other, ok := c.peers[w.entry]
+		if !ok || c.now.Sub(w.at) > wantTime {
+			continue
+		}
+		restored := c.restore(p, other, 1)
+		parts := c.lend(p, other, 1-restored)
+		if restored+len(parts) == 0 {
+			return
+		}
+		loan := c.loan(w.entry, other, parts)
+		loan.Service, loan.Region = p.service, p.region
+		c.out = append(c.out, Offer{To: w.entry, Loan: loan})
 	}
-	loan.Sequence = other.lentSequence
-	loan.Held = c.heldOf(from, other)
-	return loan
 }
 
 // restore gives up to n slots held of a peer back and returns how many.
@@ -181,10 +219,10 @@
 	return parts
 }
 
-// Borrowed takes the answer to a wish.
-func (c *Core) Borrowed(now time.Time, b Borrow, l *Loan) {
+// Borrowed takes the answer to a wish, or an offer.
+func (c *Core) Borrowed(now time.Time, from string, l *Loan) {
 	c.now = later(c.now, now)
-	other := c.peer(b.To)
+	other := c.peer(from)
 	c.notice(other, l.Run)
 	before := other.lentTotal()
 	if l.Sequence > other.heldSequence {
@@ -192,7 +230,7 @@
 		c.receive(other, l.Parts)
 	}
 	c.settle(other, l.Held)
-	p := c.pools[place{b.Service, b.Region}]
+	p := c.pools[place{l.Service, l.Region}]
 	if p == nil {
 		return
 	}
--- a/core/yuccapick/pick.go
+++ b/core/yuccapick/pick.go
@@ -15,12 +15,12 @@
 	mu      sync.Mutex
 	core    *Core
 	waits   map[uint64]chan Answer
-	borrows chan Borrow
+	letters chan Command
 }
 
-// maxBorrows is how many wishes may stand before they are sent; more are
-// dropped, as they are made again.
-const maxBorrows = 64
+// maxLetters is how many messages may stand before they are sent. More are
+// dropped: wishes are made again, and offers are settled like lost ones.
+const maxLetters = 64
 
 // New returns a picker for the entry with the given name. It refuses everything
 // until Update is called.
@@ -28,7 +28,7 @@
 	return &Picker{
 		core:    NewCore(self, uint64(time.Now().UnixNano())),
 		waits:   map[uint64]chan Answer{},
-		borrows: make(chan Borrow, maxBorrows),
+		letters: make(chan Command, maxLetters),
 	}
 }
 
@@ -96,9 +96,9 @@
 			p.wake(cmd.ID, Answer{Ticket: cmd.Ticket})
 		case Refuse:
 			p.wake(cmd.ID, Answer{Kind: cmd.Kind})
-		case Borrow:
+		case Borrow, Offer:
 			select {
-			case p.borrows <- cmd:
+			case p.letters <- cmd:
 			default:
 			}
 		}
--- a/core/yuccapick/pool.go
+++ b/core/yuccapick/pool.go
@@ -39,6 +39,8 @@
 	seats   []*seat
 	busy    int
 	waiting []waiter
+	// wanted are other entries' wishes in vain.
+	wanted []want
 	// typical is the median of the servers' latencies.
 	typical time.Duration
 	// known is set when typical was measured; scratch is for its computation.
--- a/core/yuccapick/share.go
+++ b/core/yuccapick/share.go
@@ -14,6 +14,7 @@
 const (
 	busyTopic    = "busy"
 	lendTopic    = "lend"
+	offerTopic   = "offer"
 	busyInterval = 200 * time.Millisecond
 	// maxWishes is how many wishes are under way at once.
 	maxWishes = 16
@@ -33,6 +34,7 @@
 	s := &Sharer{picker: picker, bus: bus, done: make(chan struct{})}
 	bus.Handle(busyTopic, s.heard)
 	bus.Handle(lendTopic, s.lend)
+	bus.Handle(offerTopic, s.offered)
 	return s
 }
 
@@ -70,9 +72,9 @@
 			s.picker.tick(time.Now())
 		case <-publish.C:
 			s.publish()
-		case b := <-s.picker.borrows:
+		case cmd := <-s.picker.letters:
 			wishes.TryGo(func() error {
-				s.wish(ctx, b)
+				s.send(ctx, cmd)
 				return nil
 			})
 		}
@@ -112,6 +114,36 @@
 	return proto.Marshal(loan)
 }
 
+// send carries a message to another entry.
+func (s *Sharer) send(ctx context.Context, cmd Command) {
+	switch cmd := cmd.(type) {
+	case Borrow:
+		s.wish(ctx, cmd)
+	case Offer:
+		s.offer(ctx, cmd)
+	}
+}
+
+func (s *Sharer) offer(ctx context.Context, o Offer) {
+	ctx, cancel := context.WithTimeout(ctx, LoanTimeout)
+	defer cancel()
+	if body, err := proto.Marshal(o.Loan); err == nil {
+		_, _ = s.bus.Call(ctx, o.To, offerTopic, body)
+	}
+}
+
+func (s *Sharer) offered(_ context.Context, from string, body []byte) ([]byte, error) {
+	var loan Loan
+	if err := proto.Unmarshal(body, &loan); err != nil {
+		return nil, yuccafault.Wrap(yuccafault.Protocol, err)
+	}
+	s.picker.mu.Lock()
+	defer s.picker.mu.Unlock()
+	s.picker.core.Borrowed(time.Now(), from, &loan)
+	s.picker.carryOut()
+	return nil, nil
+}
+
 func (s *Sharer) wish(ctx context.Context, b Borrow) {
 	ctx, cancel := context.WithTimeout(ctx, LoanTimeout)
 	defer cancel()
@@ -126,6 +158,6 @@
 	}
 	s.picker.mu.Lock()
 	defer s.picker.mu.Unlock()
-	s.picker.core.Borrowed(time.Now(), b, &loan)
+	s.picker.core.Borrowed(time.Now(), b.To, &loan)
 	s.picker.carryOut()
 }
