Bursts last two answers before waits shrink

Cause and change: a wait of one answer counted as lasting overload; two do now. Wishes in vain are kept once for each entry.

--- a/core/yuccapick/loan.go
+++ b/core/yuccapick/loan.go
@@ -14,7 +14,7 @@
 	borrowInterval = 5 * time.Millisecond
 	// maxBorrowInterval is its bound after wishes in vain, each of which doubles
 	// it.
-	maxBorrowInterval = 80 * time.Millisecond
+	maxBorrowInterval = 40 * time.Millisecond
 	// maxBorrow is the most slots that one wish names.
 	maxBorrow = 8
 	// wantTime is how long a wish in vain is remembered.
@@ -137,7 +137,7 @@
 		parts = c.lend(p, other, left)
 	}
 	if w.Urgent && len(parts) == 0 {
-		p.wanted = append(p.wanted, want{from, c.now})
+		p.remember(from, c.now)
 	}
 	loan := c.loan(from, other, parts)
 	loan.Service, loan.Region = p.service, p.region
@@ -160,6 +160,17 @@
 	at    time.Time
 }
 
+// remember notes a wish in vain, one for each entry.
+func (p *pool) remember(entry string, now time.Time) {
+	for i := range p.wanted {
+		if p.wanted[i].entry == entry {
+			p.wanted[i].at = now
+			return
+		}
+	}
+	p.wanted = append(p.wanted, want{entry, now})
+}
+
 // offer gives a slot that has come free to the entry that has wanted one for
 // longest, if its wish is not too old.
 func (c *Core) offer(p *pool) {
--- a/core/yuccapick/pool.go
+++ b/core/yuccapick/pool.go
@@ -15,9 +15,10 @@
 	// coldCost is the cost of going beyond a new server's open slots, as a
 	// multiple of the latency.
 	coldCost = 2
-	// burstTime is how long a burst may last, besides the latency, and
-	// overloadPart what divides the bound on waits after it.
-	burstTime    = 50 * time.Millisecond
+	// burstTime and burstAnswers, in latencies, are how long a burst may last;
+	// overloadPart divides the bound on waits after it.
+	burstTime    = 30 * time.Millisecond
+	burstAnswers = 2
 	overloadPart = 5
 	// minWait and maxWait bound the expected wait from both sides.
 	minWait = 2 * time.Millisecond
@@ -188,7 +189,7 @@
 // than a burst lasts.
 func (p *pool) patience(now time.Time) time.Duration {
 	d := time.Duration(p.weight * float64(p.typical))
-	if len(p.waiting) > 0 && now.Sub(p.emptied) > burstTime+p.typical {
+	if len(p.waiting) > 0 && now.Sub(p.emptied) > burstTime+burstAnswers*p.typical {
 		d /= overloadPart
 	}
 	return min(max(d, minWait), maxWait)
