--- a/core/yuccapick/pool.go
+++ b/core/yuccapick/pool.go
@@ -15,10 +15,13 @@
 	// coldCost is the cost of going beyond a new server's open slots, as a
 	// multiple of the latency.
 	coldCost = 2
-	// maxWaitFactor bounds the expected wait as a multiple of the latency.
-	maxWaitFactor = 1.0
+	// burstTime and burstAnswers, in latencies, are how long a burst may last;
+	// overloadPart divides the bound on waits after it.
+	burstTime    = 30 * time.Millisecond
+	burstAnswers = 2
+	overloadPart = 5
 	// minWait and maxWait bound the expected wait from both sides.
-	minWait = 10 * time.Millisecond
+	minWait = 2 * time.Millisecond
 	maxWait = 500 * time.Millisecond
 	// lostAfter is how many connections refused in a row make a region lost.
 	lostAfter = 6
@@ -37,6 +40,8 @@
 	seats   []*seat
 	busy    int
 	waiting []waiter
+	// wanted are other entries' wishes in vain.
+	wanted []want
 	// typical is the median of the servers' latencies.
 	typical time.Duration
 	// known is set when typical was measured; scratch is for its computation.
@@ -51,9 +56,12 @@
 	lastShort time.Time
 	// used is when a request was last sent. The pause between wishes grows
 	// while they are in vain; turn is the neighbour asked last.
-	used  time.Time
-	pause time.Duration
-	turn  int
+	used    time.Time
+	checked time.Time
+	pause   time.Duration
+	turn    int
+	// emptied is when no request waited last.
+	emptied time.Time
 	// loans is what is borrowed less what is lent.
 	loans int
 	// alive is how many servers of the region may take work.
@@ -176,9 +184,14 @@
 	return time.Duration(len(p.waiting)+extra) * p.typical / time.Duration(n)
 }
 
-// patience bounds the expected wait; services of less weight get less.
-func (p *pool) patience() time.Duration {
-	d := time.Duration(maxWaitFactor * p.weight * float64(p.typical))
+// patience bounds the expected wait; services of less weight get less. It is
+// long for a burst and short once requests have waited all the time for longer
+// than a burst lasts.
+func (p *pool) patience(now time.Time) time.Duration {
+	d := time.Duration(p.weight * float64(p.typical))
+	if len(p.waiting) > 0 && now.Sub(p.emptied) > burstTime+burstAnswers*p.typical {
+		d /= overloadPart
+	}
 	return min(max(d, minWait), maxWait)
 }
 
