Retries bounded under overload and deadlines shortened, at the socket

Cause: the retry budget was shown on its own, not through the relay. Change: servers that all shed, and the deadline that a server sees. After: fewer than 525; Retry-After takes more than two values.

--- a/core/yuccafake/server.go
+++ b/core/yuccafake/server.go
@@ -71,6 +71,7 @@
 	group   *errgroup.Group
 	closed  chan struct{}
 	conns   map[net.Conn]struct{}
+	inspect func(*fasthttp.RequestHeader)
 }
 
 type report struct {
@@ -160,6 +161,9 @@
 	change(&s.act)
 }
 
+// Inspect calls fn with the head of each request. Call it before Start.
+func (s *Server) Inspect(fn func(*fasthttp.RequestHeader)) { s.inspect = fn }
+
 func (s *Server) track(c net.Conn, state fasthttp.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -175,6 +179,9 @@
 }
 
 func (s *Server) serve(ctx *fasthttp.RequestCtx) {
+	if s.inspect != nil {
+		s.inspect(&ctx.Request.Header)
+	}
 	path := string(ctx.Path())
 	switch {
 	case path == "/load":
--- /dev/null
+++ b/core/yuccarelay/retry_test.go
@@ -0,0 +1,55 @@
+package yuccarelay_test
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
+
+	"yuccawell.example/core/yuccafake"
+	"yuccawell.example/core/yuccarelay"
+)
+
+// TestRelayBoundsRetriesUnderOverload has servers that all shed: what they get
+// is hardly more than what callers send.
+func TestRelayBoundsRetriesUnderOverload(t *testing.T) {
+	const requests = 500
+	c := qt.New(t)
+	var received atomic.Int64
+	shed := func(string) string {
+		received.Add(1)
+		return "HTTP/1.1 503 Service Unavailable\r\nYucca-Run: no\r\nContent-Length: 0\r\n\r\n"
+	}
+	w := newWires(t, 4, yuccarelay.Options{}, func(int64) yuccafake.Fault { return yuccafake.Fault{} }, shed)
+	returns := map[string]int{}
+	for range requests {
+		resp, err := w.token(fasthttp.MethodGet, "t")
+		c.Assert(err, qt.IsNil)
+		c.Assert(resp.StatusCode(), qt.Equals, http.StatusServiceUnavailable)
+		returns[string(resp.Header.Peek("Retry-After"))]++
+	}
+	c.Assert(received.Load() < requests*105/100, qt.IsTrue, qt.Commentf("%d received", received.Load()))
+	c.Assert(len(returns) > 2, qt.IsTrue, qt.Commentf("%v", returns))
+}
+
+func TestRelayShortensDeadline(t *testing.T) {
+	c := qt.New(t)
+	var seen atomic.Value
+	act := yuccafake.Behaviour{Slots: 1}
+	w := newWorld(t, act)
+	w.servers[0].Close()
+	server := yuccafake.NewServer(w.servers[0].Addr(), act, w.ledger)
+	server.Inspect(func(h *fasthttp.RequestHeader) {
+		seen.Store(string(h.Peek(yuccarelay.DeadlineHeader)))
+	})
+	c.Assert(server.Start(), qt.IsNil)
+	t.Cleanup(server.Close)
+	_, err := w.call(func(r *fasthttp.Request) { r.Header.Set(yuccarelay.DeadlineHeader, "5s") })
+	c.Assert(err, qt.IsNil)
+	left, err := time.ParseDuration(seen.Load().(string))
+	c.Assert(err, qt.IsNil)
+	c.Assert(left > 0 && left <= 5*time.Second, qt.IsTrue)
+}
