--- a/core/yuccarelay/resume.go
+++ b/core/yuccarelay/resume.go
@@ -8,13 +8,17 @@
 
 	"github.com/valyala/fasthttp"
 
+	"yuccawell.example/core/yuccafault"
 	"yuccawell.example/core/yuccalife"
+	"yuccawell.example/core/yuccapick"
 	"yuccawell.example/core/yuccaretry"
 )
 
 const (
 	// resumeStall is how long a server that can be replaced may be silent.
 	resumeStall = time.Second
+	// resumePause is how long to wait before asking for a free slot again.
+	resumePause = 50 * time.Millisecond
 	// maxResumes is how many times one download is carried on.
 	maxResumes = 16
 	// rateWindow is the number of bytes over which a server's rate is taken.
@@ -98,13 +102,11 @@
 	}
 	start := r.base + count
 	for ; r.tries < maxResumes && start <= r.last; r.tries++ {
-		if r.task.work.Err() != nil || r.task.expired() {
+		ticket, ok := r.choose()
+		if !ok {
 			return nil
 		}
-		if !r.task.relay.services.Update(time.Now(), r.task.service, yuccaretry.Retry) {
-			return nil
-		}
-		if x := r.from(start); x != nil {
+		if x := r.from(ticket, start); x != nil {
 			r.tries++
 			r.bytes, r.blocked = 0, 0
 			return x
@@ -113,17 +115,39 @@
 	return nil
 }
 
-// from asks one server for the rest of the body.
-func (r *resume) from(start int64) *exchange {
+// choose returns another server within the retry budget. It waits for a free
+// slot: the caller has a part of the body already.
+func (r *resume) choose() (yuccapick.Ticket, bool) {
 	t := r.task
+	if !t.relay.services.Update(time.Now(), t.service, yuccaretry.Retry) {
+		return yuccapick.Ticket{}, false
+	}
 	t.avoid = t.avoid[max(0, len(t.avoid)-1):]
-	ticket, err := t.choose()
-	if err != nil {
-		return nil
+	pause := time.NewTicker(resumePause)
+	defer pause.Stop()
+	for end := time.Now().Add(stallTimeout); !t.expired() && time.Now().Before(end); {
+		ticket, err := t.choose()
+		switch yuccafault.KindOf(err) {
+		case yuccafault.None:
+			return ticket, true
+		case yuccafault.Shed, yuccafault.Empty:
+		default:
+			return yuccapick.Ticket{}, false
+		}
+		select {
+		case <-pause.C:
+		case <-t.work.Done():
+			return yuccapick.Ticket{}, false
+		}
 	}
-	a := t.newAttempt(ticket)
+	return yuccapick.Ticket{}, false
+}
+
+// from asks one server for the rest of the body.
+func (r *resume) from(ticket yuccapick.Ticket, start int64) *exchange {
+	a := r.task.newAttempt(ticket)
 	a.extra = []field{
-		{fasthttp.HeaderRange, fmt.Sprintf("bytes=%d-%d", start, r.last)},
+		{fasthttp.HeaderRange, r.ranges(start)},
 		{fasthttp.HeaderIfRange, r.tag},
 	}
 	if _, ok := a.run().(yuccalife.Replied); !ok {
@@ -132,6 +156,13 @@
 	return r.accept(a, start)
 }
 
+func (r *resume) ranges(start int64) string {
+	if r.last == r.total-1 {
+		return fmt.Sprintf("bytes=%d-", start)
+	}
+	return fmt.Sprintf("bytes=%d-%d", start, r.last)
+}
+
 // accept checks that the answer is the rest of the same body.
 func (r *resume) accept(a *attempt, start int64) *exchange {
 	x := a.exchange
