Plans that are safe in any mix of versions: budgets, ramps, link rates

Cause: the first planner gave every entry a fixed fraction of a region, moved all of a shift at once, and knew nothing of the plans that entries still hold.

Change: a budget carries what earlier plans still allow (Past) until the entry is known to have a later one or the plan has lapsed to Floor; more is granted only out of what nobody may use. Routes ramp by cap: a move counts from when every entry is known to have made it, the history travels in the plan, and a window of unknown history is used up. Parts that lead to a region without capacity stay assigned and are refused (Held). Links are divided into rates of bytes over entries with the same care. Growth is held by latency over its baseline, by the age of what is known and by free capacity.

Found by the property on the way: after a loss of servers an entry's budget rose again inside its old bound (16 of 15 slots in use); a second plan followed from the same input when a baseline or an expected load of the first was read.

A fresh entry must not take a plan that has lapsed, and a plan must be published only after the platform has accepted it.

--- a/core/yuccaplan/make.go
+++ b/core/yuccaplan/make.go
@@ -1,122 +1,192 @@
 package yuccaplan
 
 import (
+	"cmp"
+	"reflect"
 	"slices"
 	"time"
-
-	"yuccawell.example/core/yuccarule"
-	"yuccawell.example/core/yuccastore"
-	"yuccawell.example/core/yuccaview"
 )
 
-// Input is everything a plan depends on.
-type Input struct {
-	Now time.Time
-	// Rules and Version are the rules in force.
-	Rules   yuccarule.Rules
-	Version uint64
-	// Epoch is that of the planner's lease.
-	Epoch uint64
-	View  yuccaview.View
-	// Last is the plan before this one; its zero value means none.
-	Last Plan
+// options switch parts of the planner off, so that tests can show that they
+// notice.
+type options struct {
+	noPast, noRatePast, noConserve, noWindow, noAcks, noFreeze, noLatency, noCaution, noHysteresis bool
 }
 
-// Make returns the plan for an input. The same input gives the same plan.
-func Make(in Input) Plan {
-	p := Plan{Version: in.Last.Version + 1, Epoch: in.Epoch, Rules: in.Version, Made: in.Now}
-	for _, s := range in.Rules.Services {
-		usable := capacity(in, s)
-		for _, from := range in.Rules.Regions {
-			p.Routes = append(p.Routes, route(s, from.Name, usable))
+// Make returns the plan for an input. The same input gives the same plan. When
+// nothing has changed, it is the last plan itself, until that has to be renewed.
+func Make(in Input) Plan { return makePlan(in, options{}) }
+
+func makePlan(in Input, opt options) Plan {
+	w := newWorld(in, opt)
+	p := Plan{Rules: in.Version, Members: w.members, Known: in.Last.Known}
+	p.Moves = w.settled()
+	w.normal = w.baselines()
+	p.Baselines = w.normal
+	parts := w.steer(&p)
+	p.Budgets = w.allBudgets(parts)
+	if !opt.noHysteresis && in.Last.Version > 0 && !w.renewing() && same(p, in.Last) {
+		return in.Last
+	}
+	return w.stamped(p)
+}
+
+// stamped completes a plan that differs from the last one.
+func (w *world) stamped(p Plan) Plan {
+	p.Version, p.Epoch, p.Made, p.Until = w.next, max(w.in.Epoch, w.in.Last.Epoch), w.now, w.now.Add(lifetime)
+	if w.in.Last.Known.IsZero() {
+		p.Known = w.now
+	}
+	p.Moves, p.Known = w.pruned(p.Moves, p.Known)
+	for _, s := range w.in.Rules.Services {
+		for _, from := range w.in.Rules.Regions {
+			if u, ok := w.usage[place{s.Name, from.Name}]; ok {
+				p.Usage = append(p.Usage, u)
+			}
 		}
-		p.Budgets = append(p.Budgets, budgets(in, s, usable)...)
 	}
-	slices.SortFunc(p.Routes, compareRoutes)
-	slices.SortFunc(p.Budgets, compareBudgets)
+	slices.SortFunc(p.Usage, func(a, b Usage) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.From, b.From))
+	})
 	return p
 }
 
-// slots is the capacity of one region for one service.
-type slots struct {
-	region string
-	count  int
+// same compares what entries act on and what the next plan rests on.
+func same(a, b Plan) bool {
+	return a.Rules == b.Rules && slices.Equal(a.Members, b.Members) && slices.Equal(a.Moves, b.Moves) &&
+		slices.Equal(a.Ramps, b.Ramps) && slices.Equal(a.Baselines, b.Baselines) && slices.Equal(a.Budgets, b.Budgets) &&
+		slices.EqualFunc(a.Routes, b.Routes, func(x, y Route) bool { return reflect.DeepEqual(x, y) })
 }
 
-func capacity(in Input, s yuccarule.Service) []slots {
-	var all []slots
-	for _, region := range s.Regions {
-		if in.Rules.Drained(yuccarule.DrainRegion, region) {
-			continue
-		}
-		if n := regionSlots(in, s.Name, region); n > 0 {
-			all = append(all, slots{region, n})
+// steer moves every route and returns, by service and region of origin, where
+// requests go, spilling included.
+func (w *world) steer(p *Plan) map[string]map[string]spread {
+	parts := map[string]map[string]spread{}
+	for _, s := range w.in.Rules.Services {
+		parts[s.Name] = map[string]spread{}
+		for _, from := range w.in.Rules.Regions {
+			r := w.ramp(s, from.Name)
+			route := w.finish(s, r)
+			p.Routes = append(p.Routes, route)
+			parts[s.Name][from.Name] = spreadOf(Route{Shares: route.Shares})
+			if r.moved > 0 {
+				p.Moves = append(p.Moves, Move{Service: s.Name, From: from.Name, At: w.now, Part: r.moved.float(), Version: w.next})
+			}
+			if r.left > 0 {
+				p.Ramps = append(p.Ramps, Ramp{Service: s.Name, From: from.Name, Left: r.left.float(), End: w.end(s.Name, from.Name, w.estimate(s, r.left))})
+			}
 		}
 	}
-	return all
+	slices.SortFunc(p.Routes, compareRoutes)
+	slices.SortFunc(p.Ramps, func(a, b Ramp) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.From, b.From))
+	})
+	return parts
 }
 
-func regionSlots(in Input, service, region string) int {
-	n := 0
-	for _, i := range in.View.Servers() {
-		if i.Region == region && usable(in.Rules, i) && slices.Contains(i.Services, service) {
-			n += i.Slots
+// end keeps an earlier estimate that is still about right.
+func (w *world) end(service, from string, estimate time.Time) time.Time {
+	for _, r := range w.in.Last.Ramps {
+		if r.Service == service && r.From == from && estimate.Sub(r.End).Abs() <= w.in.Rules.CapOf(service).Every {
+			return r.End
 		}
 	}
-	return n
+	return estimate
 }
 
-func usable(rules yuccarule.Rules, i yuccastore.Instance) bool {
-	return !i.Leaving && !rules.Drained(yuccarule.DrainServer, i.Addr)
+func (w *world) allBudgets(parts map[string]map[string]spread) []Budget {
+	var claims []claim
+	for _, s := range w.in.Rules.Services {
+		for _, r := range w.in.Rules.Regions {
+			claims = append(claims, w.budgets(place{s.Name, r.Name}, parts[s.Name])...)
+		}
+	}
+	w.rates(claims)
+	all := make([]Budget, 0, len(claims))
+	for _, c := range claims {
+		if b := w.budget(c); !b.empty() {
+			all = append(all, b)
+		}
+	}
+	slices.SortFunc(all, compareBudgets)
+	return all
 }
 
-// route keeps requests in their region where it has capacity and spreads them
-// by capacity where it has none.
-func route(s yuccarule.Service, from string, usable []slots) Route {
-	r := Route{Service: s.Name, From: from}
-	total := 0
-	for _, u := range usable {
-		if u.region == from {
-			r.Shares = []Share{{Region: from, Part: 1}}
-			return r
+// settled marks the moves that are now known to be in force everywhere.
+func (w *world) settled() []Move {
+	moves := slices.Clone(w.in.Last.Moves)
+	for i, m := range moves {
+		if m.Force.IsZero() && w.inForce(m.Version) {
+			moves[i].Force = w.now
 		}
-		total += u.count
 	}
-	for _, u := range usable {
-		r.Shares = append(r.Shares, Share{Region: u.region, Part: float64(u.count) / float64(total)})
+	return moves
+}
+
+// pruned drops the moves that no window reaches and says since when the rest is
+// complete.
+func (w *world) pruned(moves []Move, known time.Time) ([]Move, time.Time) {
+	keep := 2 * w.longest()
+	begin := w.now.Add(-keep)
+	kept := slices.DeleteFunc(moves, func(m Move) bool { return !m.Force.IsZero() && m.Force.Before(begin) })
+	if len(kept) < len(moves) && known.Before(begin) {
+		known = begin
 	}
-	return r
+	return kept, known
 }
 
-// nearWeight is the weight of an entry in a region's own domain of callers, as
-// against 1 for an entry elsewhere.
-const nearWeight = 8
-
-// budgets divides a region's slots over the entries so that the sum never
-// exceeds them. Entries in the region get more, since look-ups lead its callers
-// to them.
-func budgets(in Input, s yuccarule.Service, usable []slots) []Budget {
-	var all []Budget
-	entries := in.View.Entries()
-	for _, u := range usable {
-		total := 0
-		for _, e := range entries {
-			total += weight(e, u.region)
-		}
-		passed := 0
-		for _, e := range entries {
-			before := u.count * passed / total
-			passed += weight(e, u.region)
-			n := u.count*passed/total - before
-			all = append(all, Budget{Entry: e.Name, Service: s.Name, Region: u.region, Slots: n})
+// longest is the longest window of any service.
+func (w *world) longest() time.Duration {
+	longest := time.Minute
+	for _, s := range w.in.Rules.Services {
+		longest = max(longest, w.in.Rules.CapOf(s.Name).Every)
+	}
+	return longest
+}
+
+const (
+	// fasterFactor times its baseline is the latency below which a baseline
+	// falls.
+	fasterFactor = 0.8
+	// riseFactor is by how much a baseline rises at each renewal while nothing
+	// moves.
+	riseFactor = 1.1
+)
+
+// baselines follows the latencies down at once, and up only slowly while
+// nothing moves.
+func (w *world) baselines() []Baseline {
+	var all []Baseline
+	for _, s := range w.in.Rules.Services {
+		for _, r := range w.in.Rules.Regions {
+			p := place{s.Name, r.Name}
+			old, known := baselineOf(w.in.Last.Baselines, p)
+			latency := w.load[p].latency
+			if b := w.follow(p, old, known, latency); b > 0 {
+				all = append(all, Baseline{Service: s.Name, Region: r.Name, Latency: b})
+			}
 		}
 	}
+	slices.SortFunc(all, func(a, b Baseline) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Region, b.Region))
+	})
 	return all
 }
 
-func weight(e yuccastore.Instance, region string) int {
-	if e.Region == region {
-		return nearWeight
+func (w *world) follow(p place, old time.Duration, known bool, latency time.Duration) time.Duration {
+	switch {
+	case latency == 0:
+		return old
+	case !known || float64(latency) < fasterFactor*float64(old):
+		return latency
+	case latency > old && w.renewing() && !w.moving(p.service):
+		return min(latency, time.Duration(riseFactor*float64(old)))
 	}
-	return 1
+	return old
+}
+
+func (w *world) renewing() bool { return !w.now.Before(w.in.Last.Until.Add(-renewal)) }
+
+func (w *world) moving(service string) bool {
+	return slices.ContainsFunc(w.in.Last.Ramps, func(r Ramp) bool { return r.Service == service })
 }
--- a/core/yuccaplan/plan.go
+++ b/core/yuccaplan/plan.go
@@ -1,5 +1,10 @@
 // Package yuccaplan decides how traffic is spread over regions and how much of
 // each region every entry may use.
+//
+// Make is the planner: a pure function from rules, instances, load and the last
+// plan to the next plan. What it returns stays safe while entries hold any mix
+// of recent plans, provided that a plan is published only after the platform
+// has accepted it and that entries take only higher versions.
 package yuccaplan
 
 import (
@@ -18,10 +23,25 @@
 	Rules uint64 `json:"rules"`
 	// Made is when the plan was made.
 	Made time.Time `json:"made"`
+	// Until is when the plan lapses. After that an entry uses Floor in place of
+	// Slots.
+	Until time.Time `json:"until"`
+	// Known is the time since which Moves is complete.
+	Known time.Time `json:"known"`
 	// Routes is ordered by service, then by the region where requests arise.
 	Routes []Route `json:"routes"`
 	// Budgets is ordered by entry, service and region.
 	Budgets []Budget `json:"budgets"`
+	// Members is ordered by name.
+	Members []Member `json:"members"`
+	// Moves is the recent history, oldest first.
+	Moves []Move `json:"moves,omitempty"`
+	// Ramps is ordered like Routes and names those that are not at their target.
+	Ramps []Ramp `json:"ramps,omitempty"`
+	// Baselines is ordered by service and region.
+	Baselines []Baseline `json:"baselines,omitempty"`
+	// Usage is ordered by service and region.
+	Usage []Usage `json:"usage,omitempty"`
 }
 
 // Route says where the requests of a service that arise in one region go.
@@ -30,6 +50,15 @@
 	From    string `json:"from"`
 	// Shares sum to at most 1; requests of the remainder are refused.
 	Shares []Share `json:"shares"`
+	// Held are parts assigned to regions without capacity. Their requests are
+	// refused until the region returns or the cap lets them move.
+	Held []Share `json:"held,omitempty"`
+	// Spill names the regions that may take requests for which the budget of
+	// their share is used up, in this order, inside the budgets there.
+	Spill []string `json:"spill,omitempty"`
+	// SpillPart bounds the part of the route's requests that may spill. The
+	// ramps leave it out of the cap, so that both together stay within it.
+	SpillPart float64 `json:"spillpart,omitempty"`
 }
 
 // Share is the part of a route that goes to one region, from 0 to 1.
@@ -45,12 +74,76 @@
 	Region  string `json:"region"`
 	// Slots is how many requests the entry may have in flight there.
 	Slots int `json:"slots"`
-	// Reserve is how many more it may have there when another region is lost
-	// and nobody can plan.
+	// Floor is the part of Slots that stays when the plan has lapsed.
+	Floor int `json:"floor"`
+	// Reserve is how many more it may have there for requests that spill, also
+	// when another region is lost and nobody can plan. It does not lapse.
 	Reserve int `json:"reserve"`
 	// Rate bounds the bytes per second of answers that the entry takes from the
-	// region over links. Zero means that no link is used.
+	// region over links. Zero means that no capped link is used. It does not
+	// lapse.
 	Rate float64 `json:"rate"`
+	// Past is what the entry may still use under earlier plans.
+	Past Past `json:"past,omitzero"`
+}
+
+// Past is what earlier plans allow an entry that has not taken a later one.
+type Past struct {
+	// Version is the plan that ends it once the entry has that one in force.
+	Version uint64 `json:"version"`
+	// Until is when the last of the earlier plans lapses.
+	Until time.Time `json:"until"`
+	// Slots, with the reserve, is allowed before Until; Floor after it.
+	Slots int     `json:"slots"`
+	Floor int     `json:"floor"`
+	Rate  float64 `json:"rate,omitempty"`
+}
+
+// Member is an entry that may hold a plan.
+type Member struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+	// Gone is since when the instance is missing from the list.
+	Gone time.Time `json:"gone,omitzero"`
+}
+
+// Move is a change of a route that counts against its cap.
+type Move struct {
+	Service string    `json:"service"`
+	From    string    `json:"from"`
+	At      time.Time `json:"at"`
+	Part    float64   `json:"part"`
+	// Version is the plan that made the move.
+	Version uint64 `json:"version"`
+	// Force is when every entry was known to have made the move.
+	Force time.Time `json:"force,omitzero"`
+}
+
+// Ramp is a route on its way to its target.
+type Ramp struct {
+	Service string `json:"service"`
+	From    string `json:"from"`
+	// Left is the part that has yet to move.
+	Left float64 `json:"left"`
+	// End is the estimated time of the last move.
+	End time.Time `json:"end"`
+}
+
+// Baseline is the latency of a service in a region when nothing moves.
+type Baseline struct {
+	Service string        `json:"service"`
+	Region  string        `json:"region"`
+	Latency time.Duration `json:"latency"`
+}
+
+// Usage is the load of a service that arises in a region.
+type Usage struct {
+	Service string `json:"service"`
+	From    string `json:"from"`
+	// Busy is the number of requests in flight.
+	Busy float64 `json:"busy"`
+	// Bytes is the rate of answers in bytes per second.
+	Bytes float64 `json:"bytes"`
 }
 
 // Route returns the route of a service from a region.
@@ -73,6 +166,22 @@
 	return p.Budgets[i], true
 }
 
+// BudgetAt is Budget with what is left of it at a time: once the plan has
+// lapsed, Slots is Floor.
+func (p Plan) BudgetAt(now time.Time, entry, service, region string) (Budget, bool) {
+	b, ok := p.Budget(entry, service, region)
+	if ok && p.Lapsed(now) {
+		b.Slots = b.Floor
+	}
+	return b, ok
+}
+
+// Lapsed reports whether the plan's lifetime is over. A plan without one never
+// lapses.
+func (p Plan) Lapsed(now time.Time) bool {
+	return !p.Until.IsZero() && !now.Before(p.Until)
+}
+
 func compareRoutes(a, b Route) int {
 	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.From, b.From))
 }
