--- a/ctl/command.go
+++ b/ctl/command.go
@@ -46,6 +46,8 @@
 		Long:          "yuccactl checks and applies rules files and shows what they do.\n\nExit codes: 0 done, 1 refused, 2 wrong usage, 3 unreachable.",
 		SilenceUsage:  true,
 		SilenceErrors: true,
+		Args:          noCommand,
+		RunE:          func(c *cobra.Command, _ []string) error { return c.Help() },
 		PersistentPreRun: func(c *cobra.Command, _ []string) {
 			a.out = c.OutOrStdout()
 		},
@@ -53,10 +55,18 @@
 	root.PersistentFlags().StringVar(&a.path, "settings", "yuccactl.toml", "settings file")
 	root.PersistentFlags().BoolVar(&a.json, "json", false, "print JSON")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return yuccafault.Wrap(yuccafault.Usage, err) })
-	root.AddCommand(a.checkCommand(), a.applyCommand(), a.showCommand(), a.diffCommand(), a.statusCommand(), a.versionCommand())
+	root.AddCommand(a.checkCommand(), a.applyCommand(), a.showCommand(), a.diffCommand(), a.statusCommand(), a.reportCommand(), a.versionCommand())
 	return root
 }
 
+// noCommand refuses a word that is not a command.
+func noCommand(c *cobra.Command, args []string) error {
+	if len(args) == 0 {
+		return nil
+	}
+	return yuccafault.New(yuccafault.Usage, "unknown command %q; %s --help lists them", args[0], c.Name())
+}
+
 // exactly is cobra.ExactArgs with an error of kind Usage.
 func exactly(n int) cobra.PositionalArgs {
 	return func(c *cobra.Command, args []string) error {
