Expected waits count the whole region

Cause: an entry judged a wait by its own few slots, though slots of the whole region come to it, and shed recordings while a quarter of the slots was free. Change: the expected wait is what waits at all entries over the region's slots.

--- a/core/yuccapick/loan.go
+++ b/core/yuccapick/loan.go
@@ -34,6 +34,8 @@
 type peer struct {
 	run  uint64
 	free map[place]int
+	// waiting is how many requests wait there.
+	waiting map[place]int
 	// heldSequence is that of the last loan received; the borrowed slots are
 	// in held.
 	heldSequence uint64
@@ -47,7 +49,7 @@
 func (c *Core) peer(name string) *peer {
 	p := c.peers[name]
 	if p == nil {
-		p = &peer{free: map[place]int{}, held: map[*seat]int{}, lent: map[*seat]int{}}
+		p = &peer{free: map[place]int{}, waiting: map[place]int{}, held: map[*seat]int{}, lent: map[*seat]int{}}
 		c.peers[name] = p
 	}
 	return p
@@ -284,9 +286,12 @@
 	other := c.peer(from)
 	c.notice(other, b.Run)
 	clear(other.free)
+	clear(other.waiting)
 	for _, s := range b.Spares {
-		other.free[place{s.Service, s.Region}] = int(s.Free)
+		at := place{s.Service, s.Region}
+		other.free[at], other.waiting[at] = int(s.Free), int(s.Waiting)
 	}
+	c.countOthers()
 	mine := &Held{Lender: c.self}
 	for _, h := range b.Held {
 		if h.Lender == c.self {
@@ -296,6 +301,16 @@
 	c.settle(other, mine)
 }
 
+// countOthers sums up what waits at other entries.
+func (c *Core) countOthers() {
+	for _, p := range c.order {
+		p.others = 0
+		for _, other := range c.peers {
+			p.others += other.waiting[p.place]
+		}
+	}
+}
+
 // settle takes the borrower's word on what it holds, once it has had every loan
 // or can have no more of them.
 func (c *Core) settle(other *peer, h *Held) {
@@ -328,7 +343,7 @@
 		return
 	}
 	c.forgive(other)
-	*other = peer{run: run, free: map[place]int{}, held: map[*seat]int{}, lent: map[*seat]int{}}
+	*other = peer{run: run, free: map[place]int{}, waiting: map[place]int{}, held: map[*seat]int{}, lent: map[*seat]int{}}
 }
 
 func (c *Core) forgive(other *peer) {
--- a/core/yuccapick/pool.go
+++ b/core/yuccapick/pool.go
@@ -37,9 +37,13 @@
 	weight  float64
 	budget  int
 	reserve int
-	seats   []*seat
-	busy    int
-	waiting []waiter
+	// capacity is the sum of all entries' budgets, others how many requests
+	// wait at other entries.
+	capacity int
+	others   int
+	seats    []*seat
+	busy     int
+	waiting  []waiter
 	// wanted are other entries' wishes in vain.
 	wanted []want
 	// typical is the median of the servers' latencies.
@@ -178,10 +182,11 @@
 	return s.latency
 }
 
-// wait returns how long a request that starts to wait now may expect to.
+// wait returns how long a request that starts to wait now may expect to, as the
+// region's slots come free for the requests that wait at any entry.
 func (p *pool) wait(extra int) time.Duration {
-	n := max(1, p.limit(false))
-	return time.Duration(len(p.waiting)+extra) * p.typical / time.Duration(n)
+	n := max(1, p.capacity, p.limit(false))
+	return time.Duration(len(p.waiting)+p.others+extra) * p.typical / time.Duration(n)
 }
 
 // patience bounds the expected wait; services of less weight get less. It is
--- a/core/yuccapick/update.go
+++ b/core/yuccapick/update.go
@@ -43,6 +43,7 @@
 			c.close(p, rules)
 		}
 	}
+	c.countOthers()
 	for _, p := range c.order {
 		c.dispatch(p)
 	}
@@ -91,9 +92,10 @@
 // deal gives the pool its seats.
 func (c *Core) deal(p *pool, budgets []yuccaplan.Budget, rules yuccarule.Rules) {
 	var claims []claim
-	p.budget, p.reserve = 0, 0
+	p.budget, p.reserve, p.capacity = 0, 0, 0
 	for _, b := range budgets {
 		claims = append(claims, claim{b.Entry, b.Slots + b.Reserve})
+		p.capacity += b.Slots
 		if b.Entry == c.self {
 			p.budget, p.reserve = b.Slots, b.Reserve
 		}
