--- /dev/null
+++ b/core/yuccapick/share_test.go
@@ -0,0 +1,52 @@
+package yuccapick_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccafake"
+	"yuccawell.example/core/yuccapick"
+)
+
+// TestSharerMovesSlotsToWhereRequestsArrive sends every request to one of two
+// entries, which gets the other's slots too.
+func TestSharerMovesSlotsToWhereRequestsArrive(t *testing.T) {
+	c := qt.New(t)
+	net := yuccafake.NewNet()
+	var group errgroup.Group
+	world := newWorld(2, 2, 4)
+	var pickers []*yuccapick.Picker
+	for _, name := range world.entries {
+		p := yuccapick.New(name)
+		p.Update(world.plan, world.rules, world.view)
+		s := yuccapick.NewSharer(p, net.Bus(name))
+		c.Assert(s.Start(context.Background(), &group), qt.IsNil)
+		defer func() { c.Check(s.Stop(context.Background()), qt.IsNil) }()
+		pickers = append(pickers, p)
+	}
+	var tickets []yuccapick.Ticket
+	for len(tickets) < 8 {
+		ticket, err := pickers[0].Pick(yuccapick.Ask{Now: time.Now(), Service: "s", From: "a"})
+		if err == nil {
+			tickets = append(tickets, ticket)
+		}
+	}
+	c.Assert(perServer(tickets), qt.DeepEquals, map[string]int{"s0": 4, "s1": 4})
+	_, err := pickers[1].Pick(yuccapick.Ask{Now: time.Now(), Service: "s", From: "a"})
+	c.Assert(err, qt.ErrorMatches, "shed: .*")
+	for _, ticket := range tickets {
+		pickers[0].Done(ticket, yuccapick.Result{Now: time.Now()})
+	}
+}
+
+func perServer(tickets []yuccapick.Ticket) map[string]int {
+	n := map[string]int{}
+	for _, t := range tickets {
+		n[t.Server]++
+	}
+	return n
+}
--- /dev/null
+++ b/core/yuccapick/world_test.go
@@ -0,0 +1,42 @@
+package yuccapick_test
+
+import (
+	"fmt"
+
+	"yuccawell.example/core/yuccaplan"
+	"yuccawell.example/core/yuccarule"
+	"yuccawell.example/core/yuccastore"
+	"yuccawell.example/core/yuccaview"
+)
+
+// world is one region with a service s.
+type world struct {
+	entries []string
+	slots   int
+	plan    yuccaplan.Plan
+	rules   yuccarule.Rules
+	view    yuccaview.View
+}
+
+// newWorld divides the slots of some servers evenly over some entries.
+func newWorld(entries, servers, slots int) world {
+	w := world{slots: slots}
+	var list []yuccastore.Instance
+	for i := range entries {
+		name := fmt.Sprintf("e%d", i)
+		w.entries = append(w.entries, name)
+		list = append(list, yuccastore.Instance{Name: name, Kind: yuccastore.Entry, Region: "a"})
+	}
+	for i := range servers {
+		name := fmt.Sprintf("s%d", i)
+		list = append(list, yuccastore.Instance{Name: name, Kind: yuccastore.Server, Region: "a", Addr: name, Slots: slots, Services: []string{"s"}})
+	}
+	w.view = yuccaview.New(list)
+	w.plan = yuccaplan.Plan{Version: 1, Routes: []yuccaplan.Route{{Service: "s", From: "a", Shares: []yuccaplan.Share{{Region: "a", Part: 1}}}}}
+	total := servers * slots
+	for i, name := range w.entries {
+		n := total*(i+1)/entries - total*i/entries
+		w.plan.Budgets = append(w.plan.Budgets, yuccaplan.Budget{Entry: name, Service: "s", Region: "a", Slots: n})
+	}
+	return w
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -35,6 +35,7 @@
 		Seeds:  set.Seeds,
 	}, log)
 	feed.Subscribe(func(s yuccafeed.Snapshot) { peers.Update(s.View.Entries()) })
+	sharer := yuccapick.NewSharer(picker, peers)
 	burn := yuccaburn.New(set.Name, peers, members(feed), log)
 	relay := yuccarelay.New(yuccarelay.Options{
 		Region:   set.Region,
@@ -58,6 +59,7 @@
 	kernel.Add("admin", yuccadmin.New(set.Admin, meter.Registry(), probe(feed, front), pages))
 	kernel.Add("peer", peers)
 	kernel.Add("burn", burn)
+	kernel.Add("pick", sharer)
 	kernel.Add("feed", feed)
 	kernel.Add("front", front)
 	kernel.Add("leave", newLeave(set.Name, store, log))
