--- a/core/yuccapick/pool.go
+++ b/core/yuccapick/pool.go
@@ -10,6 +10,10 @@
 const (
 	// farCost is what a request to another region takes longer.
 	farCost = 40 * time.Millisecond
+	// enough is how many seats of typical latency the choice compares.
+	enough = 10
+	// raiseTime is how long a larger budget is not used yet.
+	raiseTime = time.Second
 	// similar2 is twice the factor within which latencies count as equal.
 	similar2 = 3
 	// coldCost is the cost of going beyond a new server's open slots, as a
@@ -37,6 +41,10 @@
 	weight  float64
 	budget  int
 	reserve int
+	// allowed is the part of the budget in use: a larger budget is used from
+	// raise on, when entries whose budget shrank have had time to follow.
+	allowed int
+	raise   time.Time
 	// capacity is the sum of all entries' budgets, others how many requests
 	// wait at other entries.
 	capacity int
@@ -95,13 +103,24 @@
 
 // limit returns how many requests the entry may have in flight.
 func (p *pool) limit(spare bool) int {
-	n := p.budget + p.loans
+	n := p.allowed + p.loans
 	if spare {
 		n += p.reserve
 	}
 	return n
 }
 
+// allow takes a new budget: at once when it is smaller or the first, after a
+// while when it is larger.
+func (p *pool) allow(budget int, now time.Time) {
+	if budget > p.allowed && p.budget > 0 {
+		p.raise = now.Add(raiseTime)
+	} else {
+		p.allowed = budget
+	}
+	p.budget = budget
+}
+
 // recount sums the loans up.
 func (p *pool) recount() {
 	p.loans = 0
@@ -143,7 +162,8 @@
 	return min(n, p.limit(false)-p.busy)
 }
 
-// best returns the seat with the lowest cost and that cost as a latency.
+// best returns the seat with the lowest cost and that cost as a latency. It
+// starts at a random seat and stops when enough good ones were compared.
 func (p *pool) best(now time.Time, dice uint64, avoid []string) (*seat, time.Duration) {
 	var found *seat
 	var cost time.Duration
@@ -153,6 +173,7 @@
 		return nil, 0
 	}
 	at := int(dice % uint64(n))
+	good := 0
 	for range n {
 		s := p.seats[at]
 		if at++; at == n {
@@ -169,6 +190,11 @@
 		if found == nil || c < cost || c == cost && f < fill {
 			found, cost, fill = s, c, f
 		}
+		if c == p.typical {
+			if good++; good == enough {
+				break
+			}
+		}
 	}
 	return found, cost
 }
@@ -211,6 +237,9 @@
 
 // refresh recomputes the typical latency.
 func (p *pool) refresh(now time.Time, passed time.Duration) {
+	if !now.Before(p.raise) {
+		p.allowed = p.budget
+	}
 	all := p.scratch[:0]
 	for _, s := range p.seats {
 		if s.latency > 0 {
--- a/core/yuccapick/update.go
+++ b/core/yuccapick/update.go
@@ -92,14 +92,16 @@
 // deal gives the pool its seats.
 func (c *Core) deal(p *pool, budgets []yuccaplan.Budget, rules yuccarule.Rules) {
 	var claims []claim
-	p.budget, p.reserve, p.capacity = 0, 0, 0
+	budget := 0
+	p.reserve, p.capacity = 0, 0
 	for _, b := range budgets {
 		claims = append(claims, claim{b.Entry, b.Slots + b.Reserve})
 		p.capacity += b.Slots
 		if b.Entry == c.self {
-			p.budget, p.reserve = b.Slots, b.Reserve
+			budget, p.reserve = b.Slots, b.Reserve
 		}
 	}
+	p.allow(budget, c.now)
 	p.weight = weight(rules, p.service)
 	members := c.members(p.place)
 	p.alive = len(members)
