A loan that did not arrive is ended by name

Cause: with messages late by seconds and out of order, a lender took a slot back after two seconds on the word of a message from before the loan: at 3000 cases '2 requests on s0, which has 1 slots'. Change: the lender names the loans that are void; the borrower then takes none of them, and its next word counts. No time is compared between entries.

--- a/core/yuccapick/loan.go
+++ b/core/yuccapick/loan.go
@@ -26,8 +26,8 @@
 	// LoanTimeout is how long a borrower waits for a loan; a later one is not
 	// taken.
 	LoanTimeout = 500 * time.Millisecond
-	// settleTime is when a loan that the borrower doesn't know of is void.
-	settleTime = 4 * LoanTimeout
+	// settleTime is when a loan that the borrower hasn't told of becomes void.
+	settleTime = 2 * LoanTimeout
 )
 
 // peer is what is known of another entry.
@@ -40,8 +40,10 @@
 	// in held.
 	heldSequence uint64
 	held         map[*seat]int
-	// lentSequence is that of the last loan given, at lentAt.
+	// lentSequence is that of the last loan given, at lentAt; settled is the
+	// last one that the borrower has told of.
 	lentSequence uint64
+	settled      uint64
 	lentAt       time.Time
 	lent         map[*seat]int
 }
@@ -292,6 +294,11 @@
 		other.free[at], other.waiting[at] = int(s.Free), int(s.Waiting)
 	}
 	c.countOthers()
+	for _, v := range b.Voids {
+		if v.Entry == c.self {
+			other.heldSequence = max(other.heldSequence, v.Sequence)
+		}
+	}
 	mine := &Held{Lender: c.self}
 	for _, h := range b.Held {
 		if h.Lender == c.self {
@@ -311,12 +318,13 @@
 	}
 }
 
-// settle takes the borrower's word on what it holds, once it has had every loan
-// or can have no more of them.
+// settle takes the borrower's word on what it holds, once it has had the last
+// loan or its end.
 func (c *Core) settle(other *peer, h *Held) {
-	if h == nil || h.Sequence < other.lentSequence && c.now.Sub(other.lentAt) < settleTime {
+	if h == nil || h.Sequence < other.lentSequence {
 		return
 	}
+	other.settled = h.Sequence
 	for s, n := range other.lent {
 		kept := min(n, held(h, s))
 		s.lent -= n - kept
@@ -392,6 +400,9 @@
 		}
 	}
 	for name, other := range c.peers {
+		if other.lentSequence > other.settled && c.now.Sub(other.lentAt) > settleTime {
+			b.Voids = append(b.Voids, &Void{Entry: name, Sequence: other.lentSequence})
+		}
 		if other.heldSequence > 0 {
 			b.Held = append(b.Held, c.heldOf(name, other))
 		}
