Silent connections: hedges, doubt by age, a learnt age limit

Cause: a connection that went silent held its request to the deadline, and the next idle one of its age did the same. Change: an idempotent request is given to a second server, on a new connection, after the service's 99th percentile, inside the budget. A connection on which no byte came when it was outrun or timed out casts doubt on idle ones to the same server of its age or older, and limits the age of later ones to that at which it was last heard of.

--- a/core/yuccafake/link.go
+++ b/core/yuccafake/link.go
@@ -33,6 +33,7 @@
 	line     Line
 	limiters [2]*rate.Limiter
 	conns    map[net.Conn]struct{}
+	hushed   time.Time
 	listener net.Listener
 	group    *errgroup.Group
 	cancel   context.CancelFunc
@@ -63,6 +64,20 @@
 	}
 }
 
+// Hush swallows, without closing, all bytes of the connections that are open
+// now. New ones work.
+func (l *Link) Hush() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hushed = time.Now()
+}
+
+func (l *Link) silent(born time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.line.Silence > 0 && time.Since(born) > l.line.Silence || born.Before(l.hushed)
+}
+
 func limiter(bytes int) *rate.Limiter {
 	if bytes <= 0 {
 		return rate.NewLimiter(rate.Inf, 0)
@@ -172,7 +187,7 @@
 		data := make([]byte, chunk)
 		n, err := from.Read(data)
 		line := l.now()
-		silent := line.Silence > 0 && time.Since(born) > line.Silence
+		silent := l.silent(born)
 		if n > 0 && !silent {
 			queue <- packet{time.Now().Add(line.Delay), data[:n]}
 		}
--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -24,7 +24,9 @@
 	cancel  context.CancelFunc
 	started time.Time
 	// extra holds header fields that only this attempt carries.
-	extra    []field
+	extra []field
+	// fresh asks for a new connection, since idle ones may be silent too.
+	fresh    bool
 	conn     *conn
 	exchange *exchange
 	// release stops the context from closing the connection.
@@ -53,7 +55,11 @@
 // run sends the request and reads the head of the answer.
 func (a *attempt) run() yuccalife.Message {
 	t := a.task
-	c, err := t.relay.pool.get(a.ctx, a.ticket.Addr, t.deadline)
+	connect := t.relay.pool.get
+	if a.fresh {
+		connect = t.relay.pool.open
+	}
+	c, err := connect(a.ctx, a.ticket.Addr, t.deadline)
 	if err != nil {
 		return a.fail(yuccafault.Unreachable, err)
 	}
@@ -110,7 +116,7 @@
 		k = yuccafault.Canceled
 	}
 	a.drop(yuccapick.Result{Kind: k})
-	if a.silent() && (isTimeout(err) || a.outrun.Load()) {
+	if !a.task.relay.opt.NoHedge && a.silent() && (isTimeout(err) || a.outrun.Load()) {
 		a.task.relay.pool.doubt(a.conn)
 	}
 	return yuccalife.Failed{Kind: k}
--- a/core/yuccarelay/pool.go
+++ b/core/yuccarelay/pool.go
@@ -13,6 +13,10 @@
 	dialTimeout = 2 * time.Second
 	maxIdleAge  = 30 * time.Second
 	maxIdle     = 32
+	// minAgeLimit is the least age limit that is learnt from a silent
+	// connection, ageLimitTTL is how long it is kept.
+	minAgeLimit = time.Second
+	ageLimitTTL = 10 * time.Minute
 	bufferSize  = 4096
 )
 
@@ -62,13 +66,22 @@
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
+	limits map[string]ageLimit
 	closed bool
 }
 
+// ageLimit is the age from which connections to an address are not used, learnt
+// from one that went silent.
+type ageLimit struct {
+	age   time.Duration
+	until time.Time
+}
+
 func newPool(dial Dialer) *pool {
-	return &pool{dial: dial, idle: map[string][]*conn{}}
+	return &pool{dial: dial, idle: map[string][]*conn{}, limits: map[string]ageLimit{}}
 }
 
+// get returns an idle connection, or a new one when there is none.
 func (p *pool) get(ctx context.Context, addr string, deadline time.Time) (*conn, error) {
 	for c := p.take(addr); c != nil; c = p.take(addr) {
 		if untouched(c.Conn) {
@@ -76,6 +89,11 @@
 		}
 		_ = c.Close()
 	}
+	return p.open(ctx, addr, deadline)
+}
+
+// open returns a new connection.
+func (p *pool) open(ctx context.Context, addr string, deadline time.Time) (*conn, error) {
 	end := time.Now().Add(dialTimeout)
 	if !deadline.IsZero() && deadline.Before(end) {
 		end = deadline
@@ -95,7 +113,7 @@
 	for list := p.idle[addr]; len(list) > 0; list = p.idle[addr] {
 		c := list[len(list)-1]
 		p.idle[addr] = list[:len(list)-1]
-		if time.Since(c.since) < maxIdleAge {
+		if p.fit(c) {
 			return c
 		}
 		_ = c.Close()
@@ -103,6 +121,16 @@
 	return nil
 }
 
+func (p *pool) fit(c *conn) bool {
+	now := time.Now()
+	limit, ok := p.limits[c.addr]
+	if ok && now.After(limit.until) {
+		delete(p.limits, c.addr)
+		ok = false
+	}
+	return now.Sub(c.since) < maxIdleAge && (!ok || now.Sub(c.born) < limit.age)
+}
+
 // put keeps a connection on which an answer was read whole.
 func (p *pool) put(c *conn) {
 	p.mu.Lock()
@@ -116,10 +144,12 @@
 }
 
 // doubt closes the idle connections to the place of a silent one that are as old
-// as it or older.
+// as it or older, and keeps later ones from reaching the age at which it was
+// last heard of.
 func (p *pool) doubt(silent *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.learn(silent)
 	kept := p.idle[silent.addr][:0]
 	for _, c := range p.idle[silent.addr] {
 		if c.born.After(silent.born) {
@@ -131,6 +161,14 @@
 	p.idle[silent.addr] = kept
 }
 
+func (p *pool) learn(silent *conn) {
+	heard := silent.since.Sub(silent.born)
+	if limit, ok := p.limits[silent.addr]; heard < minAgeLimit || ok && limit.age <= heard {
+		return
+	}
+	p.limits[silent.addr] = ageLimit{heard, time.Now().Add(ageLimitTTL)}
+}
+
 func (p *pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -64,7 +64,7 @@
 	Claims Claims
 	// Poison guards servers from requests that kill them; nil means no guard.
 	Poison Poison
-	// NoHedge switches hedged requests off.
+	// NoHedge switches hedged requests and the doubt in silent connections off.
 	NoHedge bool
 	// NoResume switches the carrying on of broken and stalled downloads off.
 	NoResume bool
--- /dev/null
+++ b/core/yuccarelay/silent_test.go
@@ -0,0 +1,122 @@
+package yuccarelay_test
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccafake"
+	"yuccawell.example/core/yuccarelay"
+)
+
+// newLinked returns a relay that reaches each of its servers through a link.
+func newLinked(t testing.TB, opt yuccarelay.Options, servers int, act yuccafake.Behaviour, line yuccafake.Line) (*world, []*yuccafake.Link) {
+	w := &world{ledger: yuccafake.NewLedger()}
+	var places []place
+	var links []*yuccafake.Link
+	act.Lie = -1
+	for range servers {
+		s := yuccafake.NewServer("127.0.0.1:0", act, w.ledger)
+		qt.Assert(t, s.Start(), qt.IsNil)
+		t.Cleanup(s.Close)
+		l := yuccafake.NewLink("127.0.0.1:0", s.Addr(), line)
+		qt.Assert(t, l.Start(), qt.IsNil)
+		t.Cleanup(l.Close)
+		links = append(links, l)
+		places = append(places, place{l.Addr(), act.Slots})
+	}
+	w.open(t, opt, places)
+	return w, links
+}
+
+// load sends requests from several callers and returns their latencies, sorted,
+// and how many were not answered by a server.
+func (w *world) load(t testing.TB, callers, each int, method, prefix string, deadline time.Duration) ([]time.Duration, int) {
+	var mu sync.Mutex
+	var took []time.Duration
+	failed := 0
+	group := &errgroup.Group{}
+	for n := range callers {
+		group.Go(func() error {
+			for i := range each {
+				token := fmt.Sprint(prefix, n, "-", i)
+				start := time.Now()
+				resp, err := w.call(func(r *fasthttp.Request) {
+					r.Header.SetMethod(method)
+					r.Header.Set(yuccafake.TokenHeader, token)
+					r.Header.Set(yuccarelay.DeadlineHeader, deadline.String())
+				})
+				mu.Lock()
+				took = append(took, time.Since(start))
+				if err != nil || resp.StatusCode() != fasthttp.StatusOK {
+					failed++
+				}
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	qt.Assert(t, group.Wait(), qt.IsNil)
+	slices.Sort(took)
+	return took, failed
+}
+
+func TestRelayAnswersOverSilentConnections(t *testing.T) {
+	c := qt.New(t)
+	w, links := newLinked(t, yuccarelay.Options{}, 4, yuccafake.Behaviour{Slots: 4, Work: time.Millisecond}, yuccafake.Line{})
+	_, failed := w.load(t, 8, 50, fasthttp.MethodGet, "before", 30*time.Second)
+	c.Assert(failed, qt.Equals, 0)
+	for _, l := range links {
+		l.Hush()
+	}
+	_, failed = w.load(t, 1, 50, fasthttp.MethodGet, "after", 30*time.Second)
+	c.Assert(failed, qt.Equals, 0)
+	c.Assert(w.picker.Busy("s", "a"), qt.Equals, 0)
+}
+
+// BenchmarkSilent has links that drop connections at an age, without a word.
+func BenchmarkSilent(b *testing.B) {
+	for _, off := range []bool{true, false} {
+		for _, method := range []string{fasthttp.MethodGet, fasthttp.MethodPost} {
+			b.Run(fmt.Sprintf("off=%t/%s", off, method), func(b *testing.B) {
+				w, _ := newLinked(b, yuccarelay.Options{NoHedge: off}, 12, yuccafake.Behaviour{Slots: 6, Work: 2 * time.Millisecond}, yuccafake.Line{Silence: 2 * time.Second})
+				for i := range b.N {
+					took, failed := w.load(b, 12, 2000, method, fmt.Sprint("t", i, "-"), 500*time.Millisecond)
+					b.ReportMetric(float64(took[len(took)*99/100])/1e6, "ms-p99")
+					b.ReportMetric(float64(took[len(took)*999/1000])/1e6, "ms-p999")
+					b.ReportMetric(float64(took[len(took)-1])/1e6, "ms-max")
+					b.ReportMetric(float64(failed)*100/float64(len(took)), "%failed")
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkHedges counts the runs that second tries add.
+func BenchmarkHedges(b *testing.B) {
+	for _, callers := range []int{10, 58} {
+		b.Run(fmt.Sprintf("load=%d%%", callers*100/72), func(b *testing.B) {
+			w, _ := newLinked(b, yuccarelay.Options{}, 12, yuccafake.Behaviour{Slots: 6, Work: 5 * time.Millisecond}, yuccafake.Line{})
+			w.client.MaxConns = callers
+			for i := range b.N {
+				prefix := fmt.Sprint("t", i, "-")
+				const each = 400
+				_, failed := w.load(b, callers, each, fasthttp.MethodGet, prefix, time.Second)
+				runs := 0
+				for n := range callers {
+					for j := range each {
+						runs += w.ledger.Times(fmt.Sprint(prefix, n, "-", j))
+					}
+				}
+				b.ReportMetric(float64(runs)*100/float64(callers*each)-100, "%extra")
+				b.ReportMetric(float64(failed), "failed")
+			}
+		})
+	}
+}
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -19,9 +19,12 @@
 	"yuccawell.example/core/yuccaretry"
 )
 
-// hedgeQuantile is the quantile of a service's latency after which a second
-// server is asked.
-const hedgeQuantile = 0.99
+const (
+	// hedgeQuantile is the quantile of a service's latency after which a second
+	// server is asked.
+	hedgeQuantile = 0.99
+	minHedgeDelay = time.Millisecond
+)
 
 // task is one request on its way.
 type task struct {
@@ -197,6 +200,7 @@
 // launch starts an attempt at the chosen server.
 func (t *task) launch() {
 	a := t.newAttempt(t.ticket)
+	a.fresh = len(t.attempts) > 0
 	t.attempts = append(t.attempts, a)
 	t.group.Go(func() error {
 		t.outcomes <- outcome{a, a.run()}
@@ -212,7 +216,7 @@
 		return
 	}
 	if d, ok := t.relay.services.Quantile(t.service, hedgeQuantile); ok {
-		t.hedge = time.NewTimer(d)
+		t.hedge = time.NewTimer(max(d, minHedgeDelay))
 	}
 }
 
