Claims: one conditional object a range of keys, decided by the store

Cause: a non-idempotent request must run at most once whichever entries receive it, also with the store's answers lost, owners dead and views that differ.

Change: Range is a pure state machine over the object of one range of keys. A record names the one try that may run its key; every write is conditional on the tag last seen, and after any write that failed or had no answer the object is read again before anything is decided. Keeper carries the commands out: keys that arrive while a write is under way share the next one; the range's owner by rendezvous hash is asked first, so that few writes lose their condition, and any entry may write when that one does not answer. Older records move to parts that are dropped after the expiry and deleted at the range's pace. First answers are held by the entry that ran the request and handed over at a planned stop. New kind Unsettled: nobody can say at present whether the key was used.

Conclusion: at most once rests on the store's condition alone. With the store down keys are refused as unsettled (maybe); running on is not safe yet.

--- a/core/yuccaclaim/claim.go
+++ b/core/yuccaclaim/claim.go
@@ -31,6 +31,9 @@
 	Request
 	// Replay, when not nil, is the first answer: pass it on and run nothing.
 	Replay *Answer
+
+	id  ID
+	try Try
 }
 
 // Outcome is what came of a claim.
--- /dev/null
+++ b/core/yuccaclaim/keeper_test.go
@@ -0,0 +1,246 @@
+package yuccaclaim_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccaclaim"
+	"yuccawell.example/core/yuccafake"
+	"yuccawell.example/core/yuccafault"
+)
+
+// fleet is some entries before one platform.
+type fleet struct {
+	platform *yuccafake.Platform
+	net      *yuccafake.Net
+	names    []string
+	keepers  []*yuccaclaim.Keeper
+}
+
+func newFleet(t testing.TB, n int, change func(*yuccaclaim.Options)) *fleet {
+	f := &fleet{platform: yuccafake.NewPlatform(), net: yuccafake.NewNet()}
+	for i := range n {
+		f.names = append(f.names, fmt.Sprint("e", i))
+	}
+	for i := range n {
+		f.keepers = append(f.keepers, f.start(i, change))
+	}
+	t.Cleanup(func() {
+		for _, k := range f.keepers {
+			_ = k.Stop(context.Background())
+		}
+	})
+	return f
+}
+
+func (f *fleet) start(i int, change func(*yuccaclaim.Options)) *yuccaclaim.Keeper {
+	opt := yuccaclaim.Options{
+		Store:   f.platform,
+		Bus:     f.net.Bus(f.names[i]),
+		Self:    f.names[i],
+		Members: func() []string { return f.names },
+		Pace:    time.Millisecond,
+		Log:     zerolog.Nop(),
+	}
+	if change != nil {
+		change(&opt)
+	}
+	return yuccaclaim.New(opt)
+}
+
+func request(key string) yuccaclaim.Request {
+	return yuccaclaim.Request{Service: "orders", Key: key, Sum: 1}
+}
+
+var answer = &yuccaclaim.Answer{Status: 201, Header: []yuccaclaim.Field{{Name: "Location", Value: "/orders/1"}}, Body: []byte("done")}
+
+func TestRepeats(t *testing.T) {
+	c, ctx := qt.New(t), context.Background()
+	f := newFleet(t, 3, nil)
+	claim, err := f.keepers[0].Begin(ctx, request("k"))
+	c.Assert(err, qt.IsNil)
+	_, err = f.keepers[1].Begin(ctx, request("k"))
+	c.Assert(yuccafault.KindOf(err), qt.Equals, yuccafault.Running)
+	other := request("k")
+	other.Sum = 2
+	_, err = f.keepers[2].Begin(ctx, other)
+	c.Assert(yuccafault.KindOf(err), qt.Equals, yuccafault.Conflict)
+	f.keepers[0].End(claim, yuccaclaim.Outcome{Ran: true, Answer: answer})
+	for _, k := range f.keepers {
+		again, err := k.Begin(ctx, request("k"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(again.Replay, qt.DeepEquals, answer)
+	}
+}
+
+func TestAnswersSurviveAPlannedStop(t *testing.T) {
+	c, ctx := qt.New(t), context.Background()
+	f := newFleet(t, 3, nil)
+	claim, err := f.keepers[0].Begin(ctx, request("k"))
+	c.Assert(err, qt.IsNil)
+	f.keepers[0].End(claim, yuccaclaim.Outcome{Ran: true, Answer: answer})
+	c.Assert(f.keepers[0].Stop(ctx), qt.IsNil)
+	f.net.Cut("e0", true)
+	f.names = f.names[1:]
+	again, err := f.keepers[1].Begin(ctx, request("k"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(again.Replay, qt.DeepEquals, answer)
+}
+
+func TestAnswersOfACrashedEntry(t *testing.T) {
+	c, ctx := qt.New(t), context.Background()
+	f := newFleet(t, 3, nil)
+	claim, err := f.keepers[0].Begin(ctx, request("k"))
+	c.Assert(err, qt.IsNil)
+	f.keepers[0].End(claim, yuccaclaim.Outcome{Ran: true, Answer: answer})
+	f.net.Cut("e0", true)
+	_, err = f.keepers[1].Begin(ctx, request("k"))
+	c.Assert(yuccafault.KindOf(err), qt.Equals, yuccafault.Spent)
+	f.keepers[0] = f.start(0, nil)
+	f.net.Cut("e0", false)
+	_, err = f.keepers[0].Begin(ctx, request("k"))
+	c.Assert(yuccafault.KindOf(err), qt.Equals, yuccafault.Spent)
+}
+
+func TestReleasedKeyRunsLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, ctx := qt.New(t), context.Background()
+		f := newFleet(t, 3, nil)
+		claim, err := f.keepers[0].Begin(ctx, request("k"))
+		c.Assert(err, qt.IsNil)
+		f.keepers[0].End(claim, yuccaclaim.Outcome{})
+		time.Sleep(time.Second)
+		again, err := f.keepers[1].Begin(ctx, request("k"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(again.Replay, qt.IsNil)
+	})
+}
+
+func TestStoreFaults(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults yuccafake.Faults
+		want   yuccafault.Kind
+	}{
+		{"down", yuccafake.Faults{Down: true}, yuccafault.Unsettled},
+		{"slow", yuccafake.Faults{Slow: time.Minute}, yuccafault.Unsettled},
+		{"late", yuccafake.Faults{Slow: 10 * time.Millisecond}, yuccafault.None},
+		{"loses an answer", yuccafake.Faults{Lose: 1}, yuccafault.None},
+		{"loses three answers", yuccafake.Faults{Lose: 3}, yuccafault.None},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, ctx := qt.New(t), context.Background()
+				f := newFleet(t, 2, nil)
+				f.platform.Fail(test.faults)
+				_, err := f.keepers[0].Begin(ctx, request("k"))
+				c.Assert(yuccafault.KindOf(err), qt.Equals, test.want)
+				c.Assert(err == nil || test.want.Row().Ran == yuccafault.MayRun, qt.IsTrue)
+				f.platform.Fail(yuccafake.Faults{})
+				time.Sleep(time.Minute)
+				_, err = f.keepers[1].Begin(ctx, request("k"))
+				c.Assert(err == nil, qt.Equals, test.want != yuccafault.None)
+			})
+		})
+	}
+}
+
+func TestKeysExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, ctx := qt.New(t), context.Background()
+		f := newFleet(t, 2, func(o *yuccaclaim.Options) { o.Open, o.Ranges = 4, 1 })
+		for i := range 20 {
+			_, err := f.keepers[i%2].Begin(ctx, request(fmt.Sprint("old", i)))
+			c.Assert(err, qt.IsNil)
+		}
+		page, err := f.platform.List(ctx, yuccaclaim.Prefix, 0, 0)
+		c.Assert(err, qt.IsNil)
+		c.Assert(len(page.Objects) > 3, qt.IsTrue)
+		time.Sleep(2 * time.Hour)
+		_, err = f.keepers[0].Begin(ctx, request("new"))
+		c.Assert(err, qt.IsNil)
+		time.Sleep(time.Second)
+		page, err = f.platform.List(ctx, yuccaclaim.Prefix, 0, 0)
+		c.Assert(err, qt.IsNil)
+		c.Assert(len(page.Objects) <= 2, qt.IsTrue, qt.Commentf("%d objects", len(page.Objects)))
+	})
+}
+
+func TestConcurrentClaims(t *testing.T) {
+	c, ctx := qt.New(t), context.Background()
+	f := newFleet(t, 5, func(o *yuccaclaim.Options) { o.Open = 16 })
+	var mu sync.Mutex
+	runs := map[string]int{}
+	var group errgroup.Group
+	for i := range 400 {
+		key := fmt.Sprint("k", i%40)
+		group.Go(func() error {
+			if i%50 == 0 {
+				f.platform.Fail(yuccafake.Faults{Lose: 2})
+				f.net.Cut(f.names[i%5], i%100 == 0)
+			}
+			claim, err := f.keepers[i%5].Begin(ctx, request(key))
+			if err != nil || claim.Replay != nil {
+				return nil
+			}
+			mu.Lock()
+			runs[key]++
+			mu.Unlock()
+			f.keepers[i%5].End(claim, yuccaclaim.Outcome{Ran: true, Answer: answer})
+			return nil
+		})
+	}
+	c.Assert(group.Wait(), qt.IsNil)
+	c.Assert(len(runs) > 0, qt.IsTrue)
+	for key, n := range runs {
+		c.Assert(n, qt.Equals, 1, qt.Commentf("%s", key))
+	}
+}
+
+func BenchmarkBeginEnd(b *testing.B) {
+	f := newFleet(b, 1, func(o *yuccaclaim.Options) { o.Keys = 1 << 30 })
+	ctx := context.Background()
+	n := 0
+	var mu sync.Mutex
+	b.SetParallelism(64)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			mu.Lock()
+			n++
+			key := fmt.Sprint(n)
+			mu.Unlock()
+			claim, err := f.keepers[0].Begin(ctx, request(key))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			f.keepers[0].End(claim, yuccaclaim.Outcome{Ran: true, Answer: answer})
+		}
+	})
+	calls := f.platform.Calls()
+	b.ReportMetric(float64(calls["put"]+calls["get"]+calls["delete"])/float64(b.N), "calls/op")
+}
+
+func BenchmarkRepeat(b *testing.B) {
+	f := newFleet(b, 1, nil)
+	ctx := context.Background()
+	claim, err := f.keepers[0].Begin(ctx, request("k"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	f.keepers[0].End(claim, yuccaclaim.Outcome{Ran: true, Answer: answer})
+	for b.Loop() {
+		if again, err := f.keepers[0].Begin(ctx, request("k")); err != nil || again.Replay == nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/core/yuccaclaim/peer.go
@@ -0,0 +1,267 @@
+package yuccaclaim
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccapeer"
+)
+
+// The topics of messages between keepers.
+const (
+	askTopic     = "claim.ask"
+	releaseTopic = "claim.release"
+	seekTopic    = "claim.seek"
+	keepTopic    = "claim.keep"
+)
+
+const (
+	// callTimeout bounds a call of another entry.
+	callTimeout = 300 * time.Millisecond
+	// suspectTime is how long an entry that did not answer is not asked again.
+	suspectTime = 2 * time.Second
+)
+
+func (k *Keeper) handle() {
+	k.opt.Bus.Handle(askTopic, k.onAsk)
+	k.opt.Bus.Handle(releaseTopic, k.onRelease)
+	k.opt.Bus.Handle(seekTopic, k.onSeek)
+	k.opt.Bus.Handle(keepTopic, k.onKeep)
+}
+
+// owner returns the entry that writes the object of a range by preference, so
+// that few writes lose their condition. Any entry may write it.
+func owner(members []string, n int) string {
+	best, top := "", uint64(0)
+	for _, name := range members {
+		score := xxhash.Sum64String(strconv.Itoa(n) + "/" + name)
+		if best == "" || score > top {
+			best, top = name, score
+		}
+	}
+	return best
+}
+
+// ask has a record decided by the range's owner, or here when that one does not
+// answer. Both may write the record: it names one try, which runs once.
+func (k *Keeper) ask(ctx context.Context, a Record) (Record, error) {
+	to := owner(k.opt.Members(), k.rangeOf(a.ID))
+	if k.remote(to) {
+		known, err := k.callAsk(ctx, to, a)
+		if err == nil {
+			return known, nil
+		}
+		k.opt.Log.Debug().Err(err).Str("owner", to).Msg("claim_owner_failed")
+	}
+	return k.worker(a.ID).ask(ctx, a)
+}
+
+func (k *Keeper) remote(name string) bool {
+	return name != "" && name != k.opt.Self && !k.suspect.is(name, time.Now())
+}
+
+func (k *Keeper) callAsk(ctx context.Context, to string, a Record) (Record, error) {
+	body, err := proto.Marshal(&AskCall{Id: a.ID[:], Sum: a.Sum, Try: a.Try[:], Entry: a.Entry})
+	if err != nil {
+		return Record{}, yuccafault.Wrap(yuccafault.Internal, err)
+	}
+	var reply AskReply
+	if err := k.call(ctx, to, askTopic, body, &reply); err != nil {
+		return Record{}, err
+	}
+	known, err := recordOf(reply.GetRecord())
+	if err == nil && known.ID != a.ID {
+		err = yuccafault.New(yuccafault.Protocol, "reply of %s is for another key", to)
+	}
+	return known, err
+}
+
+func (k *Keeper) call(ctx context.Context, to, topic string, body []byte, reply proto.Message) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answer, err := k.opt.Bus.Call(ctx, to, topic, body)
+	if kind := yuccafault.KindOf(err); kind == yuccafault.Unreachable || kind == yuccafault.Broken {
+		k.suspect.add(to, time.Now().Add(suspectTime))
+	}
+	if err != nil {
+		return err
+	}
+	if err := proto.Unmarshal(answer, reply); err != nil {
+		return yuccafault.New(yuccafault.Protocol, "reply of %s: %w", to, err)
+	}
+	return nil
+}
+
+func (k *Keeper) onAsk(ctx context.Context, _ string, body []byte) ([]byte, error) {
+	a, err := askOf(body)
+	if err != nil {
+		return nil, err
+	}
+	known, err := k.worker(a.ID).ask(ctx, a)
+	if err != nil {
+		return nil, err
+	}
+	return proto.Marshal(&AskReply{Record: known.object()})
+}
+
+func askOf(body []byte) (Record, error) {
+	var m AskCall
+	if err := proto.Unmarshal(body, &m); err != nil {
+		return Record{}, yuccafault.New(yuccafault.Protocol, "ask: %w", err)
+	}
+	return recordOf(&RecordObject{Id: m.GetId(), Sum: m.GetSum(), Try: m.GetTry(), Entry: m.GetEntry()})
+}
+
+// release gives a claim back whose try certainly did not and will not run. Only
+// the entry that made the try can know that.
+func (k *Keeper) release(c Claim) {
+	k.spawn(func(ctx context.Context) {
+		to := owner(k.opt.Members(), k.rangeOf(c.id))
+		body, err := proto.Marshal(&AskCall{Id: c.id[:], Try: c.try[:], Entry: k.opt.Self})
+		if err == nil && k.remote(to) && k.call(ctx, to, releaseTopic, body, &AskReply{}) == nil {
+			return
+		}
+		k.worker(c.id).step(Released{c.id, c.try})
+	})
+}
+
+func (k *Keeper) onRelease(_ context.Context, _ string, body []byte) ([]byte, error) {
+	a, err := askOf(body)
+	if err != nil {
+		return nil, err
+	}
+	k.worker(a.ID).step(Released{a.ID, a.Try})
+	return nil, nil
+}
+
+// seek finds the first answer: here, where the first request was made, or where
+// that entry handed it over.
+func (k *Keeper) seek(ctx context.Context, known Record) (*Answer, error) {
+	answer, running := k.answers.find(known.ID)
+	for _, to := range []string{known.Entry, owner(k.opt.Members(), k.rangeOf(known.ID))} {
+		if answer != nil || running {
+			break
+		}
+		if k.remote(to) {
+			answer, running = k.callSeek(ctx, to, known.ID)
+		}
+	}
+	switch {
+	case answer != nil:
+		return answer, nil
+	case running:
+		return nil, yuccafault.New(yuccafault.Running, "the first request has not ended")
+	}
+	return nil, yuccafault.New(yuccafault.Spent, "the first answer is not held")
+}
+
+func (k *Keeper) callSeek(ctx context.Context, to string, id ID) (*Answer, bool) {
+	body, err := proto.Marshal(&SeekCall{Id: id[:]})
+	if err != nil {
+		return nil, false
+	}
+	var reply SeekReply
+	if k.call(ctx, to, seekTopic, body, &reply) != nil || reply.GetHeld() == nil {
+		return nil, reply.GetRunning()
+	}
+	return answerOf(reply.GetHeld()), false
+}
+
+func (k *Keeper) onSeek(_ context.Context, _ string, body []byte) ([]byte, error) {
+	var m SeekCall
+	if err := proto.Unmarshal(body, &m); err != nil || len(m.GetId()) != len(ID{}) {
+		return nil, yuccafault.New(yuccafault.Protocol, "seek cannot be read")
+	}
+	id := ID(m.GetId())
+	answer, running := k.answers.find(id)
+	reply := &SeekReply{Running: running}
+	if answer != nil {
+		reply.Held = heldOf(id, answer)
+	}
+	return proto.Marshal(reply)
+}
+
+func (k *Keeper) onKeep(_ context.Context, _ string, body []byte) ([]byte, error) {
+	var m KeepCall
+	if err := proto.Unmarshal(body, &m); err != nil {
+		return nil, yuccafault.New(yuccafault.Protocol, "keep: %w", err)
+	}
+	for _, h := range m.GetHeld() {
+		if len(h.GetId()) == len(ID{}) {
+			k.answers.keep(ID(h.GetId()), answerOf(h), time.Now())
+		}
+	}
+	return nil, nil
+}
+
+// handOver gives each held answer to the owner of its range among the others.
+func (k *Keeper) handOver(ctx context.Context) {
+	var others []string
+	for _, name := range k.opt.Members() {
+		if name != k.opt.Self {
+			others = append(others, name)
+		}
+	}
+	if len(others) == 0 {
+		return
+	}
+	bundles := map[string]*bundle{}
+	for _, h := range k.answers.all() {
+		to := owner(others, k.rangeOf(h.id))
+		b := bundles[to]
+		if b == nil {
+			b = &bundle{}
+			bundles[to] = b
+		}
+		if b.size+h.size > yuccapeer.MaxBody*3/4 {
+			k.give(ctx, to, b)
+		}
+		b.size += h.size
+		b.call.Held = append(b.call.Held, heldOf(h.id, h.answer))
+	}
+	for to, b := range bundles {
+		k.give(ctx, to, b)
+	}
+}
+
+// bundle collects answers for one message.
+type bundle struct {
+	call KeepCall
+	size int
+}
+
+func (k *Keeper) give(ctx context.Context, to string, b *bundle) {
+	body, err := proto.Marshal(&b.call)
+	if err == nil {
+		err = k.call(ctx, to, keepTopic, body, &AskReply{})
+	}
+	k.opt.Log.Info().Int("answers", len(b.call.GetHeld())).Str("to", to).AnErr("failed", err).Msg("answers_handed_over")
+	b.call.Reset()
+	b.size = 0
+}
+
+// suspects remembers which entries did not answer.
+type suspects struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+}
+
+func newSuspects() *suspects { return &suspects{until: map[string]time.Time{}} }
+
+func (s *suspects) add(name string, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.until[name] = until
+}
+
+func (s *suspects) is(name string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.until[name])
+}
--- a/core/yuccafault/kind.go
+++ b/core/yuccafault/kind.go
@@ -53,6 +53,9 @@
 	Conflict
 	// Unclaimed is an idempotency key that could not be claimed.
 	Unclaimed
+	// Unsettled is an idempotency key of which nobody can say at present whether
+	// it was used before.
+	Unsettled
 	// Large is a request whose headers or key exceed a limit.
 	Large
 	// Leaving is an instance that is stopping and takes no new work.
@@ -136,6 +139,7 @@
 	Spent:       {"spent", 409, MayRun, 0, Info, ExitRefused},
 	Conflict:    {"conflict", 422, NotRun, 0, Info, ExitRefused},
 	Unclaimed:   {"unclaimed", 503, NotRun, 2 * time.Second, Warn, ExitRefused},
+	Unsettled:   {"unsettled", 503, MayRun, 2 * time.Second, Warn, ExitUnreachable},
 	Large:       {"large", 431, NotRun, 0, Info, ExitRefused},
 	Leaving:     {"leaving", 503, NotRun, time.Second, Info, ExitRefused},
 	Platform:    {"platform", 503, NotRun, 2 * time.Second, Warn, ExitUnreachable},
