--- a/entry/run.go
+++ b/entry/run.go
@@ -33,8 +33,11 @@
 		Linger: time.Duration(set.Linger),
 	}, feed, relay.Serve, log)
 
+	pages := map[string]yuccadmin.Page{
+		"/status": status(set, feed, front, picker),
+	}
 	kernel := yuccakernel.New(log)
-	kernel.Add("admin", yuccadmin.New(set.Admin, meter.Registry(), probe(feed, front), status(set, feed, front)))
+	kernel.Add("admin", yuccadmin.New(set.Admin, meter.Registry(), probe(feed, front), pages))
 	kernel.Add("feed", feed)
 	kernel.Add("front", front)
 	kernel.Add("leave", newLeave(set.Name, store, log))
@@ -64,10 +67,12 @@
 	Plan    uint64 `json:"plan"`
 	Entries int    `json:"entries"`
 	Servers int    `json:"servers"`
+	// Use is how much of its budgets the entry uses.
+	Use []yuccafeed.Use `json:"use"`
 }
 
-func status(set settings, feed *yuccafeed.Feed, front *yuccafront.Front) yuccadmin.Status {
-	return func() any {
+func status(set settings, feed *yuccafeed.Feed, front *yuccafront.Front, picker *yuccapick.Picker) yuccadmin.Page {
+	return func() (any, error) {
 		s := feed.Snapshot()
 		return Status{
 			Name:    set.Name,
@@ -79,6 +84,7 @@
 			Plan:    s.Plan.Version,
 			Entries: len(s.View.Entries()),
 			Servers: len(s.View.Servers()),
-		}
+			Use:     yuccafeed.UseOf(s.Plan, set.Name, picker.Busy),
+		}, nil
 	}
 }
