Poison: suspects of a dead server run one at a time, two deaths stop a print

Cause: a request that crashes each server that runs it is sent again by its caller, through other entries, and by the relay where it is idempotent.

Change: State is a pure record of which prints were in flight when servers died. A print is quarantined when it was started after one death and its server died too, or when all recent deaths have it in common and it has hardly passed. Runs of suspects of one dead server take turns, given by one entry, so that no neighbour shares the killer's second server. Guard tells the others before End returns, thus before the request can be sent again, and asks with a new connection whether the server died or only closed one. News is sent at deaths only; quarantines, suspects, turns and counts expire or are bounded.

Whole path, three relays, 12 servers, 12 other callers, the killer sent six times: POST without the guard 6 servers lost, with it 2; GET 12 and 2; nobody else refused as poison or for a turn. Ten keys sent 60 times through three entries: all ten ran more than once without claims, none with them.

On the way: with hedging the whole path shows a data race in the relay: a hedged attempt that lost is read by (*attempt).silent in win while its own goroutine still writes sent and conn. The path test runs without hedging until that is mended; two parallel runs of a killer are tested at the guard.

--- /dev/null
+++ b/core/yuccapoison/guard_test.go
@@ -0,0 +1,145 @@
+package yuccapoison_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"yuccawell.example/core/yuccafake"
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccapoison"
+)
+
+func newGuards(n int, alive func(string) bool) []*yuccapoison.Guard {
+	net := yuccafake.NewNet()
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprint("e", i))
+	}
+	var guards []*yuccapoison.Guard
+	for _, name := range names {
+		guards = append(guards, yuccapoison.New(yuccapoison.Options{
+			Bus:     net.Bus(name),
+			Self:    name,
+			Members: func() []string { return names },
+			Alive:   alive,
+			Log:     zerolog.Nop(),
+		}))
+	}
+	return guards
+}
+
+// attempt runs a print on a server through an entry.
+func attempt(g *yuccapoison.Guard, p yuccapoison.Print, server string, died bool) error {
+	if err := g.Check(p); err != nil {
+		return err
+	}
+	g.Start(p, server)
+	time.Sleep(time.Millisecond)
+	g.End(p, server, died)
+	return nil
+}
+
+func TestKillerIsStoppedEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		guards := newGuards(3, nil)
+		c.Assert(attempt(guards[0], 1, "s1", true), qt.IsNil)
+		c.Assert(attempt(guards[1], 1, "s2", true), qt.IsNil)
+		for _, g := range guards {
+			c.Assert(yuccafault.KindOf(g.Check(1)), qt.Equals, yuccafault.Poison)
+			c.Assert(g.Check(2), qt.IsNil)
+		}
+		time.Sleep(11 * time.Minute)
+		c.Assert(guards[2].Check(1), qt.IsNil)
+	})
+}
+
+func TestKillerOnTwoServersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		guards := newGuards(2, nil)
+		guards[0].Start(1, "s1")
+		guards[1].Start(1, "s2")
+		time.Sleep(time.Millisecond)
+		guards[0].End(1, "s1", true)
+		guards[1].End(1, "s2", true)
+		c.Assert(yuccafault.KindOf(guards[0].Check(1)), qt.Equals, yuccafault.Poison)
+	})
+}
+
+func TestRegionFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		guards := newGuards(2, nil)
+		const popular = 1
+		for range 16 {
+			c.Assert(attempt(guards[0], popular, "s0", false), qt.IsNil)
+		}
+		for i := range 8 {
+			guards[0].Start(popular, fmt.Sprint("s", i))
+			guards[0].Start(yuccapoison.Print(100+i), fmt.Sprint("s", i))
+		}
+		time.Sleep(time.Millisecond)
+		for i := range 8 {
+			guards[0].End(popular, fmt.Sprint("s", i), true)
+			guards[0].End(yuccapoison.Print(100+i), fmt.Sprint("s", i), true)
+		}
+		for i := range 8 {
+			c.Assert(attempt(guards[1], yuccapoison.Print(100+i), "s9", false), qt.IsNil)
+		}
+		c.Assert(attempt(guards[1], popular, "s9", false), qt.IsNil)
+	})
+}
+
+func TestClosedConnectionIsNoDeath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		guards := newGuards(2, func(string) bool { return true })
+		for i := range 5 {
+			c.Assert(attempt(guards[i%2], 1, fmt.Sprint("s", i), true), qt.IsNil)
+		}
+		c.Assert(guards[0].Check(1), qt.IsNil)
+	})
+}
+
+func TestSuspectsTakeTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		guards := newGuards(3, nil)
+		for p := range yuccapoison.Print(3) {
+			guards[p].Start(p, "s1")
+		}
+		time.Sleep(time.Millisecond)
+		for p := range yuccapoison.Print(3) {
+			guards[p].End(p, "s1", true)
+		}
+		c.Assert(guards[0].Check(0), qt.IsNil)
+		guards[0].Start(0, "s2")
+		begun := time.Now()
+		c.Assert(yuccafault.KindOf(guards[1].Check(1)), qt.Equals, yuccafault.Shed)
+		c.Assert(time.Since(begun) >= 2*time.Second, qt.IsTrue)
+		guards[0].End(0, "s2", false)
+		c.Assert(guards[1].Check(1), qt.IsNil)
+		time.Sleep(2 * time.Second)
+		c.Assert(guards[2].Check(2), qt.IsNil)
+		time.Sleep(2 * time.Second)
+	})
+}
+
+func BenchmarkPassing(b *testing.B) {
+	g := newGuards(1, nil)[0]
+	p := yuccapoison.Print(0)
+	for b.Loop() {
+		p++
+		if g.Check(p) != nil {
+			b.Fatal("refused")
+		}
+		g.Start(p, "s1")
+		g.End(p, "s1", false)
+	}
+}
--- /dev/null
+++ b/core/yuccapoison/path_test.go
@@ -0,0 +1,221 @@
+package yuccapoison_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccaclaim"
+	"yuccawell.example/core/yuccafake"
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccafeed"
+	"yuccawell.example/core/yuccapick"
+	"yuccawell.example/core/yuccapoison"
+	"yuccawell.example/core/yuccarelay"
+	"yuccawell.example/core/yuccarule"
+)
+
+// path is three entries' relays before some backend servers.
+type path struct {
+	c        *qt.C
+	ledger   *yuccafake.Ledger
+	servers  []*yuccafake.Server
+	platform *yuccafake.Platform
+	clients  []*fasthttp.HostClient
+
+	mu   sync.Mutex
+	next int
+	dead map[string]bool
+}
+
+// newPath starts the path, with or without the guards of claims and poison.
+func newPath(t *testing.T, servers int, guarded bool) *path {
+	p := &path{c: qt.New(t), ledger: yuccafake.NewLedger(), platform: yuccafake.NewPlatform(), dead: map[string]bool{}}
+	for range servers {
+		s := yuccafake.NewServer("127.0.0.1:0", yuccafake.Behaviour{Slots: 64, Work: 5 * time.Millisecond, Lie: -1}, p.ledger)
+		p.c.Assert(s.Start(), qt.IsNil)
+		t.Cleanup(s.Close)
+		p.servers = append(p.servers, s)
+	}
+	rules, faults := yuccarule.Parse("rules", []byte("region a domains=a1 # t\nservice s host=s.example regions=a # t"))
+	p.c.Assert(faults, qt.HasLen, 0)
+	snapshot := yuccafeed.Snapshot{Document: yuccarule.Document{Version: 1}, Rules: rules}
+	names := []string{"e0", "e1", "e2"}
+	bus := yuccafake.NewNet()
+	for _, name := range names {
+		opt := yuccarelay.Options{Region: "a", Picker: p, Source: fixed{snapshot}, NoHedge: true, Log: zerolog.Nop()}
+		if guarded {
+			b, members := bus.Bus(name), func() []string { return names }
+			keeper := yuccaclaim.New(yuccaclaim.Options{Store: p.platform, Bus: b, Self: name, Members: members, Log: zerolog.Nop()})
+			t.Cleanup(func() { _ = keeper.Stop(context.Background()) })
+			alive := yuccapoison.Dialer(func(server string) string { return server }, time.Second)
+			opt.Claims = keeper
+			opt.Poison = yuccapoison.New(yuccapoison.Options{Bus: b, Self: name, Members: members, Alive: alive, Log: zerolog.Nop()})
+		}
+		p.clients = append(p.clients, serve(t, yuccarelay.New(opt)))
+	}
+	return p
+}
+
+type fixed struct{ snapshot yuccafeed.Snapshot }
+
+func (f fixed) Snapshot() *yuccafeed.Snapshot { return &f.snapshot }
+
+// Pick takes the servers that live in turn.
+func (p *path) Pick(ask yuccapick.Ask) (yuccapick.Ticket, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for range p.servers {
+		p.next++
+		addr := p.servers[p.next%len(p.servers)].Addr()
+		if !p.dead[addr] && !slices.Contains(ask.Avoid, addr) {
+			return yuccapick.Ticket{Service: ask.Service, Region: "a", Server: addr, Addr: addr}, nil
+		}
+	}
+	return yuccapick.Ticket{}, yuccafault.New(yuccafault.Empty, "no server")
+}
+
+// Done notes which servers cannot be reached.
+func (p *path) Done(t yuccapick.Ticket, r yuccapick.Result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r.Kind == yuccafault.Unreachable {
+		p.dead[t.Addr] = true
+	}
+}
+
+func (p *path) lost() int {
+	n := 0
+	for _, s := range p.servers {
+		if !s.Alive() {
+			n++
+		}
+	}
+	return n
+}
+
+func serve(t *testing.T, relay *yuccarelay.Relay) *fasthttp.HostClient {
+	l := fasthttputil.NewInmemoryListener()
+	server := &fasthttp.Server{Handler: relay.Serve, StreamRequestBody: true, DisablePreParseMultipartForm: true}
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(l) })
+	client := &fasthttp.HostClient{
+		Addr:                      "s.example",
+		Dial:                      func(string) (net.Conn, error) { return l.Dial() },
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}
+	t.Cleanup(func() {
+		client.CloseIdleConnections()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_ = server.ShutdownWithContext(ctx)
+		_ = l.Close()
+		_ = group.Wait()
+		relay.Close()
+	})
+	return client
+}
+
+// call makes a request through an entry and returns the kind of its answer.
+func (p *path) call(entry int, method, target, key, token string) string {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://s.example" + target)
+	req.Header.SetMethod(method)
+	req.Header.Set(yuccafake.TokenHeader, token)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	if err := p.clients[entry].Do(req, resp); err != nil {
+		return "closed"
+	}
+	return string(resp.Header.Peek("Yucca-Error"))
+}
+
+func TestKillerThroughDifferentEntries(t *testing.T) {
+	tests := []struct {
+		name    string
+		method  string
+		guarded bool
+		most    int
+	}{
+		{"post", "POST", true, 2},
+		{"get", "GET", true, 2},
+		{"post without guard", "POST", false, 6},
+		{"get without guard", "GET", false, 12},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPath(t, 12, test.guarded)
+			others := p.among(func() {
+				for i := range 6 {
+					p.call(i%3, test.method, "/crash", "", "killer")
+				}
+			})
+			refused := others[yuccafault.Poison.String()] + others[yuccafault.Shed.String()]
+			t.Logf("servers lost: %d, others by kind of answer: %v", p.lost(), others)
+			p.c.Assert(p.lost() <= test.most, qt.IsTrue)
+			p.c.Assert(p.lost() > 2, qt.Equals, !test.guarded)
+			p.c.Assert(!test.guarded || refused == 0, qt.IsTrue)
+		})
+	}
+}
+
+// among runs fn while other requests go through every entry, and counts their
+// answers by kind.
+func (p *path) among(fn func()) map[string]int {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group errgroup.Group
+	var mu sync.Mutex
+	kinds := map[string]int{}
+	for i := range 12 {
+		group.Go(func() error {
+			for n := 0; ctx.Err() == nil; n++ {
+				kind := p.call(i%3, "GET", fmt.Sprintf("/other/%d/%d", i, n), "", "")
+				mu.Lock()
+				kinds[kind]++
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	fn()
+	cancel()
+	_ = group.Wait()
+	return kinds
+}
+
+func TestKeyRunsOnceThroughDifferentEntries(t *testing.T) {
+	for _, guarded := range []bool{true, false} {
+		t.Run(fmt.Sprint("guarded ", guarded), func(t *testing.T) {
+			p := newPath(t, 3, guarded)
+			var group errgroup.Group
+			for i := range 60 {
+				group.Go(func() error {
+					key := fmt.Sprint("k", i%10)
+					p.call(i%3, "POST", "/order", key, key)
+					return nil
+				})
+			}
+			p.c.Assert(group.Wait(), qt.IsNil)
+			total := p.ledger.Total()
+			t.Logf("keys that ran: %d, more than once: %d", total.Tokens, total.Doubled)
+			p.c.Assert(total.Tokens, qt.Equals, 10)
+			p.c.Assert(total.Doubled > 0, qt.Equals, !guarded)
+			p.c.Assert(p.call(0, "POST", "/order", "k1", "k1") == "", qt.IsTrue)
+		})
+	}
+}
--- /dev/null
+++ b/core/yuccapoison/tally.go
@@ -0,0 +1,22 @@
+package yuccapoison
+
+// tally counts the runs of prints in bounded memory: when its newer half is
+// full, the older half is forgotten.
+type tally struct {
+	size       int
+	newer, old map[Print]int
+}
+
+func newTally(size int) tally {
+	return tally{size: size, newer: map[Print]int{}}
+}
+
+func (t tally) add(p Print) tally {
+	if _, ok := t.newer[p]; !ok && len(t.newer) >= t.size {
+		t.old, t.newer = t.newer, make(map[Print]int, t.size)
+	}
+	t.newer[p]++
+	return t
+}
+
+func (t tally) count(p Print) int { return t.newer[p] + t.old[p] }
