--- a/core/yuccapick/core.go
+++ b/core/yuccapick/core.go
@@ -16,6 +16,8 @@
 	step    int
 	plan    yuccaplan.Plan
 	servers map[string]*server
+	// entries holds the names of entries by region.
+	entries map[string][]string
 	pools   map[place]*pool
 	order   []*pool
 	peers   map[string]*peer
@@ -57,12 +59,12 @@
 		return c.take(s, ask)
 	}
 	wait := first.wait(1)
-	if wait > farCost || wait > first.patience() {
+	if wait > farCost || wait > first.patience(c.now) {
 		if s := c.spill(route, first, ask, spare); s != nil {
 			return c.take(s, ask)
 		}
 	}
-	if wait > first.patience() || !first.reachable(ask) {
+	if wait > first.patience(c.now) || !first.reachable(ask) {
 		return Answer{Kind: c.refusal(route)}
 	}
 	return c.enqueue(first, ask)
@@ -125,7 +127,7 @@
 	if s == nil {
 		return nil
 	}
-	if cost+extra > p.typical+max(p.wait(1), extra) && p.wait(1) <= p.patience() {
+	if cost+extra > p.typical+max(p.wait(1), extra) && p.wait(1) <= p.patience(c.now) {
 		return nil
 	}
 	return s
@@ -158,15 +160,17 @@
 	p := s.pool
 	s.busy++
 	p.busy++
-	if p.free(c.now) == 0 {
-		c.borrow(p)
-	}
+	p.used = c.now
+	c.borrow(p)
 	return Answer{Ticket: Ticket{Service: p.service, Region: p.region, Server: s.Name, Addr: s.Addr, Started: ask.Now, seat: s}}
 }
 
 func (c *Core) enqueue(p *pool, ask Ask) Answer {
 	c.nextID++
-	expires := c.now.Add(2 * p.patience())
+	if len(p.waiting) == 0 {
+		p.emptied = c.now
+	}
+	expires := c.now.Add(p.patience(c.now) + minWait)
 	if !ask.Deadline.IsZero() && ask.Deadline.Before(expires) {
 		expires = ask.Deadline
 	}
@@ -190,6 +194,7 @@
 		s.eject(c.now, uint64(c.now.UnixNano())*0x9e3779b97f4a7c15>>8)
 	}
 	c.dispatch(s.pool)
+	c.offer(s.pool)
 }
 
 // dispatch gives free slots to waiting requests, the oldest first.
