Entry: claims and poison wired to the relay, the store and the bus

Cause: the guards were built but no entry used them.

Change: the entry makes a claim keeper, which is stopped before the bus so that held answers are handed over, and a poison guard that asks a server for a new connection before it takes it for dead. A server that is no longer listed counts as taken away.

Conclusion: the setting for the expiry is not in the entry's settings yet; the default is one hour.

--- a/core/yuccapoison/guard.go
+++ b/core/yuccapoison/guard.go
@@ -270,10 +270,15 @@
 	return best
 }
 
-// Dialer returns an Alive that opens a connection to the address of a server.
+// Dialer returns an Alive that opens a connection to the address of a server. A
+// server without an address was taken away and is not taken for dead.
 func Dialer(addr func(server string) string, timeout time.Duration) func(string) bool {
 	return func(server string) bool {
-		c, err := net.DialTimeout("tcp", addr(server), timeout)
+		to := addr(server)
+		if to == "" {
+			return true
+		}
+		c, err := net.DialTimeout("tcp", to, timeout)
 		if err != nil {
 			return false
 		}
--- a/entry/run.go
+++ b/entry/run.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"yuccawell.example/core/yuccaburn"
+	"yuccawell.example/core/yuccaclaim"
 	"yuccawell.example/core/yuccadmin"
 	"yuccawell.example/core/yuccafeed"
 	"yuccawell.example/core/yuccafront"
@@ -14,10 +15,14 @@
 	"yuccawell.example/core/yuccameter"
 	"yuccawell.example/core/yuccapeer"
 	"yuccawell.example/core/yuccapick"
+	"yuccawell.example/core/yuccapoison"
 	"yuccawell.example/core/yuccarelay"
 	"yuccawell.example/core/yuccastore"
 )
 
+// probeTimeout bounds the question whether a server died.
+const probeTimeout = 250 * time.Millisecond
+
 // run serves until ctx ends and then stops without cutting a request.
 func run(ctx context.Context, set settings, log zerolog.Logger) error {
 	log = log.With().Str("entry", set.Name).Logger()
@@ -36,11 +41,15 @@
 	}, log)
 	feed.Subscribe(func(s yuccafeed.Snapshot) { peers.Update(s.View.Entries()) })
 	burn := yuccaburn.New(set.Name, peers, members(feed), log)
+	claims := yuccaclaim.New(yuccaclaim.Options{Store: store, Bus: peers, Self: set.Name, Members: members(feed), Log: log})
+	poison := yuccapoison.New(yuccapoison.Options{Bus: peers, Self: set.Name, Members: members(feed), Alive: alive(feed), Log: log})
 	relay := yuccarelay.New(yuccarelay.Options{
 		Region:   set.Region,
 		Picker:   picker,
 		Source:   feed,
 		Observer: observers{meter, goals{feed, burn.Windows()}},
+		Claims:   claims,
+		Poison:   poison,
 		Log:      log,
 	})
 	defer relay.Close()
@@ -58,12 +67,25 @@
 	kernel.Add("admin", yuccadmin.New(set.Admin, meter.Registry(), probe(feed, front), pages))
 	kernel.Add("peer", peers)
 	kernel.Add("burn", burn)
+	kernel.Add("claims", claims)
 	kernel.Add("feed", feed)
 	kernel.Add("front", front)
 	kernel.Add("leave", newLeave(set.Name, store, log))
 	return kernel.Run(ctx)
 }
 
+// alive asks a backend server for a connection.
+func alive(feed *yuccafeed.Feed) func(string) bool {
+	return yuccapoison.Dialer(func(server string) string {
+		for _, s := range feed.Snapshot().View.Servers() {
+			if s.Name == server {
+				return s.Addr
+			}
+		}
+		return ""
+	}, probeTimeout)
+}
+
 func probe(feed *yuccafeed.Feed, front *yuccafront.Front) yuccadmin.Probe {
 	return func() (bool, string) {
 		switch {
