Claims: a range reads only the parts it does not know

Cause: each write that loses its condition read every part of the range again, up to hundreds of objects.

Change: parts never change, so Load names those known and Loaded carries the records of the others.

--- a/core/yuccaclaim/keeper_test.go
+++ b/core/yuccaclaim/keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -230,6 +231,29 @@
 	b.ReportMetric(float64(calls["put"]+calls["get"]+calls["delete"])/float64(b.N), "calls/op")
 }
 
+// BenchmarkViewsDiffer has five entries that each take themselves for the owner
+// of every range.
+func BenchmarkViewsDiffer(b *testing.B) {
+	f := newFleet(b, 5, func(o *yuccaclaim.Options) {
+		self := []string{o.Self}
+		o.Members, o.Keys = func() []string { return self }, 1<<30
+	})
+	ctx := context.Background()
+	var n, unsettled atomic.Int64
+	b.SetParallelism(64)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			i := n.Add(1)
+			if _, err := f.keepers[i%5].Begin(ctx, request(fmt.Sprint(i))); err != nil {
+				unsettled.Add(1)
+			}
+		}
+	})
+	calls := f.platform.Calls()
+	b.ReportMetric(float64(calls["put"]+calls["get"]+calls["delete"])/float64(b.N), "calls/op")
+	b.ReportMetric(float64(unsettled.Load())/float64(b.N), "unsettled/op")
+}
+
 func BenchmarkRepeat(b *testing.B) {
 	f := newFleet(b, 1, nil)
 	ctx := context.Background()
--- a/core/yuccaclaim/model_test.go
+++ b/core/yuccaclaim/model_test.go
@@ -217,7 +217,7 @@
 	last := m.calls[len(m.calls)-1]
 	if _, ok := last.cmd.(yuccaclaim.Load); ok && last.by == c.by {
 		last.applied = true
-		last.result = m.loaded(version{m.now().tag, c.before.open, c.before.parts})
+		last.result = m.loaded(version{m.now().tag, c.before.open, c.before.parts}, last.cmd)
 	}
 }
 
@@ -228,7 +228,7 @@
 		if m.chance("stale") {
 			v = m.versions[m.pick(len(m.versions), "version")]
 		}
-		return m.loaded(v)
+		return m.loaded(v, cmd)
 	case yuccaclaim.Seal:
 		key := fmt.Sprint("part", len(m.parts))
 		m.parts[key] = cmd.Records
@@ -244,10 +244,13 @@
 	return nil
 }
 
-func (m *model) loaded(v version) yuccaclaim.Message {
+func (m *model) loaded(v version, cmd yuccaclaim.Command) yuccaclaim.Message {
+	known := cmd.(yuccaclaim.Load).Known
 	l := yuccaclaim.Loaded{Now: start, Tag: v.tag, Open: slices.Clone(v.open), Parts: slices.Clone(v.parts)}
 	for _, p := range v.parts {
-		l.Old = append(l.Old, m.parts[p.Key]...)
+		if !slices.Contains(known, p) {
+			l.Old = append(l.Old, m.parts[p.Key]...)
+		}
 	}
 	return l
 }
--- a/core/yuccaclaim/range.go
+++ b/core/yuccaclaim/range.go
@@ -91,7 +91,8 @@
 	}
 	// Permitted says that the store may be called now.
 	Permitted struct{ Now time.Time }
-	// Loaded carries the range's object and the records of all its parts.
+	// Loaded carries the range's object and the records of the parts that were
+	// not known.
 	Loaded struct {
 		Now   time.Time
 		Tag   string
@@ -127,8 +128,9 @@
 type (
 	// Schedule asks for a Permitted as soon as the call budget allows.
 	Schedule struct{}
-	// Load reads the range's object and its parts.
-	Load struct{}
+	// Load reads the range's object and its parts, but for those known, which
+	// never change.
+	Load struct{ Known []Part }
 	// Seal writes a part under a key of its own.
 	Seal struct{ Records []Record }
 	// Write writes the range's object if its tag is still Tag; an empty Tag
@@ -167,7 +169,7 @@
 		return r.released(m)
 	case Permitted:
 		if !r.loaded {
-			return r, []Command{Load{}}
+			return r, []Command{Load{r.parts}}
 		}
 		return r.write(m.Now)
 	case Loaded:
@@ -210,8 +212,13 @@
 }
 
 func (r Range) load(m Loaded) (Range, []Command) {
+	if r.index == nil {
+		r.index = make(map[ID]Record, len(m.Open)+len(m.Old))
+	}
+	for _, before := range r.open {
+		delete(r.index, before.ID)
+	}
 	r.loaded, r.tag, r.open, r.parts = true, m.Tag, m.Open, m.Parts
-	r.index = make(map[ID]Record, len(m.Open)+len(m.Old))
 	for _, old := range m.Old {
 		r.index[old.ID] = old
 	}
--- a/core/yuccaclaim/store.go
+++ b/core/yuccaclaim/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -91,7 +92,7 @@
 			return Permitted{time.Now()}
 		})
 	case Load:
-		w.spawn(w.load)
+		w.spawn(func(ctx context.Context) Message { return w.load(ctx, cmd) })
 	case Seal:
 		w.spawn(func(ctx context.Context) Message { return w.seal(ctx, cmd) })
 	case Write:
@@ -113,7 +114,7 @@
 	}
 }
 
-func (w *worker) load(ctx context.Context) Message {
+func (w *worker) load(ctx context.Context, cmd Load) Message {
 	ctx, cancel := context.WithTimeout(ctx, w.keeper.opt.Wait)
 	defer cancel()
 	m := Loaded{}
@@ -128,6 +129,9 @@
 	}
 	for i := 0; err == nil && i < len(m.Parts); i++ {
 		var records []Record
+		if slices.ContainsFunc(cmd.Known, func(p Part) bool { return p.Key == m.Parts[i].Key }) {
+			continue
+		}
 		records, err = w.loadPart(ctx, m.Parts[i].Key)
 		m.Old = append(m.Old, records...)
 	}
--- a/core/yuccaclaim/write.go
+++ b/core/yuccaclaim/write.go
@@ -136,7 +136,7 @@
 	}
 	r.loaded, r.batch, r.next = false, nil, content{}
 	r.waiting = append(again, r.waiting...)
-	return r, append(cmds, Load{})
+	return r, append(cmds, Load{r.parts})
 }
 
 // giveUp refuses everything that waits, since the store does not answer.
