--- a/entry/run.go
+++ b/entry/run.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"yuccawell.example/core/yuccaburn"
+	"yuccawell.example/core/yuccaclaim"
 	"yuccawell.example/core/yuccadmin"
 	"yuccawell.example/core/yuccafeed"
 	"yuccawell.example/core/yuccafront"
@@ -14,6 +15,7 @@
 	"yuccawell.example/core/yuccameter"
 	"yuccawell.example/core/yuccapeer"
 	"yuccawell.example/core/yuccapick"
+	"yuccawell.example/core/yuccapoison"
 	"yuccawell.example/core/yuccarelay"
 	"yuccawell.example/core/yuccastore"
 	"yuccawell.example/core/yuccaview"
@@ -23,6 +25,9 @@
 // knows how many entries there are.
 const firstRate = 20
 
+// probeTimeout bounds the question whether a server died.
+const probeTimeout = 250 * time.Millisecond
+
 // run serves until ctx ends and then stops without cutting a request.
 func run(ctx context.Context, set settings, log zerolog.Logger) error {
 	log = log.With().Str("entry", set.Name).Logger()
@@ -44,11 +49,15 @@
 	feed.Subscribe(func(s yuccafeed.Snapshot) { peers.Update(s.View.Entries()) })
 	sharer := yuccapick.NewSharer(picker, peers)
 	burn := yuccaburn.New(set.Name, peers, members(feed), log)
+	claims := yuccaclaim.New(yuccaclaim.Options{Store: store, Bus: peers, Self: set.Name, Members: members(feed), Log: log})
+	poison := yuccapoison.New(yuccapoison.Options{Bus: peers, Self: set.Name, Members: members(feed), Alive: alive(feed), Log: log})
 	relay := yuccarelay.New(yuccarelay.Options{
 		Region:   set.Region,
 		Picker:   picker,
 		Source:   feed,
 		Observer: observers{meter, goals{feed, burn.Windows()}},
+		Claims:   claims,
+		Poison:   poison,
 		Log:      log,
 	})
 	defer relay.Close()
@@ -67,12 +76,25 @@
 	kernel.Add("peer", peers)
 	kernel.Add("burn", burn)
 	kernel.Add("pick", sharer)
+	kernel.Add("claims", claims)
 	kernel.Add("feed", feed)
 	kernel.Add("front", front)
 	kernel.Add("leave", newLeave(set.Name, start, store, feed, log))
 	return kernel.Run(ctx)
 }
 
+// alive asks a backend server for a connection.
+func alive(feed *yuccafeed.Feed) func(string) bool {
+	return yuccapoison.Dialer(func(server string) string {
+		for _, s := range feed.Snapshot().View.Servers() {
+			if s.Name == server {
+				return s.Addr
+			}
+		}
+		return ""
+	}, probeTimeout)
+}
+
 func probe(feed *yuccafeed.Feed, front *yuccafront.Front) yuccadmin.Probe {
 	return func() (bool, string) {
 		switch {
