The planner's lease and one chain of plans

Cause: every entry derived the plan by itself, so two entries with different views followed different plans, and nothing carried a ramp from one planner to the next.

Change: - yuccalease: an object of the platform, written by conditional updates only. The holder counts from before the call was first made, also when an earlier call without an answer turns out to have taken effect; others wait for 5.5 s without a change, later candidates longer. A stop gives it back. It lies apart from what entries watch, and three candidates read it, however many entries there are. - yuccafeed.Planner publishes shared/plan while it holds the lease, each plan in place of exactly the last, and a new holder writes one at once, so that the write of a holder that was paused fails. Entries take a higher epoch, or a higher version of the same one. Until a holder has published, each entry derives a plan of epoch and version 0 as before. - A watch waits for 4 s at most and goes on from the objects that it saw, since a stale page came with a new sequence number and a change was missed.

A failed try: dropping the lease on any failed renewal was safe but left nobody planning for 7 s after one lost answer; it is kept to its end now.

--- a/core/yuccafake/platform.go
+++ b/core/yuccafake/platform.go
@@ -42,6 +42,7 @@
 	lists   []datedList
 	faults  Faults
 	calls   map[string]uint64
+	onWrite func(yuccastore.Object)
 }
 
 type history struct {
@@ -77,6 +78,14 @@
 	return p.faults
 }
 
+// OnWrite calls fn with every object whose write takes effect. The calls come
+// in order and must not call the platform.
+func (p *Platform) OnWrite(fn func(yuccastore.Object)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.onWrite = fn
+}
+
 // Calls returns how often each kind of call was made: get, put, delete, list
 // and instances.
 func (p *Platform) Calls() map[string]uint64 {
@@ -230,6 +239,9 @@
 	o.Seq = p.seq
 	o.Tag = `"` + strconv.FormatUint(p.seq, 10) + `"`
 	p.objects[o.Key] = history{now: o, before: h.now}
+	if p.onWrite != nil {
+		p.onWrite(o)
+	}
 	close(p.changed)
 	p.changed = make(chan struct{})
 	if p.faults.Lose > 0 {
--- a/core/yuccafeed/feed_test.go
+++ b/core/yuccafeed/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 
 	"yuccawell.example/core/yuccafake"
 	"yuccawell.example/core/yuccafeed"
+	"yuccawell.example/core/yuccaplan"
 	"yuccawell.example/core/yuccarule"
 	"yuccawell.example/core/yuccastore"
 )
@@ -77,3 +79,29 @@
 		<-f.Done()
 	})
 }
+
+func decodePlan(value []byte) yuccaplan.Plan {
+	var p yuccaplan.Plan
+	if err := json.Unmarshal(value, &p); err != nil {
+		panic(err)
+	}
+	return p
+}
+
+// TestStalePageIsReadAgain answers a watch with the version before the one that
+// ended it.
+func TestStalePageIsReadAgain(t *testing.T) {
+	inBubble(t, func(c *qt.C) {
+		f := newFleet(c, "a1")
+		defer f.stop()
+		f.apply(1)
+		time.Sleep(time.Second)
+		f.platform.Fail(yuccafake.Faults{Old: true})
+		f.apply(2)
+		time.Sleep(10 * time.Second)
+		f.inForce(1)
+		f.platform.Fail(yuccafake.Faults{})
+		time.Sleep(5 * time.Second)
+		f.inForce(2)
+	})
+}
--- a/core/yuccafeed/watch.go
+++ b/core/yuccafeed/watch.go
@@ -23,7 +23,9 @@
 	// the others.
 	Watchers = 2
 
-	watchWait    = 30 * time.Second
+	// watchWait bounds a watch, so that one whose answer never comes delays a
+	// change by no more.
+	watchWait    = 4 * time.Second
 	listInterval = time.Second
 	roleInterval = 500 * time.Millisecond
 	// fedFor is how long a successful call shows that an entry reads the
@@ -112,8 +114,10 @@
 		if err != nil {
 			return err
 		}
-		after, wait = page.Seq, watchWait
+		wait = watchWait
 		for _, o := range page.Objects {
+			// The page may be older than its sequence number says.
+			after = max(after, o.Seq)
 			f.learnObject(o)
 		}
 		return nil
--- a/entry/run.go
+++ b/entry/run.go
@@ -10,9 +10,11 @@
 	"yuccawell.example/core/yuccafeed"
 	"yuccawell.example/core/yuccafront"
 	"yuccawell.example/core/yuccakernel"
+	"yuccawell.example/core/yuccalease"
 	"yuccawell.example/core/yuccameter"
 	"yuccawell.example/core/yuccapeer"
 	"yuccawell.example/core/yuccapick"
+	"yuccawell.example/core/yuccaplan"
 	"yuccawell.example/core/yuccarelay"
 	"yuccawell.example/core/yuccastore"
 	"yuccawell.example/core/yuccaview"
@@ -49,15 +51,32 @@
 		Linger: time.Duration(set.Linger),
 	}, feed, relay.Serve, log)
 
+	keeper := yuccalease.New(set.Name, start, store, feed, log)
+	planner := yuccafeed.NewPlanner(feed, store, keeper, makePlan, log)
+
 	kernel := yuccakernel.New(log)
 	kernel.Add("admin", yuccadmin.New(set.Admin, meter.Registry(), probe(feed, front), status(set, feed, front)))
 	kernel.Add("peer", peers)
 	kernel.Add("feed", feed)
 	kernel.Add("front", front)
+	kernel.Add("lease", keeper)
+	kernel.Add("plan", planner)
 	kernel.Add("leave", newLeave(set.Name, start, store, feed, log))
 	return kernel.Run(ctx)
 }
 
+// makePlan is the planner's decision from what the entry knows.
+func makePlan(now time.Time, s yuccafeed.Snapshot, epoch uint64, last yuccaplan.Plan) yuccaplan.Plan {
+	return yuccaplan.Make(yuccaplan.Input{
+		Now:     now,
+		Rules:   s.Rules,
+		Version: s.Document.Version,
+		Epoch:   epoch,
+		View:    s.View,
+		Last:    last,
+	})
+}
+
 func probe(feed *yuccafeed.Feed, front *yuccafront.Front) yuccadmin.Probe {
 	return func() (bool, string) {
 		switch {
