--- /dev/null
+++ b/core/yuccablock/bucket.go
@@ -0,0 +1,162 @@
+package yuccalease
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccastore"
+)
+
+// Key is the object that the lease is kept in. It lies apart from what all
+// entries watch, since it is written every few seconds.
+const Key = "lease/plan"
+
+const (
+	tickInterval = 200 * time.Millisecond
+	callTimeout  = renewAfter
+)
+
+// Candidates tells which entries may take the lease.
+type Candidates interface {
+	// Rank is the entry's place among the candidates, negative for none.
+	Rank() int
+	// Epoch is the highest epoch known.
+	Epoch() uint64
+}
+
+// Keeper takes and renews the lease. Make one with New.
+type Keeper struct {
+	store      yuccastore.Store
+	candidates Candidates
+	log        zerolog.Logger
+
+	mu     sync.Mutex
+	state  State
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New returns a keeper for a run of an entry.
+func New(self string, start uint64, store yuccastore.Store, candidates Candidates, log zerolog.Logger) *Keeper {
+	return &Keeper{store: store, candidates: candidates, log: log, state: NewState(self, start), done: make(chan struct{})}
+}
+
+// Held returns the epoch and reports whether this entry holds the lease now.
+func (k *Keeper) Held() (uint64, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.state.Held(time.Now())
+}
+
+// Start implements yuccakernel.Service.
+func (k *Keeper) Start(ctx context.Context, group *errgroup.Group) error {
+	ctx, k.cancel = context.WithCancel(ctx)
+	group.Go(func() error {
+		defer close(k.done)
+		k.keep(ctx)
+		return nil
+	})
+	return nil
+}
+
+// Stop implements yuccakernel.Service. It gives the lease back, so that another
+// entry need not wait for it to lapse.
+func (k *Keeper) Stop(ctx context.Context) error {
+	k.cancel()
+	<-k.done
+	epoch, held := k.Held()
+	if !held {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	k.mu.Lock()
+	tag := k.state.tag
+	k.mu.Unlock()
+	k.write(ctx, Record{Epoch: epoch}, tag)
+	k.log.Info().Uint64("epoch", epoch).Msg("lease_given_back")
+	return nil
+}
+
+// Done implements yuccakernel.Service.
+func (k *Keeper) Done() <-chan struct{} { return k.done }
+
+func (k *Keeper) keep(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			k.do(ctx, k.step(Tick{time.Now(), k.candidates.Rank(), k.candidates.Epoch()}))
+		}
+	}
+}
+
+func (k *Keeper) step(m Message) Command {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	before, was := k.state.Held(time.Now())
+	var c Command
+	k.state, c = k.state.Step(m)
+	if after, is := k.state.Held(time.Now()); was != is || is && before != after {
+		k.log.Info().Uint64("epoch", after).Bool("held", is).Msg("lease")
+	}
+	return c
+}
+
+// do makes the call that a step asked for and steps on with its answer.
+func (k *Keeper) do(ctx context.Context, c Command) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	for c.Read || c.Write != nil {
+		if c.Write != nil {
+			c = k.write(ctx, *c.Write, c.Tag)
+			continue
+		}
+		m, ok := k.read(ctx)
+		if !ok {
+			return
+		}
+		c = k.step(m)
+	}
+}
+
+func (k *Keeper) read(ctx context.Context) (Read, bool) {
+	o, err := k.store.Get(ctx, Key)
+	if yuccafault.Is(err, yuccafault.Missing) {
+		return Read{Now: time.Now()}, true
+	}
+	if err != nil {
+		return Read{}, false
+	}
+	// An object that cannot be read is as good as a lease that was given back.
+	r, _ := decode(o)
+	return Read{Now: time.Now(), Record: r, Tag: o.Tag}, true
+}
+
+// write makes a conditional write and settles it.
+func (k *Keeper) write(ctx context.Context, r Record, tag string) Command {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return Command{}
+	}
+	o, outcome, _ := yuccastore.Settle(ctx, k.store, Key, value, yuccastore.Cond{Tag: tag, Absent: tag == ""}, func(o yuccastore.Object) bool {
+		found, ok := decode(o)
+		return ok && found == r
+	})
+	return k.step(Wrote{Record: r, Tag: o.Tag, Won: outcome == yuccastore.Written, Lost: outcome == yuccastore.Lost})
+}
+
+func decode(o yuccastore.Object) (Record, bool) {
+	var r Record
+	err := json.Unmarshal(o.Value, &r)
+	return r, err == nil
+}
--- /dev/null
+++ b/core/yuccablock/delta_test.go
@@ -0,0 +1,109 @@
+package yuccablock_test
+
+import (
+	"net/netip"
+	"runtime"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"yuccawell.example/core/yuccablock"
+	"yuccawell.example/core/yuccarule"
+)
+
+var regions = []yuccarule.Region{{Name: "a"}, {Name: "b"}, {Name: "c"}}
+
+// drawPrefix draws from few addresses, so that blocks nest and repeat.
+func drawPrefix(t *rapid.T) netip.Prefix {
+	if rapid.Bool().Draw(t, "v6") {
+		raw := [16]byte{0x20, 1, 0xd, byte(rapid.IntRange(0, 1).Draw(t, "hi")), 0, 0, 0, byte(rapid.IntRange(0, 3).Draw(t, "mid")), 15: byte(rapid.IntRange(0, 3).Draw(t, "lo"))}
+		return netip.PrefixFrom(netip.AddrFrom16(raw), rapid.SampledFrom([]int{0, 16, 31, 32, 48, 62, 63, 64, 65, 126, 127, 128}).Draw(t, "bits")).Masked()
+	}
+	raw := [4]byte{10, byte(rapid.IntRange(0, 1).Draw(t, "b")), byte(rapid.IntRange(0, 3).Draw(t, "c")), byte(rapid.IntRange(0, 7).Draw(t, "d"))}
+	return netip.PrefixFrom(netip.AddrFrom4(raw), rapid.SampledFrom([]int{0, 8, 15, 16, 17, 22, 23, 24, 29, 30, 31, 32}).Draw(t, "bits")).Masked()
+}
+
+// scan finds a region by looking at every block.
+func scan(blocks map[netip.Prefix]string, addr netip.Addr) string {
+	best, region := -1, "home"
+	for p, r := range blocks {
+		if p.Contains(addr) && p.Bits() > best {
+			best, region = p.Bits(), r
+		}
+	}
+	return region
+}
+
+// TestLongestPrefixWins compares tables, made whole and by deltas, with a scan.
+func TestLongestPrefixWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		blocks := map[netip.Prefix]string{}
+		rules := yuccarule.Rules{Regions: regions}
+		site := rapid.SampledFrom([]string{"a", "b", "c"})
+		for range rapid.IntRange(0, 30).Draw(t, "blocks") {
+			p := drawPrefix(t)
+			if _, ok := blocks[p]; !ok {
+				blocks[p] = site.Draw(t, "site")
+				rules.Blocks = append(rules.Blocks, yuccarule.Block{Prefix: p, Site: blocks[p]})
+			}
+		}
+		table := yuccablock.New(rules, "home")
+		compare(t, table, blocks)
+		for range rapid.IntRange(0, 4).Draw(t, "deltas") {
+			table = table.With(drawDelta(t, blocks, site))
+			compare(t, table, blocks)
+		}
+	})
+}
+
+func drawDelta(t *rapid.T, blocks map[netip.Prefix]string, site *rapid.Generator[string]) yuccablock.Delta {
+	var d yuccablock.Delta
+	for range rapid.IntRange(0, 5).Draw(t, "removed") {
+		p := drawPrefix(t)
+		delete(blocks, p)
+		d.Remove = append(d.Remove, p)
+	}
+	for range rapid.IntRange(0, 5).Draw(t, "set") {
+		p := drawPrefix(t)
+		blocks[p] = site.Draw(t, "site")
+		d.Set = append(d.Set, yuccarule.Block{Prefix: p, Site: blocks[p]})
+	}
+	return d
+}
+
+func compare(t *rapid.T, table yuccablock.Table, blocks map[netip.Prefix]string) {
+	if table.Len() != len(blocks) {
+		t.Fatalf("%d blocks, not %d", table.Len(), len(blocks))
+	}
+	for range 20 {
+		addr := drawPrefix(t).Addr()
+		if got, want := table.Region(addr), scan(blocks, addr); got != want {
+			t.Fatalf("%s is in %s, not %s", addr, got, want)
+		}
+	}
+}
+
+// TestOldTableStays checks that a delta leaves the table it was made from as it
+// was, so that readers of it go on.
+func TestOldTableStays(t *testing.T) {
+	c := qt.New(t)
+	p := netip.MustParsePrefix("10.1.0.0/24")
+	old := yuccablock.New(yuccarule.Rules{Regions: regions, Blocks: []yuccarule.Block{{Prefix: p, Site: "a"}}}, "home")
+	next := old.With(yuccablock.Delta{Set: []yuccarule.Block{{Prefix: p, Site: "b"}}})
+	c.Assert(old.Region(p.Addr()), qt.Equals, "a")
+	c.Assert(next.Region(p.Addr()), qt.Equals, "b")
+	c.Assert(next.With(yuccablock.Delta{Remove: []netip.Prefix{p}}).Region(p.Addr()), qt.Equals, "home")
+}
+
+// TestLookUpDoesNotAllocate covers both kinds of addresses.
+func TestLookUpDoesNotAllocate(t *testing.T) {
+	table := yuccablock.New(bigRules(1000), "home")
+	addrs := []netip.Addr{netip.MustParseAddr("10.1.2.3"), netip.MustParseAddr("2001:db8::1")}
+	n := testing.AllocsPerRun(100, func() {
+		for _, a := range addrs {
+			runtime.KeepAlive(table.Region(a))
+		}
+	})
+	qt.Assert(t, n, qt.Equals, 0.0)
+}
--- /dev/null
+++ b/core/yuccablock/main_test.go
@@ -0,0 +1,9 @@
+package yuccablock_test
+
+import (
+	"testing"
+
+	"yuccawell.example/core/yuccafake"
+)
+
+func TestMain(m *testing.M) { yuccafake.Main(m) }
--- a/core/yuccablock/table.go
+++ b/core/yuccablock/table.go
@@ -1,5 +1,8 @@
 // Package yuccablock finds the region of a caller and the entries it should
 // use.
+//
+//	table := yuccablock.New(rules, "palermo")
+//	region := table.Region(addr)
 package yuccablock
 
 import (
@@ -7,70 +10,112 @@
 	"slices"
 
 	"yuccawell.example/core/yuccarule"
-	"yuccawell.example/core/yuccastore"
 )
 
-// Table maps client addresses to regions. It is immutable.
+// Table maps client addresses to regions. It is immutable; With returns a
+// changed one that shares what is the same.
 type Table struct {
-	rows []row
-	home string
+	home  string
+	sites []yuccarule.Site
+	v4    directory[addr4]
+	v6    directory[addr6]
 }
 
-type row struct {
-	prefix netip.Prefix
-	region string
+// Delta is a change of a table. Blocks in Set are added or get another site.
+type Delta struct {
+	Set    []yuccarule.Block
+	Remove []netip.Prefix
 }
 
 // New returns the table of the blocks in rules. Addresses outside every block
 // belong to home.
 func New(rules yuccarule.Rules, home string) Table {
-	region := map[string]string{}
+	t := Table{home: home, sites: sites(rules)}
+	index := t.index()
+	var v4 []row[addr4]
+	var v6 []row[addr6]
+	for _, b := range rules.Blocks {
+		site, ok := index[b.Site]
+		if !ok {
+			continue
+		}
+		if p := b.Prefix.Masked(); p.Addr().Is4() {
+			v4 = append(v4, row[addr4]{start: from4(p.Addr()), site: site, bits: uint8(p.Bits())})
+		} else {
+			v6 = append(v6, row[addr6]{start: from6(p.Addr()), site: site, bits: uint8(p.Bits())})
+		}
+	}
+	t.v4, t.v6 = newDirectory(v4), newDirectory(v6)
+	return t
+}
+
+// sites lists the sites of rules; a region's name is also that of a site.
+func sites(rules yuccarule.Rules) []yuccarule.Site {
+	var all []yuccarule.Site
 	for _, r := range rules.Regions {
-		region[r.Name] = r.Name
+		all = append(all, yuccarule.Site{Name: r.Name, Region: r.Name})
 	}
-	for _, s := range rules.Sites {
-		region[s.Name] = s.Region
+	return append(all, rules.Sites...)
+}
+
+func (t Table) index() map[string]uint16 {
+	index := make(map[string]uint16, len(t.sites))
+	for i, s := range t.sites {
+		index[s.Name] = uint16(i)
 	}
-	t := Table{home: home}
-	for _, b := range rules.Blocks {
-		t.rows = append(t.rows, row{b.Prefix, region[b.Site]})
+	return index
+}
+
+// With returns the table with a change made. Blocks of sites that the table
+// does not have are left out.
+func (t Table) With(d Delta) Table {
+	index := t.index()
+	var v4 []change[addr4]
+	var v6 []change[addr6]
+	for _, p := range d.Remove {
+		v4, v6 = appendChange(v4, v6, p, 0, true)
+	}
+	for _, b := range d.Set {
+		if site, ok := index[b.Site]; ok {
+			v4, v6 = appendChange(v4, v6, b.Prefix, site, false)
+		}
 	}
-	slices.SortStableFunc(t.rows, func(a, b row) int { return b.prefix.Bits() - a.prefix.Bits() })
+	t.v4, t.v6 = t.v4.with(v4), t.v6.with(v6)
 	return t
 }
 
-// Region returns the region of the longest prefix that holds addr.
-func (t Table) Region(addr netip.Addr) string {
-	addr = addr.Unmap()
-	for _, r := range t.rows {
-		if r.prefix.Contains(addr) {
-			return r.region
-		}
+func appendChange(v4 []change[addr4], v6 []change[addr6], p netip.Prefix, site uint16, gone bool) ([]change[addr4], []change[addr6]) {
+	p = p.Masked()
+	bits := uint8(p.Bits())
+	if p.Addr().Is4() {
+		return append(v4, change[addr4]{row[addr4]{start: from4(p.Addr()), site: site, bits: bits}, gone}), v6
 	}
-	return t.home
+	return v4, append(v6, change[addr6]{row[addr6]{start: from6(p.Addr()), site: site, bits: bits}, gone})
 }
 
-// Rank orders entries for a caller in the given region, best first, and leaves
-// out those that are leaving. The spread number turns the order within a region
-// so that callers divide among its entries.
-func Rank(entries []yuccastore.Instance, region string, spread uint64) []yuccastore.Instance {
-	var near, far []yuccastore.Instance
-	for _, e := range entries {
-		switch {
-		case e.Leaving:
-		case e.Region == region:
-			near = append(near, e)
-		default:
-			far = append(far, e)
-		}
+// Region returns the region of the longest prefix that holds addr.
+func (t Table) Region(addr netip.Addr) string {
+	site, ok := uint16(0), false
+	if addr = addr.Unmap(); addr.Is4() {
+		site, ok = t.v4.find(from4(addr))
+	} else {
+		site, ok = t.v6.find(from6(addr))
 	}
-	return append(turn(near, spread), turn(far, spread)...)
+	if !ok {
+		return t.home
+	}
+	return t.sites[site].Region
 }
 
-func turn(list []yuccastore.Instance, by uint64) []yuccastore.Instance {
-	if len(list) == 0 {
-		return nil
+// Len returns the number of blocks.
+func (t Table) Len() int { return t.v4.len() + t.v6.len() }
+
+// Sites returns the names of the sites, in order.
+func (t Table) Sites() []string {
+	var names []string
+	for _, s := range t.sites {
+		names = append(names, s.Name)
 	}
-	at := int(by % uint64(len(list)))
-	return append(slices.Clone(list[at:]), list[:at]...)
+	slices.Sort(names)
+	return names
 }
--- a/core/yuccafront/front.go
+++ b/core/yuccafront/front.go
@@ -30,6 +30,8 @@
 	// Linger is how long the entry goes on serving after it has left the
 	// look-ups.
 	Linger time.Duration
+	// Full tells whether an entry has no slot of a service free; it may be nil.
+	Full func(service, entry string) bool
 }
 
 const (
--- a/core/yuccafront/where.go
+++ b/core/yuccafront/where.go
@@ -53,7 +53,7 @@
 	region := snapshot.Table.Region(addr)
 	spread := xxhash.Sum64String(addr.String() + service)
 	answer := Where{TTL: int(f.set.TTL / time.Second), Version: snapshot.Document.Version, Entries: []Place{}}
-	for _, e := range yuccablock.Rank(snapshot.View.Entries(), region, spread) {
+	for _, e := range yuccablock.RankFree(snapshot.View.Entries(), region, spread, f.full(service)) {
 		answer.Entries = append(answer.Entries, place(e))
 	}
 	body, err := json.Marshal(answer)
@@ -65,6 +65,14 @@
 	ctx.SetBody(body)
 }
 
+// full tells which entries have no slot of a service free.
+func (f *Front) full(service string) func(entry string) bool {
+	if f.set.Full == nil {
+		return func(string) bool { return false }
+	}
+	return func(entry string) bool { return f.set.Full(service, entry) }
+}
+
 func place(e yuccastore.Instance) Place {
 	return Place{Addr: e.Addr, Region: e.Region, Domain: e.Domain}
 }
--- a/core/yuccapick/loan.go
+++ b/core/yuccapick/loan.go
@@ -318,6 +318,23 @@
 	}
 }
 
+// full reports whether requests of a service wait at an entry.
+func (c *Core) full(service, entry string) bool {
+	for _, p := range c.order {
+		n := len(p.waiting)
+		if entry != c.self {
+			n = 0
+			if other := c.peers[entry]; other != nil {
+				n = other.waiting[p.place]
+			}
+		}
+		if p.service == service && n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // settle takes the borrower's word on what it holds, once it has had the last
 // loan or its end.
 func (c *Core) settle(other *peer, h *Held) {
--- a/core/yuccapick/pick.go
+++ b/core/yuccapick/pick.go
@@ -129,3 +129,11 @@
 	}
 	return 0
 }
+
+// Full reports whether requests of a service wait at an entry, this one or
+// another.
+func (p *Picker) Full(service, entry string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.full(service, entry)
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -49,6 +49,7 @@
 		Addr:   set.Addr,
 		TTL:    time.Duration(set.TTL),
 		Linger: time.Duration(set.Linger),
+		Full:   picker.Full,
 	}, feed, relay.Serve, log)
 
 	pages := map[string]yuccadmin.Page{
