Look-ups in a table of blocks in order, changed by copying what changes

Cause: a look-up tried every block in turn; 3.5 million of them are no use so, and every change rebuilt the table. Change: blocks stand in buckets by their first bits, ordered and linked to the block around them; With copies the buckets that change and shares the rest. Full entries come last in their region.

--- a/core/yuccablock/bucket.go
+++ b/core/yuccablock/bucket.go
@@ -1,162 +1,87 @@
-package yuccalease
+package yuccablock
 
 import (
-	"context"
-	"encoding/json"
-	"sync"
-	"time"
-
-	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
-
-	"yuccawell.example/core/yuccafault"
-	"yuccawell.example/core/yuccastore"
-)
-
-// Key is the object that the lease is kept in. It lies apart from what all
-// entries watch, since it is written every few seconds.
-const Key = "lease/plan"
-
-const (
-	tickInterval = 200 * time.Millisecond
-	callTimeout  = renewAfter
+	"cmp"
+	"slices"
 )
 
-// Candidates tells which entries may take the lease.
-type Candidates interface {
-	// Rank is the entry's place among the candidates, negative for none.
-	Rank() int
-	// Epoch is the highest epoch known.
-	Epoch() uint64
-}
-
-// Keeper takes and renews the lease. Make one with New.
-type Keeper struct {
-	store      yuccastore.Store
-	candidates Candidates
-	log        zerolog.Logger
-
-	mu     sync.Mutex
-	state  State
-	cancel context.CancelFunc
-	done   chan struct{}
-}
-
-// New returns a keeper for a run of an entry.
-func New(self string, start uint64, store yuccastore.Store, candidates Candidates, log zerolog.Logger) *Keeper {
-	return &Keeper{store: store, candidates: candidates, log: log, state: NewState(self, start), done: make(chan struct{})}
-}
-
-// Held returns the epoch and reports whether this entry holds the lease now.
-func (k *Keeper) Held() (uint64, bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.state.Held(time.Now())
+// row is one block. The parent is the position of the smallest block around it
+// in the same bucket, plus one; zero means none.
+type row[A address[A]] struct {
+	start  A
+	parent uint32
+	site   uint16
+	bits   uint8
 }
 
-// Start implements yuccakernel.Service.
-func (k *Keeper) Start(ctx context.Context, group *errgroup.Group) error {
-	ctx, k.cancel = context.WithCancel(ctx)
-	group.Go(func() error {
-		defer close(k.done)
-		k.keep(ctx)
-		return nil
-	})
-	return nil
-}
+func (r row[A]) holds(a A) bool { return a.masked(r.bits) == r.start }
 
-// Stop implements yuccakernel.Service. It gives the lease back, so that another
-// entry need not wait for it to lapse.
-func (k *Keeper) Stop(ctx context.Context) error {
-	k.cancel()
-	<-k.done
-	epoch, held := k.Held()
-	if !held {
-		return nil
+func compareRows[A address[A]](a, b row[A]) int {
+	if c := a.start.compare(b.start); c != 0 {
+		return c
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	k.mu.Lock()
-	tag := k.state.tag
-	k.mu.Unlock()
-	k.write(ctx, Record{Epoch: epoch}, tag)
-	k.log.Info().Uint64("epoch", epoch).Msg("lease_given_back")
-	return nil
+	return cmp.Compare(a.bits, b.bits)
 }
 
-// Done implements yuccakernel.Service.
-func (k *Keeper) Done() <-chan struct{} { return k.done }
-
-func (k *Keeper) keep(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			k.do(ctx, k.step(Tick{time.Now(), k.candidates.Rank(), k.candidates.Epoch()}))
+// bucket holds blocks ordered by start, larger ones first. It is immutable.
+type bucket[A address[A]] []row[A]
+
+// newBucket orders rows and links each to the block around it. Of equal blocks
+// the first counts.
+func newBucket[A address[A]](rows []row[A]) bucket[A] {
+	slices.SortStableFunc(rows, compareRows[A])
+	rows = slices.CompactFunc(rows, func(a, b row[A]) bool { return compareRows(a, b) == 0 })
+	b := slices.Clip(rows)
+	for i := range b {
+		at := uint32(i)
+		for at > 0 && !b[at-1].holds(b[i].start) {
+			at = b[at-1].parent
 		}
+		b[i].parent = at
 	}
+	return b
 }
 
-func (k *Keeper) step(m Message) Command {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	before, was := k.state.Held(time.Now())
-	var c Command
-	k.state, c = k.state.Step(m)
-	if after, is := k.state.Held(time.Now()); was != is || is && before != after {
-		k.log.Info().Uint64("epoch", after).Bool("held", is).Msg("lease")
-	}
-	return c
-}
-
-// do makes the call that a step asked for and steps on with its answer.
-func (k *Keeper) do(ctx context.Context, c Command) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	for c.Read || c.Write != nil {
-		if c.Write != nil {
-			c = k.write(ctx, *c.Write, c.Tag)
-			continue
+// find returns the site of the smallest block that holds an address.
+func (b bucket[A]) find(a A) (uint16, bool) {
+	low, high := 0, len(b)
+	for low < high {
+		if middle := (low + high) / 2; b[middle].start.compare(a) <= 0 {
+			low = middle + 1
+		} else {
+			high = middle
 		}
-		m, ok := k.read(ctx)
-		if !ok {
-			return
+	}
+	for at := uint32(low); at > 0; at = b[at-1].parent {
+		if r := b[at-1]; r.holds(a) {
+			return r.site, true
 		}
-		c = k.step(m)
 	}
+	return 0, false
 }
 
-func (k *Keeper) read(ctx context.Context) (Read, bool) {
-	o, err := k.store.Get(ctx, Key)
-	if yuccafault.Is(err, yuccafault.Missing) {
-		return Read{Now: time.Now()}, true
-	}
-	if err != nil {
-		return Read{}, false
-	}
-	// An object that cannot be read is as good as a lease that was given back.
-	r, _ := decode(o)
-	return Read{Now: time.Now(), Record: r, Tag: o.Tag}, true
+// change sets a block's site or removes the block.
+type change[A address[A]] struct {
+	row[A]
+	gone bool
 }
 
-// write makes a conditional write and settles it.
-func (k *Keeper) write(ctx context.Context, r Record, tag string) Command {
-	value, err := json.Marshal(r)
-	if err != nil {
-		return Command{}
+// with returns the bucket with changes made; of several on the same block the
+// last counts.
+func (b bucket[A]) with(changes []change[A]) bucket[A] {
+	rows := make([]row[A], 0, len(b)+len(changes))
+	for i := len(changes) - 1; i >= 0; i-- {
+		rows = append(rows, changes[i].row)
 	}
-	o, outcome, _ := yuccastore.Settle(ctx, k.store, Key, value, yuccastore.Cond{Tag: tag, Absent: tag == ""}, func(o yuccastore.Object) bool {
-		found, ok := decode(o)
-		return ok && found == r
-	})
-	return k.step(Wrote{Record: r, Tag: o.Tag, Won: outcome == yuccastore.Written, Lost: outcome == yuccastore.Lost})
+	rows = newBucket(append(rows, b...))
+	return newBucket(slices.DeleteFunc(rows, func(r row[A]) bool { return removed(changes, r) }))
 }
 
-func decode(o yuccastore.Object) (Record, bool) {
-	var r Record
-	err := json.Unmarshal(o.Value, &r)
-	return r, err == nil
+func removed[A address[A]](changes []change[A], r row[A]) bool {
+	for i := len(changes) - 1; i >= 0; i-- {
+		if compareRows(changes[i].row, r) == 0 {
+			return changes[i].gone
+		}
+	}
+	return false
 }
