--- a/core/yuccaplan/budget.go
+++ b/core/yuccaplan/budget.go
@@ -18,7 +18,9 @@
 
 // claim is what one entry has of a place and what it shall have.
 type claim struct {
-	entry  Member
+	entry Member
+	// member is the entry's place among the members.
+	member int
 	place  place
 	last   Budget
 	had    bool
@@ -48,16 +50,22 @@
 	return slices.DeleteFunc(claims, func(c claim) bool { return c.granted == 0 && !c.had })
 }
 
+// claims joins the members with what the last plan gave them.
 func (w *world) claims(p place, parts map[string]spread) []claim {
 	claims := make([]claim, len(w.members))
+	rows := w.rows[p]
 	for i, m := range w.members {
-		last, had := w.in.Last.Budget(m.Name, p.service, p.region)
-		claims[i] = claim{entry: m, place: p, last: last, had: had}
-		if !m.Gone.IsZero() {
-			continue
+		c := &claims[i]
+		c.entry, c.member, c.place = m, i, p
+		for len(rows) > 0 && w.in.Last.Budgets[rows[0]].Entry < m.Name {
+			rows = rows[1:]
+		}
+		if len(rows) > 0 && w.in.Last.Budgets[rows[0]].Entry == m.Name {
+			c.last, c.had = w.in.Last.Budgets[rows[0]], true
+		}
+		if m.Gone.IsZero() {
+			c.weight = parts[m.Region][p.region].float() * w.level(m, p)
 		}
-		n := parts[m.Region][p.region].float()
-		claims[i].weight = n * w.level(m, p)
 	}
 	return claims
 }
@@ -205,7 +213,7 @@
 
 // empty reports whether a budget allows nothing and never did.
 func (b Budget) empty() bool {
-	return b == Budget{Entry: b.Entry, Service: b.Service, Region: b.Region}
+	return b.Slots == 0 && b.Reserve == 0 && b.Rate == 0 && b.Past == Past{}
 }
 
 // past joins what the last plan allowed to what those before it did, where the
--- a/core/yuccaplan/make.go
+++ b/core/yuccaplan/make.go
@@ -94,24 +94,45 @@
 	return estimate
 }
 
+// allBudgets divides every place over the members and every link over the
+// budgets that use it.
 func (w *world) allBudgets(parts map[string]map[string]spread) []Budget {
-	var claims []claim
-	for _, s := range w.in.Rules.Services {
-		for _, r := range w.in.Rules.Regions {
-			claims = append(claims, w.budgets(place{s.Name, r.Name}, parts[s.Name])...)
+	claims := make([]claim, 0, len(w.in.Last.Budgets))
+	for _, p := range w.places() {
+		if w.capacity[p] > 0 || len(w.rows[p]) > 0 {
+			claims = append(claims, w.budgets(p, parts[p.service])...)
 		}
 	}
 	w.rates(claims)
-	all := make([]Budget, 0, len(claims))
-	for _, c := range claims {
-		if b := w.budget(c); !b.empty() {
-			all = append(all, b)
+	return w.ordered(claims)
+}
+
+// places returns every service in every region, ordered.
+func (w *world) places() []place {
+	all := make([]place, 0, len(w.in.Rules.Services)*len(w.in.Rules.Regions))
+	for _, s := range w.in.Rules.Services {
+		for _, r := range w.in.Rules.Regions {
+			all = append(all, place{s.Name, r.Name})
 		}
 	}
-	slices.SortFunc(all, compareBudgets)
+	slices.SortFunc(all, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.region, b.region))
+	})
 	return all
 }
 
+// ordered writes the budgets of claims that are ordered by place.
+func (w *world) ordered(claims []claim) []Budget {
+	byMember := make([][]Budget, len(w.members))
+	for i := range claims {
+		if b := w.budget(claims[i]); !b.empty() {
+			m := claims[i].member
+			byMember[m] = append(byMember[m], b)
+		}
+	}
+	return slices.Concat(byMember...)
+}
+
 // settled marks the moves that are now known to be in force everywhere.
 func (w *world) settled() []Move {
 	moves := slices.Clone(w.in.Last.Moves)
--- a/core/yuccaplan/ramp.go
+++ b/core/yuccaplan/ramp.go
@@ -52,6 +52,10 @@
 		r.now = w.base(s, from)
 	}
 	r.left = r.now.towards(target)
+	if w.frozen(s.Name) {
+		// What was sent away to make room for the event comes back after it.
+		r.left -= max(0, target[from]-r.now[from])
+	}
 	if r.left == 0 || w.small(s, from, r, target) {
 		r.left = 0
 		return r
--- /dev/null
+++ b/core/yuccaplan/simulate_test.go
@@ -0,0 +1,148 @@
+package yuccaplan_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccawell.example/core/yuccaplan"
+	"yuccawell.example/core/yuccarule"
+	"yuccawell.example/core/yuccastore"
+	"yuccawell.example/core/yuccaview"
+)
+
+const archiveRules = `region palermo domains=p # t
+region catania domains=c # t
+region agrigento domains=a # t
+link palermo catania cap=4Gbit # t
+link palermo agrigento cap=4Gbit # t
+link catania agrigento cap=4Gbit # t
+service recordings host=r regions=palermo,catania,agrigento # t
+cap recordings step=10% every=1m # t
+`
+
+var noon = time.Date(2027, 3, 27, 12, 0, 0, 0, time.UTC)
+
+// archive returns a fleet of 7 entries and 12 servers with 3 slots each, with a
+// plan that has been in force for an hour and a load of 3 requests a region.
+func archive(c testing.TB, extra string) yuccaplan.Input {
+	in := yuccaplan.Input{Now: noon.Add(-time.Hour), Rules: parse(c, archiveRules), Version: 1, View: yuccaview.New(archiveList())}
+	in.Last = yuccaplan.Make(in)
+	in.Now, in.Rules, in.Version = noon, parse(c, archiveRules+extra), 2
+	in.Load = archiveLoad(3)
+	for _, e := range in.View.Entries() {
+		in.Acks = append(in.Acks, yuccaplan.Ack{Entry: e.Name, Version: in.Last.Version})
+	}
+	return in
+}
+
+func parse(c testing.TB, text string) yuccarule.Rules {
+	rules, faults := yuccarule.Parse("r", []byte(text))
+	qt.Assert(c, faults, qt.HasLen, 0)
+	return rules
+}
+
+func archiveList() []yuccastore.Instance {
+	regions := []string{"palermo", "catania", "agrigento"}
+	var list []yuccastore.Instance
+	for i := range 7 {
+		list = append(list, yuccastore.Instance{Name: fmt.Sprint("e", i), Kind: yuccastore.Entry, Region: regions[i%3]})
+	}
+	for i := range 12 {
+		list = append(list, yuccastore.Instance{Name: fmt.Sprint("s", i), Kind: yuccastore.Server, Region: regions[i%3], Slots: 3, Services: []string{"recordings"}})
+	}
+	return list
+}
+
+func archiveLoad(busy float64) []yuccaplan.Demand {
+	var all []yuccaplan.Demand
+	for i, r := range []string{"palermo", "catania", "agrigento"} {
+		all = append(all, yuccaplan.Demand{Entry: fmt.Sprint("e", i), Service: "recordings", Region: r, Busy: busy, Bytes: busy * 1e6, Latency: 50 * time.Millisecond})
+	}
+	return all
+}
+
+func causes(f yuccaplan.Forecast) []yuccaplan.Cause {
+	var all []yuccaplan.Cause
+	for _, w := range f.Warnings {
+		all = append(all, w.Cause)
+	}
+	return all
+}
+
+// TestDrainEndsAsItsCapAllows drains a region at 7.5% a minute, a quarter of the
+// cap being left to spilling.
+func TestDrainEndsAsItsCapAllows(t *testing.T) {
+	c := qt.New(t)
+	f := yuccaplan.Simulate(archive(t, "drain region catania # t\n"), time.Hour)
+	c.Assert(f.Ended, qt.IsTrue)
+	c.Assert(causes(f), qt.HasLen, 0)
+	c.Assert(f.Drains, qt.HasLen, 1)
+	took := f.Drains[0].End.Sub(noon)
+	c.Assert(took > 10*time.Minute && took < 30*time.Minute, qt.IsTrue, qt.Commentf("%s", took))
+	c.Logf("drain of a region at 10%% a minute takes %s in %d steps", took, len(f.Steps))
+}
+
+// TestDrainBeforeEventIsReported checks the figures of a drain that an event
+// freezes.
+func TestDrainBeforeEventIsReported(t *testing.T) {
+	c := qt.New(t)
+	f := yuccaplan.Simulate(archive(t, "drain region catania # t\nevent vigil service=recordings start=2027-03-27T13:00:00Z lead=52m length=1h factor=1 # t\n"), 6*time.Hour)
+	c.Assert(causes(f), qt.Contains, yuccaplan.Collision)
+	w := f.Warnings[slices.Index(causes(f), yuccaplan.Collision)]
+	c.Assert(w.Event, qt.Equals, "vigil")
+	c.Assert(w.At, qt.Equals, noon.Add(8*time.Minute))
+	c.Assert(w.Need > w.Have, qt.IsTrue)
+	c.Log(w.Text)
+	for _, s := range f.Steps[1:] {
+		frozen := !s.At.Before(noon.Add(8*time.Minute)) && s.At.Before(noon.Add(2*time.Hour))
+		c.Assert(frozen, qt.IsFalse, qt.Commentf("a move at %s", s.At))
+	}
+	c.Assert(f.Drains[0].End.After(noon.Add(2*time.Hour)), qt.IsTrue)
+}
+
+// TestRoomIsMadeBeforeEvent sends away what a region cannot take of a peak, and
+// is done before the moves are frozen.
+func TestRoomIsMadeBeforeEvent(t *testing.T) {
+	c := qt.New(t)
+	in := archive(t, "event vigil service=recordings start=2027-03-27T14:00:00Z lead=30m length=1h factor=6 # t\n")
+	in.Load[1].Busy, in.Load[2].Busy = 0.2, 0.2
+	f := yuccaplan.Simulate(in, 12*time.Hour)
+	at := noon.Add(90 * time.Minute)
+	share := 1.0
+	for _, s := range f.Steps {
+		for _, r := range s.Routes {
+			if r.From == "palermo" && s.At.Before(at) {
+				share = r.Shares[slices.IndexFunc(r.Shares, func(s yuccaplan.Share) bool { return s.Region == "palermo" })].Part
+			}
+		}
+	}
+	c.Assert(3*6*share <= 12, qt.IsTrue, qt.Commentf("palermo keeps %f", share))
+	c.Assert(causes(f), qt.Not(qt.Contains), yuccaplan.Collision)
+	last := f.Steps[len(f.Steps)-1].Routes
+	c.Assert(last[len(last)-1].Shares, qt.DeepEquals, []yuccaplan.Share{{Region: "palermo", Part: 1}})
+}
+
+// TestOverloadIsReported checks the figures of a peak that nothing can take.
+func TestOverloadIsReported(t *testing.T) {
+	c := qt.New(t)
+	f := yuccaplan.Simulate(archive(t, "event vigil service=recordings start=2027-03-27T14:00:00Z lead=30m length=1h factor=6 # t\n"), 12*time.Hour)
+	c.Assert(causes(f), qt.Contains, yuccaplan.Overload)
+	w := f.Warnings[slices.Index(causes(f), yuccaplan.Overload)]
+	c.Assert([]float64{w.Need, w.Have}, qt.DeepEquals, []float64{18, 12})
+}
+
+// TestSimulationChangesNothing checks that the input is as it was.
+func TestSimulationChangesNothing(t *testing.T) {
+	c := qt.New(t)
+	in := archive(t, "drain region catania # t\n")
+	before, _ := json.Marshal(in)
+	first := yuccaplan.Simulate(in, time.Hour)
+	c.Assert(yuccaplan.Simulate(in, time.Hour), qt.DeepEquals, first)
+	after, _ := json.Marshal(in)
+	c.Assert(string(after), qt.Equals, string(before))
+}
--- a/core/yuccaplan/target.go
+++ b/core/yuccaplan/target.go
@@ -37,6 +37,9 @@
 		t[from] -= n
 		t[shift.To] += n
 	}
+	if w.frozen(s.Name) {
+		return t
+	}
 	return w.relieved(s, from, t)
 }
 
--- a/core/yuccaplan/world.go
+++ b/core/yuccaplan/world.go
@@ -29,6 +29,8 @@
 	// booked is the rate of bytes by the link they come over.
 	booked map[direction]float64
 	links  map[direction]float64
+	// rows are the last plan's budgets of each place, in order of entry.
+	rows map[place][]int
 	// normal is the baselines of this plan.
 	normal []Baseline
 }
@@ -62,6 +64,11 @@
 	w.readLoad()
 	w.links = linkCaps(in.Rules)
 	w.expectAll()
+	w.rows = map[place][]int{}
+	for i, b := range in.Last.Budgets {
+		p := place{b.Service, b.Region}
+		w.rows[p] = append(w.rows[p], i)
+	}
 	return w
 }
 
