A slow or silent server is kept until another has taken a download over

Cause: a server that knows no ranges was given up on after a second of silence; BenchmarkMemory (36 streams of 256 MiB, server without ranges) failed on cut bodies. Change: the present connection is closed only when another server has answered with the rest of the same body; otherwise it is read on.

--- a/core/yuccarelay/exchange.go
+++ b/core/yuccarelay/exchange.go
@@ -28,6 +28,7 @@
 var (
 	errSwitch  = errors.New("server switched protocols unasked")
 	errInterim = errors.New("too many interim answers")
+	errStalled = errors.New("server is silent")
 	errCaller  = errors.New("the caller's body ended early")
 )
 
@@ -186,12 +187,22 @@
 		x.left -= int64(n)
 	}
 	err = x.bodyError(err)
+	if x.stalled(err) {
+		return n, errStalled
+	}
 	if err != nil {
 		x.finish(unlessEnd(err))
 	}
 	return n, err
 }
 
+// stalled reports whether the server was silent for a shorter time than would
+// end the exchange: the body may still go on.
+func (x *exchange) stalled(err error) bool {
+	late := !x.deadline.IsZero() && !time.Now().Before(x.deadline)
+	return isTimeout(err) && x.stall < stallTimeout && !late
+}
+
 // bodyError turns the error of a read into io.EOF when the body is whole, and
 // into io.ErrUnexpectedEOF when it was cut short.
 func (x *exchange) bodyError(err error) error {
--- a/core/yuccarelay/resume.go
+++ b/core/yuccarelay/resume.go
@@ -91,33 +91,39 @@
 	median, known := rates.Quantile(r.task.service, 0.5)
 	rates.Observe(time.Now(), r.task.service, took)
 	r.bytes, r.blocked = 0, 0
-	return known && long && took > slowFactor*median && r.tries < maxResumes
+	return known && long && took > slowFactor*median && !r.spent()
 }
 
+// spent reports whether no further server is asked.
+func (r *resume) spent() bool { return r.tries >= maxResumes }
+
 // next returns the rest of the body from another server, after the first count
-// bytes; nil when there is none.
-func (r *resume) next(count int64) *exchange {
+// bytes; nil when there is none. It waits for a free slot, and asks several
+// servers, only when told to.
+func (r *resume) next(count int64, waits bool) *exchange {
 	if r == nil {
 		return nil
 	}
+	r.bytes, r.blocked = 0, 0
 	start := r.base + count
-	for ; r.tries < maxResumes && start <= r.last; r.tries++ {
-		ticket, ok := r.choose()
+	for !r.spent() && start <= r.last {
+		r.tries++
+		ticket, ok := r.choose(waits)
 		if !ok {
 			return nil
 		}
 		if x := r.from(ticket, start); x != nil {
-			r.tries++
-			r.bytes, r.blocked = 0, 0
 			return x
 		}
+		if !waits {
+			return nil
+		}
 	}
 	return nil
 }
 
-// choose returns another server within the retry budget. It waits for a free
-// slot: the caller has a part of the body already.
-func (r *resume) choose() (yuccapick.Ticket, bool) {
+// choose returns another server within the retry budget.
+func (r *resume) choose(waits bool) (yuccapick.Ticket, bool) {
 	t := r.task
 	if !t.relay.services.Update(time.Now(), t.service, yuccaretry.Retry) {
 		return yuccapick.Ticket{}, false
@@ -134,6 +140,9 @@
 		default:
 			return yuccapick.Ticket{}, false
 		}
+		if !waits {
+			return yuccapick.Ticket{}, false
+		}
 		select {
 		case <-pause.C:
 		case <-t.work.Done():
--- a/core/yuccarelay/stream.go
+++ b/core/yuccarelay/stream.go
@@ -48,29 +48,40 @@
 		if s.held != nil {
 			s.held.add(p[:n])
 		}
-		switch {
-		case err == io.EOF:
+		if err == io.EOF {
 			s.finish(nil)
 			return n, err
-		case err == nil && s.resume.slow(n, time.Since(asked)):
-			_ = s.x.Close()
-			err = io.ErrUnexpectedEOF
 		}
-		if err == nil {
-			return n, nil
+		if err == nil && s.resume.slow(n, time.Since(asked)) {
+			err = errStalled
 		}
-		x := s.resume.next(s.count)
-		if x == nil {
+		if err != nil && !s.carryOn(err) {
 			s.finish(err)
 			return n, err
 		}
-		s.x = x
 		if n > 0 {
 			return n, nil
 		}
 	}
 }
 
+// carryOn reports whether the body goes on. A server that is only slow or silent
+// is kept until another has taken over.
+func (s *stream) carryOn(err error) bool {
+	waits := err != errStalled
+	x := s.resume.next(s.count, waits)
+	switch {
+	case x != nil:
+		_ = s.x.Close()
+		s.x = x
+	case waits:
+		return false
+	case s.resume.spent():
+		s.x.stall = stallTimeout
+	}
+	return true
+}
+
 // Close ends the stream; a body that was not read whole counts as broken.
 func (s *stream) Close() error {
 	s.finish(io.ErrUnexpectedEOF)
