--- a/core/yuccarelay/bench_test.go
+++ b/core/yuccarelay/bench_test.go
@@ -35,7 +35,7 @@
 	group.Go(func() error { return server.Serve(l) })
 	w = &world{}
 	w.open(b, yuccarelay.Options{}, []place{{l.Addr().String(), 512}})
-	straight = &fasthttp.HostClient{Addr: l.Addr().String()}
+	straight = &fasthttp.HostClient{Addr: l.Addr().String(), Dial: func(addr string) (net.Conn, error) { return net.Dial("tcp", addr) }}
 	b.Cleanup(func() {
 		straight.CloseIdleConnections()
 		_ = server.Shutdown()
