A stopping entry ends connections by answer; folded header lines are refused

(2) Requests with folded header lines were passed on; the test missed it most times, because its half-close counted as a hang-up. Change: answers of a stopping entry carry Connection: close; header lines of requests are checked as those of answers are. The demo's callers repeat an order under its key.

--- a/core/yuccafront/front.go
+++ b/core/yuccafront/front.go
@@ -105,12 +105,17 @@
 // Leaving reports whether the entry is stopping.
 func (f *Front) Leaving() bool { return f.leaving.Load() }
 
+// serve answers one request. An entry that is stopping ends each connection
+// with an answer that says so, which a caller cannot mistake for a failure.
 func (f *Front) serve(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) == wherePath {
 		f.where(ctx)
-		return
+	} else {
+		f.relay(ctx)
+	}
+	if f.leaving.Load() {
+		ctx.SetConnectionClose()
 	}
-	f.relay(ctx)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/core/yuccarelay/guard_test.go
+++ b/core/yuccarelay/guard_test.go
@@ -1,6 +1,7 @@
 package yuccarelay_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -258,6 +259,24 @@
 	c.Assert(w.ledger.Times("t"), qt.Equals, 0)
 }
 
+// TestRelayRefusesFoldedLines leaves the connection open, so that nothing but
+// the folded line can end the request.
+func TestRelayRefusesFoldedLines(t *testing.T) {
+	for _, fold := range []string{" ", "\t"} {
+		c := qt.New(t)
+		w := newWorld(t, yuccafake.Behaviour{Slots: 2})
+		conn, err := net.Dial("tcp", w.addr)
+		c.Assert(err, qt.IsNil)
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: s.example\r\nToken: t\r\nA: b\r\n"+fold+"c\r\n\r\n")
+		c.Assert(err, qt.IsNil)
+		var resp fasthttp.Response
+		c.Assert(resp.Read(bufio.NewReader(conn)), qt.IsNil)
+		c.Assert(resp.StatusCode(), qt.Equals, 400)
+		c.Assert(w.ledger.Times("t"), qt.Equals, 0)
+		_ = conn.Close()
+	}
+}
+
 // exchange sends bytes, closes its half and returns the first line that came
 // back.
 func exchange(t *testing.T, addr, text string) string {
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -73,6 +73,9 @@
 }
 
 func (t *task) prepare() error {
+	if err := checkFields(t.ctx.Request.Header.RawHeaders()); err != nil {
+		return yuccafault.Wrap(yuccafault.Malformed, err)
+	}
 	snapshot := t.relay.opt.Source.Snapshot()
 	if !snapshot.Ready() {
 		return yuccafault.New(yuccafault.Unready, "no rules yet")
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -119,7 +119,8 @@
 	}
 }
 
-// call makes one request, again on another entry where that is safe.
+// call makes one request, again on another entry where that is of use. A
+// request that must run once is repeated under the same key.
 func (c *caller) call() fate {
 	token := uuid.NewString()
 	entries := c.look()
@@ -135,7 +136,7 @@
 	return last
 }
 
-// try makes one try and reports whether another is safe.
+// try makes one try and reports whether another is of use.
 func (c *caller) try(entry, token string) (fate, bool) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -148,24 +149,25 @@
 	if c.set.Deadline > 0 {
 		req.Header.Set(yuccarelay.DeadlineHeader, time.Duration(c.set.Deadline).String())
 	}
-	repeat := c.set.Method != fasthttp.MethodPost
-	if !repeat {
+	once := c.set.Method == fasthttp.MethodPost
+	if once {
 		req.Header.Set(yuccarelay.KeyHeader, token)
 	}
 	err := c.client.DoTimeout(req, resp, callTimeout)
+	kind := string(resp.Header.Peek(yuccarelay.ErrorHeader))
 	switch {
-	case err != nil && (repeat || dialFailed(err)):
-		return lost, true
+	case err != nil && once && !dialFailed(err):
+		return unsure, true
 	case err != nil:
-		return unsure, false
+		return lost, true
 	case resp.StatusCode() == fasthttp.StatusOK:
 		return c.check(resp, token), false
 	case string(resp.Header.Peek(yuccarelay.RunHeader)) == "no":
-		return refused, string(resp.Header.Peek(yuccarelay.ErrorHeader)) != "shed"
-	case repeat:
-		return lost, true
+		return refused, kind != yuccafault.Shed.String()
+	case once:
+		return unsure, kind != yuccafault.Spent.String()
 	}
-	return unsure, false
+	return lost, true
 }
 
 func dialFailed(err error) bool {
