--- a/core/yuccaclaim/keeper_test.go
+++ b/core/yuccaclaim/keeper_test.go
@@ -254,6 +254,41 @@
 	b.ReportMetric(float64(unsettled.Load())/float64(b.N), "unsettled/op")
 }
 
+// BenchmarkOrders has callers who wait for each claim before the next, through
+// seven entries and a store that takes 3 ms, at the default pace.
+func BenchmarkOrders(b *testing.B) {
+	for _, callers := range []int{12, 48, 480} {
+		b.Run(fmt.Sprint("callers ", callers), func(b *testing.B) {
+			f := newFleet(b, 7, func(o *yuccaclaim.Options) { o.Pace, o.Keys = 0, 1<<30 })
+			f.platform.Fail(yuccafake.Faults{Slow: 3 * time.Millisecond})
+			ctx := context.Background()
+			var n atomic.Int64
+			var group errgroup.Group
+			begun := time.Now()
+			for range callers {
+				group.Go(func() error {
+					for i := n.Add(1); i <= int64(b.N); i = n.Add(1) {
+						if _, err := f.keepers[i%7].Begin(ctx, request(fmt.Sprint(i))); err != nil {
+							return err
+						}
+					}
+					return nil
+				})
+			}
+			if err := group.Wait(); err != nil {
+				b.Fatal(err)
+			}
+			took := time.Since(begun).Seconds()
+			calls := f.platform.Calls()
+			sum := float64(calls["put"] + calls["get"] + calls["delete"])
+			b.ReportMetric(sum/float64(b.N), "calls/op")
+			b.ReportMetric(sum/took, "calls/s")
+			b.ReportMetric(float64(b.N)/took, "claims/s")
+			b.ReportMetric(took*1000*float64(callers)/float64(b.N), "ms/claim")
+		})
+	}
+}
+
 func BenchmarkRepeat(b *testing.B) {
 	f := newFleet(b, 1, nil)
 	ctx := context.Background()
--- a/core/yuccapick/loan.go
+++ b/core/yuccapick/loan.go
@@ -26,20 +26,24 @@
 	// LoanTimeout is how long a borrower waits for a loan; a later one is not
 	// taken.
 	LoanTimeout = 500 * time.Millisecond
-	// settleTime is when a loan that the borrower doesn't know of is void.
-	settleTime = 4 * LoanTimeout
+	// settleTime is when a loan that the borrower hasn't told of becomes void.
+	settleTime = 2 * LoanTimeout
 )
 
 // peer is what is known of another entry.
 type peer struct {
 	run  uint64
 	free map[place]int
+	// waiting is how many requests wait there.
+	waiting map[place]int
 	// heldSequence is that of the last loan received; the borrowed slots are
 	// in held.
 	heldSequence uint64
 	held         map[*seat]int
-	// lentSequence is that of the last loan given, at lentAt.
+	// lentSequence is that of the last loan given, at lentAt; settled is the
+	// last one that the borrower has told of.
 	lentSequence uint64
+	settled      uint64
 	lentAt       time.Time
 	lent         map[*seat]int
 }
@@ -47,7 +51,7 @@
 func (c *Core) peer(name string) *peer {
 	p := c.peers[name]
 	if p == nil {
-		p = &peer{free: map[place]int{}, held: map[*seat]int{}, lent: map[*seat]int{}}
+		p = &peer{free: map[place]int{}, waiting: map[place]int{}, held: map[*seat]int{}, lent: map[*seat]int{}}
 		c.peers[name] = p
 	}
 	return p
@@ -284,8 +288,16 @@
 	other := c.peer(from)
 	c.notice(other, b.Run)
 	clear(other.free)
+	clear(other.waiting)
 	for _, s := range b.Spares {
-		other.free[place{s.Service, s.Region}] = int(s.Free)
+		at := place{s.Service, s.Region}
+		other.free[at], other.waiting[at] = int(s.Free), int(s.Waiting)
+	}
+	c.countOthers()
+	for _, v := range b.Voids {
+		if v.Entry == c.self {
+			other.heldSequence = max(other.heldSequence, v.Sequence)
+		}
 	}
 	mine := &Held{Lender: c.self}
 	for _, h := range b.Held {
@@ -296,12 +308,23 @@
 	c.settle(other, mine)
 }
 
-// settle takes the borrower's word on what it holds, once it has had every loan
-// or can have no more of them.
+// countOthers sums up what waits at other entries.
+func (c *Core) countOthers() {
+	for _, p := range c.order {
+		p.others = 0
+		for _, other := range c.peers {
+			p.others += other.waiting[p.place]
+		}
+	}
+}
+
+// settle takes the borrower's word on what it holds, once it has had the last
+// loan or its end.
 func (c *Core) settle(other *peer, h *Held) {
-	if h == nil || h.Sequence < other.lentSequence && c.now.Sub(other.lentAt) < settleTime {
+	if h == nil || h.Sequence < other.lentSequence {
 		return
 	}
+	other.settled = h.Sequence
 	for s, n := range other.lent {
 		kept := min(n, held(h, s))
 		s.lent -= n - kept
@@ -328,7 +351,7 @@
 		return
 	}
 	c.forgive(other)
-	*other = peer{run: run, free: map[place]int{}, held: map[*seat]int{}, lent: map[*seat]int{}}
+	*other = peer{run: run, free: map[place]int{}, waiting: map[place]int{}, held: map[*seat]int{}, lent: map[*seat]int{}}
 }
 
 func (c *Core) forgive(other *peer) {
@@ -377,6 +400,9 @@
 		}
 	}
 	for name, other := range c.peers {
+		if other.lentSequence > other.settled && c.now.Sub(other.lentAt) > settleTime {
+			b.Voids = append(b.Voids, &Void{Entry: name, Sequence: other.lentSequence})
+		}
 		if other.heldSequence > 0 {
 			b.Held = append(b.Held, c.heldOf(name, other))
 		}
--- a/entry/run.go
+++ b/entry/run.go
@@ -18,30 +18,38 @@
 	"yuccawell.example/core/yuccapoison"
 	"yuccawell.example/core/yuccarelay"
 	"yuccawell.example/core/yuccastore"
+	"yuccawell.example/core/yuccaview"
 )
 
 // probeTimeout bounds the question whether a server died.
 const probeTimeout = 250 * time.Millisecond
 
+// firstRate is how many calls a second the entry makes to the platform until it
+// knows how many entries there are.
+const firstRate = 20
+
 // run serves until ctx ends and then stops without cutting a request.
 func run(ctx context.Context, set settings, log zerolog.Logger) error {
 	log = log.With().Str("entry", set.Name).Logger()
-	store := yuccastore.NewHTTP(set.Store)
-	defer store.Close()
+	platform := yuccastore.NewHTTP(set.Store)
+	defer platform.Close()
+	store := yuccastore.NewLimited(platform, firstRate)
+	start := uint64(time.Now().UnixNano())
 	meter := yuccameter.New()
-	feed := yuccafeed.New(yuccafeed.Settings{Name: set.Name, Region: set.Region}, store, log)
-	picker := yuccapick.New(set.Name)
-	feed.Subscribe(func(s yuccafeed.Snapshot) { picker.Update(s.Plan, s.Rules, s.View) })
 	peers := yuccapeer.New(yuccapeer.Settings{
 		Name:   set.Name,
 		Domain: set.Domain,
 		Addr:   set.Peer,
-		Start:  uint64(time.Now().UnixNano()),
+		Start:  start,
 		Seeds:  set.Seeds,
 	}, log)
+	feed := yuccafeed.New(yuccafeed.Settings{Name: set.Name, Region: set.Region, Domain: set.Domain, Start: start}, store, peers, log)
+	picker := yuccapick.New(set.Name)
+	feed.Subscribe(func(s yuccafeed.Snapshot) { picker.Update(s.Plan, s.Rules, s.View) })
 	feed.Subscribe(func(s yuccafeed.Snapshot) { peers.Update(s.View.Entries()) })
+	sharer := yuccapick.NewSharer(picker, peers)
 	burn := yuccaburn.New(set.Name, peers, members(feed), log)
-	claims := yuccaclaim.New(yuccaclaim.Options{Store: store, Bus: peers, Self: set.Name, Members: members(feed), Log: log})
+	claims := yuccaclaim.New(yuccaclaim.Options{Store: platform, Bus: peers, Self: set.Name, Members: members(feed), Log: log})
 	poison := yuccapoison.New(yuccapoison.Options{Bus: peers, Self: set.Name, Members: members(feed), Alive: alive(feed), Log: log})
 	relay := yuccarelay.New(yuccarelay.Options{
 		Region:   set.Region,
@@ -68,9 +76,10 @@
 	kernel.Add("peer", peers)
 	kernel.Add("burn", burn)
 	kernel.Add("claims", claims)
+	kernel.Add("pick", sharer)
 	kernel.Add("feed", feed)
 	kernel.Add("front", front)
-	kernel.Add("leave", newLeave(set.Name, store, log))
+	kernel.Add("leave", newLeave(set.Name, start, store, feed, log))
 	return kernel.Run(ctx)
 }
 
@@ -111,6 +120,9 @@
 	Servers int    `json:"servers"`
 	// Use is how much of its budgets the entry uses.
 	Use []yuccafeed.Use `json:"use"`
+	// All says which versions each entry has in force, as far as this one
+	// knows.
+	All []yuccaview.Report `json:"all"`
 }
 
 func status(set settings, feed *yuccafeed.Feed, front *yuccafront.Front, picker *yuccapick.Picker) yuccadmin.Page {
@@ -127,6 +139,7 @@
 			Entries: len(s.View.Entries()),
 			Servers: len(s.View.Servers()),
 			Use:     yuccafeed.UseOf(s.Plan, set.Name, picker.Busy),
+			All:     feed.Reports(context.Background()),
 		}, nil
 	}
 }
