--- a/entry/run.go
+++ b/entry/run.go
@@ -12,22 +12,24 @@
 	"yuccawell.example/core/yuccafeed"
 	"yuccawell.example/core/yuccafront"
 	"yuccawell.example/core/yuccakernel"
+	"yuccawell.example/core/yuccalease"
 	"yuccawell.example/core/yuccameter"
 	"yuccawell.example/core/yuccapeer"
 	"yuccawell.example/core/yuccapick"
 	"yuccawell.example/core/yuccapoison"
+	"yuccawell.example/core/yuccaplan"
 	"yuccawell.example/core/yuccarelay"
 	"yuccawell.example/core/yuccastore"
 	"yuccawell.example/core/yuccaview"
 )
 
-// probeTimeout bounds the question whether a server died.
-const probeTimeout = 250 * time.Millisecond
-
 // firstRate is how many calls a second the entry makes to the platform until it
 // knows how many entries there are.
 const firstRate = 20
 
+// probeTimeout bounds the question whether a server died.
+const probeTimeout = 250 * time.Millisecond
+
 // run serves until ctx ends and then stops without cutting a request.
 func run(ctx context.Context, set settings, log zerolog.Logger) error {
 	log = log.With().Str("entry", set.Name).Logger()
@@ -65,20 +67,26 @@
 		Addr:   set.Addr,
 		TTL:    time.Duration(set.TTL),
 		Linger: time.Duration(set.Linger),
+		Full:   picker.Full,
 	}, feed, relay.Serve, log)
 
 	pages := map[string]yuccadmin.Page{
 		"/status": status(set, feed, front, picker),
 		"/burn":   func() (any, error) { return yuccaburn.Share(burn.Copies()) },
 	}
+	keeper := yuccalease.New(set.Name, start, store, feed, log)
+	planner := yuccafeed.NewPlanner(feed, store, keeper, makePlan, log)
+
 	kernel := yuccakernel.New(log)
 	kernel.Add("admin", yuccadmin.New(set.Admin, meter.Registry(), probe(feed, front), pages))
 	kernel.Add("peer", peers)
 	kernel.Add("burn", burn)
-	kernel.Add("claims", claims)
 	kernel.Add("pick", sharer)
+	kernel.Add("claims", claims)
 	kernel.Add("feed", feed)
 	kernel.Add("front", front)
+	kernel.Add("lease", keeper)
+	kernel.Add("plan", planner)
 	kernel.Add("leave", newLeave(set.Name, start, store, feed, log))
 	return kernel.Run(ctx)
 }
@@ -95,6 +103,18 @@
 	}, probeTimeout)
 }
 
+// makePlan is the planner's decision from what the entry knows.
+func makePlan(now time.Time, s yuccafeed.Snapshot, epoch uint64, last yuccaplan.Plan) yuccaplan.Plan {
+	return yuccaplan.Make(yuccaplan.Input{
+		Now:     now,
+		Rules:   s.Rules,
+		Version: s.Document.Version,
+		Epoch:   epoch,
+		View:    s.View,
+		Last:    last,
+	})
+}
+
 func probe(feed *yuccafeed.Feed, front *yuccafront.Front) yuccadmin.Probe {
 	return func() (bool, string) {
 		switch {
