--- /dev/null
+++ b/core/yuccafeed/capacity_test.go
@@ -0,0 +1,180 @@
+package yuccafeed_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccafake"
+	"yuccawell.example/core/yuccafeed"
+	"yuccawell.example/core/yuccalease"
+	"yuccawell.example/core/yuccapeer"
+	"yuccawell.example/core/yuccastore"
+)
+
+// capacityNode is an entry's part in control, over real connections.
+type capacityNode struct {
+	peers   *yuccapeer.Peers
+	feed    *yuccafeed.Feed
+	keeper  *yuccalease.Keeper
+	planner *yuccafeed.Planner
+	inForce chan time.Time
+}
+
+type capacityFleet struct {
+	platform *yuccafake.Platform
+	nodes    []*capacityNode
+	group    errgroup.Group
+}
+
+func newCapacityFleet(b *testing.B, domains, members int) *capacityFleet {
+	f := &capacityFleet{platform: yuccafake.NewPlatform()}
+	var list []yuccastore.Instance
+	for d := range domains {
+		for m := range members {
+			name, domain := fmt.Sprintf("e%d-%d", d, m), fmt.Sprint("d", d)
+			n := &capacityNode{inForce: make(chan time.Time, 100)}
+			n.peers = yuccapeer.New(yuccapeer.Settings{Name: name, Domain: domain, Addr: "127.0.0.1:0", Start: 1}, zerolog.Nop())
+			n.feed = yuccafeed.New(yuccafeed.Settings{Name: name, Region: "a", Domain: domain, Start: 1}, f.platform, n.peers, zerolog.Nop())
+			n.keeper = yuccalease.New(name, 1, f.platform, n.feed, zerolog.Nop())
+			n.planner = yuccafeed.NewPlanner(n.feed, f.platform, n.keeper, makePlan, zerolog.Nop())
+			version := uint64(0)
+			n.feed.Subscribe(func(s yuccafeed.Snapshot) {
+				n.peers.Update(s.View.Entries())
+				if s.Document.Version > version {
+					version = s.Document.Version
+					n.inForce <- time.Now()
+				}
+			})
+			if err := n.peers.Start(context.Background(), &f.group); err != nil {
+				b.Fatal(err)
+			}
+			f.nodes = append(f.nodes, n)
+			list = append(list, yuccastore.Instance{Name: name, Kind: yuccastore.Entry, Region: "a", Domain: domain, Peer: n.peers.Addr()})
+		}
+	}
+	list = append(list, yuccastore.Instance{Name: "s", Kind: yuccastore.Server, Region: "a", Slots: 9, Services: []string{"s"}})
+	f.platform.SetInstances(list...)
+	for _, n := range f.nodes {
+		_ = n.feed.Start(context.Background(), &f.group)
+		_ = n.keeper.Start(context.Background(), &f.group)
+		_ = n.planner.Start(context.Background(), &f.group)
+	}
+	return f
+}
+
+func (f *capacityFleet) stop() {
+	for _, n := range f.nodes {
+		_ = n.planner.Stop(context.Background())
+		_ = n.feed.Stop(context.Background())
+		_ = n.peers.Stop(context.Background())
+	}
+	var group errgroup.Group
+	for _, n := range f.nodes {
+		group.Go(func() error { return n.keeper.Stop(context.Background()) })
+	}
+	_ = group.Wait()
+	_ = f.group.Wait()
+}
+
+// use is what the fleet has used so far.
+type use struct {
+	at    time.Time
+	cpu   time.Duration
+	bytes []uint64
+	calls uint64
+}
+
+func (f *capacityFleet) use() use {
+	u := use{at: time.Now()}
+	var r syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r)
+	u.cpu = time.Duration(r.Utime.Nano() + r.Stime.Nano())
+	for _, n := range f.nodes {
+		t := n.peers.Traffic()
+		u.bytes = append(u.bytes, t.Sent+t.Received)
+	}
+	for _, n := range f.platform.Calls() {
+		u.calls += n
+	}
+	return u
+}
+
+// report prints what was used between two moments: bytes both ways of the mean
+// and the busiest entry, calls of all entries together and processor time.
+func report(b *testing.B, name string, from, to use) {
+	seconds := to.at.Sub(from.at).Seconds()
+	sum, most := 0.0, 0.0
+	for i := range from.bytes {
+		rate := float64(to.bytes[i]-from.bytes[i]) / seconds
+		sum, most = sum+rate, max(most, rate)
+	}
+	b.ReportMetric(sum/float64(len(from.bytes)), name+"-B/s")
+	b.ReportMetric(most, name+"-max-B/s")
+	b.ReportMetric(float64(to.calls-from.calls)/seconds, name+"-calls/s")
+	b.ReportMetric(100*(to.cpu-from.cpu).Seconds()/seconds/float64(len(from.bytes)), name+"-cpu%")
+}
+
+// change applies a version and returns how long each entry took to follow.
+func (f *capacityFleet) change(version uint64) []time.Duration {
+	start := time.Now()
+	_, _ = f.platform.Put(context.Background(), yuccafeed.RulesKey, document(version), yuccastore.Cond{})
+	took := make([]time.Duration, len(f.nodes))
+	for i, n := range f.nodes {
+		select {
+		case at := <-n.inForce:
+			took[i] = at.Sub(start)
+		case <-time.After(10 * time.Second):
+			took[i] = 10 * time.Second
+		}
+	}
+	return took
+}
+
+const (
+	capacityWarmUp = 12 * time.Second
+	capacityWindow = 8 * time.Second
+	capacityRounds = 8
+)
+
+// BenchmarkCapacity measures the control traffic of fleets of several shapes,
+// idle and with one change a second. Run it with -benchtime 1x.
+func BenchmarkCapacity(b *testing.B) {
+	for _, shape := range []struct{ domains, members int }{{7, 1}, {7, 8}, {8, 28}, {1, 56}, {1, 105}, {56, 2}} {
+		b.Run(fmt.Sprintf("domains=%d/members=%d", shape.domains, shape.members), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			f := newCapacityFleet(b, shape.domains, shape.members)
+			f.change(1)
+			time.Sleep(capacityWarmUp)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			memory := after.HeapAlloc + after.StackInuse - before.HeapAlloc - before.StackInuse
+			b.ReportMetric(float64(memory)/float64(len(f.nodes))/1e6, "MB")
+			idle := f.use()
+			time.Sleep(capacityWindow)
+			busy := f.use()
+			report(b, "idle", idle, busy)
+			var took []time.Duration
+			ticker := time.NewTicker(time.Second)
+			for v := range capacityRounds {
+				took = append(took, f.change(uint64(v+2))...)
+				<-ticker.C
+			}
+			ticker.Stop()
+			report(b, "busy", busy, f.use())
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "p50-ms")
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds())/1000, "p99-ms")
+			f.stop()
+		})
+	}
+}
--- a/core/yuccapeer/connect.go
+++ b/core/yuccapeer/connect.go
@@ -178,7 +178,7 @@
 	if err != nil {
 		return nil, yuccafault.Wrap(yuccafault.Unreachable, err)
 	}
-	return dialSession(conn, p.hello())
+	return dialSession(countedConn{conn, &p.counter}, p.hello())
 }
 
 func (p *Peers) hello() *Hello {
@@ -212,7 +212,7 @@
 }
 
 func (p *Peers) welcome(conn net.Conn) {
-	s, err := acceptSession(p.ctx, conn, p.hello())
+	s, err := acceptSession(p.ctx, countedConn{conn, &p.counter}, p.hello())
 	if err != nil {
 		if p.ctx.Err() == nil {
 			p.log.Warn().Err(err).Str("addr", conn.RemoteAddr().String()).Msg("peer_dropped")
--- a/core/yuccapeer/peers.go
+++ b/core/yuccapeer/peers.go
@@ -55,6 +55,7 @@
 	seen     *seen
 	seq      atomic.Uint64
 	dropped  atomic.Uint64
+	counter  counter
 
 	group  errgroup.Group
 	wake   chan struct{}
--- /dev/null
+++ b/core/yuccaview/bench_test.go
@@ -0,0 +1,40 @@
+package yuccaview_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"yuccawell.example/core/yuccastore"
+	"yuccawell.example/core/yuccaview"
+)
+
+// BenchmarkMembers measures what an entry does with the instances once a
+// second, and the platform's list as it travels.
+func BenchmarkMembers(b *testing.B) {
+	for _, size := range []int{7, 56, 590, 5900} {
+		list := fleet(size, 2*size)
+		for i := range list {
+			list[i].Domain = fmt.Sprint("d", i%56)
+			list[i].Region, list[i].Addr, list[i].Services = "palermo", "10.20.30.40:7101", []string{"search"}
+		}
+		m := yuccaview.NewMembers()
+		m.List(start, list)
+		for _, i := range list[:size] {
+			m.Beat(beat(i.Name, start))
+		}
+		b.Run(fmt.Sprintf("view/entries=%d", size), func(b *testing.B) {
+			for b.Loop() {
+				m.View(start)
+			}
+		})
+		b.Run(fmt.Sprintf("list/entries=%d", size), func(b *testing.B) {
+			body, _ := json.Marshal(list)
+			for b.Loop() {
+				var read []yuccastore.Instance
+				_ = json.Unmarshal(body, &read)
+			}
+			b.ReportMetric(float64(len(body)), "bytes")
+		})
+	}
+}
