--- a/core/yuccaplan/bench_test.go
+++ b/core/yuccaplan/bench_test.go
@@ -1,6 +1,7 @@
 package yuccaplan
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -75,6 +76,11 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(same(again, p), qt.IsTrue)
 	c.Logf("%d budgets and %d routes in %d bytes", len(p.Budgets), len(p.Routes), len(value))
+	plain, err := json.Marshal(p)
+	c.Assert(err, qt.IsNil)
+	again, err = Decode(plain)
+	c.Assert(err, qt.IsNil)
+	c.Assert(same(again, p), qt.IsTrue)
 	_, err = Decode([]byte("no plan"))
 	c.Assert(err, qt.ErrorMatches, "protocol: .*")
 }
--- a/core/yuccaplan/codec.go
+++ b/core/yuccaplan/codec.go
@@ -4,13 +4,11 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/json"
+	"io"
 
 	"yuccawell.example/core/yuccafault"
 )
 
-// Key is where the platform keeps the plan.
-const Key = "shared/plan"
-
 // Encode returns the plan as it is kept and passed on.
 func (p Plan) Encode() ([]byte, error) {
 	var out bytes.Buffer
@@ -24,14 +22,19 @@
 	return out.Bytes(), nil
 }
 
-// Decode reads a plan. The error is of kind Protocol.
+// Decode reads a plan, compressed or as plain JSON. The error is of kind
+// Protocol.
 func Decode(value []byte) (Plan, error) {
-	var p Plan
-	z, err := gzip.NewReader(bytes.NewReader(value))
-	if err != nil {
-		return Plan{}, yuccafault.New(yuccafault.Protocol, "plan: %w", err)
+	var in io.Reader = bytes.NewReader(value)
+	if !bytes.HasPrefix(value, []byte("{")) {
+		z, err := gzip.NewReader(in)
+		if err != nil {
+			return Plan{}, yuccafault.New(yuccafault.Protocol, "plan: %w", err)
+		}
+		in = z
 	}
-	if err := json.NewDecoder(z).Decode(&p); err != nil {
+	var p Plan
+	if err := json.NewDecoder(in).Decode(&p); err != nil {
 		return Plan{}, yuccafault.New(yuccafault.Protocol, "plan: %w", err)
 	}
 	return p, nil
--- a/core/yuccaplan/decide_test.go
+++ b/core/yuccaplan/decide_test.go
@@ -210,3 +210,19 @@
 	c.Assert(changes, qt.Equals, 0)
 	c.Assert(in.Last.Ramps, qt.HasLen, 0)
 }
+
+// TestPlanWithoutTimeDoesNotLapse covers a plan that every entry derives alike
+// while nobody can plan.
+func TestPlanWithoutTimeDoesNotLapse(t *testing.T) {
+	c := qt.New(t)
+	in := pair(t, "")
+	in.Now, in.Last = time.Time{}, Plan{}
+	p := Make(in)
+	c.Assert(p.Lapsed(driveStart), qt.IsFalse)
+	in.Last = p
+	c.Assert(Make(in).Version, qt.Equals, p.Version)
+	timed := Make(pair(t, ""))
+	b, ok := timed.BudgetAt(timed.Until, "e0", "s", "a")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(b.Slots, qt.Equals, b.Floor)
+}
--- a/core/yuccaplan/input.go
+++ b/core/yuccaplan/input.go
@@ -9,6 +9,7 @@
 
 // Input is everything a plan depends on.
 type Input struct {
+	// Now is the present time. Without one, the plan does not lapse.
 	Now time.Time
 	// Rules and Version are the rules in force.
 	Rules   yuccarule.Rules
--- a/core/yuccaplan/make.go
+++ b/core/yuccaplan/make.go
@@ -33,7 +33,10 @@
 
 // stamped completes a plan that differs from the last one.
 func (w *world) stamped(p Plan) Plan {
-	p.Version, p.Epoch, p.Made, p.Until = w.next, max(w.in.Epoch, w.in.Last.Epoch), w.now, w.now.Add(lifetime)
+	p.Version, p.Epoch, p.Made = w.next, max(w.in.Epoch, w.in.Last.Epoch), w.now
+	if !w.in.Now.IsZero() {
+		p.Until = w.now.Add(lifetime)
+	}
 	if w.in.Last.Known.IsZero() {
 		p.Known = w.now
 	}
@@ -206,7 +209,10 @@
 	return old
 }
 
-func (w *world) renewing() bool { return !w.now.Before(w.in.Last.Until.Add(-renewal)) }
+// renewing reports whether the last plan is to be replaced for its age.
+func (w *world) renewing() bool {
+	return !w.in.Last.Until.IsZero() && !w.now.Before(w.in.Last.Until.Add(-renewal))
+}
 
 func (w *world) moving(service string) bool {
 	return slices.ContainsFunc(w.in.Last.Ramps, func(r Ramp) bool { return r.Service == service })
--- a/ctl/plan.go
+++ b/ctl/plan.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccafeed"
 	"yuccawell.example/core/yuccaplan"
 	"yuccawell.example/core/yuccarule"
 	"yuccawell.example/core/yuccastore"
@@ -65,7 +66,7 @@
 		return in, err
 	}
 	in.View = yuccaview.New(list.Instances)
-	o, err := store.Get(ctx, yuccaplan.Key)
+	o, err := store.Get(ctx, yuccafeed.PlanKey)
 	if yuccafault.Is(err, yuccafault.Missing) {
 		return in, nil
 	}
