Measured demand and acknowledgements reach the planner

Cause: the planner's input had no load and no acknowledgements, so budgets did not follow demand and a ramp stopped after one step. Change: yuccademand tallies each entry's requests by service and region; the lease's holder asks the others every 2 s and hands the planner each measurement with its age; acknowledgements come from heartbeats.

--- /dev/null
+++ b/core/yuccademand/service_test.go
@@ -0,0 +1,76 @@
+package yuccademand_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccademand"
+	"yuccawell.example/core/yuccafake"
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccaplan"
+	"yuccawell.example/core/yuccarelay"
+)
+
+func TestMain(m *testing.M) { yuccafake.Main(m) }
+
+func TestTally(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(1000, 0)
+	busy := func(string, string) int { return 3 }
+	var tally yuccademand.Tally
+	c.Assert(tally.Cut(start, "e1", busy), qt.HasLen, 0)
+	for range 4 {
+		tally.Add(yuccarelay.Record{Service: "s", From: "a", Region: "b", Took: time.Second, Bytes: 100})
+	}
+	tally.Add(yuccarelay.Record{Service: "s", From: "a", Kind: yuccafault.Shed})
+	c.Assert(tally.Cut(start.Add(2*time.Second), "e1", busy), qt.DeepEquals, []yuccaplan.Demand{
+		{Entry: "e1", Service: "s", Region: "a", Busy: 3, Refused: 0.5},
+		{Entry: "e1", Service: "s", Region: "b", Busy: 3, Rate: 2, Bytes: 200, Latency: time.Second},
+	})
+	c.Assert(tally.Cut(start.Add(4*time.Second), "e1", busy), qt.HasLen, 0)
+}
+
+type holder bool
+
+func (h holder) Held() (uint64, bool) { return 1, bool(h) }
+
+// TestHolderGathers cuts an entry off and expects its last measurement to grow
+// old and then to end.
+func TestHolderGathers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx := context.Background()
+		net := yuccafake.NewNet()
+		names := []string{"e1", "e2"}
+		group := &errgroup.Group{}
+		services := map[string]*yuccademand.Service{}
+		for _, name := range names {
+			s := yuccademand.New(name, net.Bus(name), func() []string { return names }, holder(name == "e1"), func(string, string) int { return 1 }, zerolog.Nop())
+			c.Assert(s.Start(ctx, group), qt.IsNil)
+			services[name] = s
+		}
+		time.Sleep(yuccademand.Interval + time.Millisecond)
+		for range 4 {
+			services["e2"].Observe(yuccarelay.Record{Service: "s", From: "a", Region: "a"})
+			time.Sleep(yuccademand.Interval)
+		}
+		net.Cut("e2", true)
+		time.Sleep(time.Minute)
+		load := services["e1"].Load(time.Now())
+		c.Assert(load, qt.HasLen, 1)
+		c.Assert(load[0].Entry, qt.Equals, "e2")
+		c.Assert(load[0].Age >= time.Minute, qt.IsTrue, qt.Commentf("%s", load[0].Age))
+		time.Sleep(10 * time.Minute)
+		c.Assert(services["e1"].Load(time.Now()), qt.HasLen, 0)
+		for _, s := range services {
+			c.Assert(s.Stop(ctx), qt.IsNil)
+		}
+		c.Assert(group.Wait(), qt.IsNil)
+	})
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -8,6 +8,7 @@
 
 	"yuccawell.example/core/yuccaburn"
 	"yuccawell.example/core/yuccaclaim"
+	"yuccawell.example/core/yuccademand"
 	"yuccawell.example/core/yuccadmin"
 	"yuccawell.example/core/yuccafeed"
 	"yuccawell.example/core/yuccafront"
@@ -50,6 +51,8 @@
 	feed.Subscribe(func(s yuccafeed.Snapshot) { picker.Update(s.Plan, s.Rules, s.View) })
 	feed.Subscribe(func(s yuccafeed.Snapshot) { peers.Update(s.View.Entries()) })
 	sharer := yuccapick.NewSharer(picker, peers)
+	keeper := yuccalease.New(set.Name, start, store, feed, log)
+	demand := yuccademand.New(set.Name, peers, members(feed), keeper, picker.Busy, log)
 	burn := yuccaburn.New(set.Name, peers, members(feed), log)
 	claims := yuccaclaim.New(yuccaclaim.Options{Store: platform, Bus: peers, Self: set.Name, Members: members(feed), Log: log})
 	poison := yuccapoison.New(yuccapoison.Options{Bus: peers, Self: set.Name, Members: members(feed), Alive: alive(feed), Log: log})
@@ -57,7 +60,7 @@
 		Region:   set.Region,
 		Picker:   picker,
 		Source:   feed,
-		Observer: observers{meter, goals{feed, burn.Windows()}},
+		Observer: observers{meter, demand, goals{feed, burn.Windows()}},
 		Claims:   claims,
 		Poison:   poison,
 		Log:      log,
@@ -74,13 +77,13 @@
 		"/status": status(set, feed, front, picker),
 		"/burn":   func() (any, error) { return yuccaburn.Share(burn.Copies()) },
 	}
-	keeper := yuccalease.New(set.Name, start, store, feed, log)
-	planner := yuccafeed.NewPlanner(feed, store, keeper, makePlan, log)
+	planner := yuccafeed.NewPlanner(feed, store, keeper, plannerInput(feed, demand), log)
 
 	kernel := yuccakernel.New(log)
 	kernel.Add("admin", yuccadmin.New(set.Admin, meter.Registry(), probe(feed, front), pages))
 	kernel.Add("peer", peers)
 	kernel.Add("burn", burn)
+	kernel.Add("demand", demand)
 	kernel.Add("pick", sharer)
 	kernel.Add("claims", claims)
 	kernel.Add("feed", feed)
@@ -103,16 +106,32 @@
 	}, probeTimeout)
 }
 
-// makePlan is the planner's decision from what the entry knows.
-func makePlan(now time.Time, s yuccafeed.Snapshot, epoch uint64, last yuccaplan.Plan) yuccaplan.Plan {
-	return yuccaplan.Make(yuccaplan.Input{
-		Now:     now,
-		Rules:   s.Rules,
-		Version: s.Document.Version,
-		Epoch:   epoch,
-		View:    s.View,
-		Last:    last,
-	})
+// plannerInput returns the planner's decision from what the entry knows and
+// from what all entries report.
+func plannerInput(feed *yuccafeed.Feed, demand *yuccademand.Service) yuccafeed.Make {
+	return func(now time.Time, s yuccafeed.Snapshot, epoch uint64, last yuccaplan.Plan) yuccaplan.Plan {
+		return yuccaplan.Make(yuccaplan.Input{
+			Now:     now,
+			Rules:   s.Rules,
+			Version: s.Document.Version,
+			Epoch:   epoch,
+			View:    s.View,
+			Last:    last,
+			Load:    demand.Load(now),
+			Acks:    acks(feed),
+		})
+	}
+}
+
+// acks returns which plan each entry that was heard of has in force.
+func acks(feed *yuccafeed.Feed) []yuccaplan.Ack {
+	var all []yuccaplan.Ack
+	for _, r := range feed.Reports(context.Background()) {
+		if r.Plan > 0 {
+			all = append(all, yuccaplan.Ack{Entry: r.Name, Version: r.Plan, Age: time.Duration(r.Age * float64(time.Second))})
+		}
+	}
+	return all
 }
 
 func probe(feed *yuccafeed.Feed, front *yuccafront.Front) yuccadmin.Probe {
