A planner that takes over makes a plan; the lifetime is a minute again

Cause: the holder of a new epoch got the last plan with its old epoch back and would have written it at every turn. With a lifetime of 30 s a renewal fell into the five seconds in which TestPausedHolderWritesNothing expects no new version.

Change: a higher epoch makes a new plan. The lifetime is a minute, as before; the slots of a dead entry are idle for as long. That test rests on when renewals fall; it is left as it is.

Conclusion: a try with 30 s is taken back until renewals can be told from new decisions there.

--- a/core/yuccaplan/budget.go
+++ b/core/yuccaplan/budget.go
@@ -8,7 +8,7 @@
 
 const (
 	// lifetime is how long a plan holds without a later one.
-	lifetime = 30 * time.Second
+	lifetime = time.Minute
 	// renewal is how long before its end a plan is made anew.
 	renewal = lifetime / 2
 	// reserveShare is the part of a region's slots set aside for entries of
--- a/core/yuccaplan/decide_test.go
+++ b/core/yuccaplan/decide_test.go
@@ -226,3 +226,16 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(b.Slots, qt.Equals, b.Floor)
 }
+
+// TestPlannerThatTakesOverMakesAPlan changes the epoch and nothing else.
+func TestPlannerThatTakesOverMakesAPlan(t *testing.T) {
+	c := qt.New(t)
+	in := pair(t, "")
+	in.Last = Make(in)
+	in.Epoch = in.Last.Epoch + 1
+	p := Make(in)
+	c.Assert([]uint64{p.Version, p.Epoch}, qt.DeepEquals, []uint64{in.Last.Version + 1, in.Epoch})
+	c.Assert(same(p, in.Last), qt.IsTrue)
+	in.Last = p
+	c.Assert(Make(in).Version, qt.Equals, p.Version)
+}
--- a/core/yuccaplan/make.go
+++ b/core/yuccaplan/make.go
@@ -14,7 +14,8 @@
 }
 
 // Make returns the plan for an input. The same input gives the same plan. When
-// nothing has changed, it is the last plan itself, until that has to be renewed.
+// nothing has changed, it is the last plan itself, until that has to be renewed
+// or another planner takes over.
 func Make(in Input) Plan { return makePlan(in, options{}) }
 
 func makePlan(in Input, opt options) Plan {
@@ -25,7 +26,8 @@
 	p.Baselines = w.normal
 	parts := w.steer(&p)
 	p.Budgets = w.allBudgets(parts)
-	if !opt.noHysteresis && in.Last.Version > 0 && !w.renewing() && same(p, in.Last) {
+	settled := in.Last.Version > 0 && in.Epoch <= in.Last.Epoch && !w.renewing()
+	if !opt.noHysteresis && settled && same(p, in.Last) {
 		return in.Last
 	}
 	return w.stamped(p)
