--- a/entry/run.go
+++ b/entry/run.go
@@ -16,8 +16,8 @@
 	"yuccawell.example/core/yuccameter"
 	"yuccawell.example/core/yuccapeer"
 	"yuccawell.example/core/yuccapick"
-	"yuccawell.example/core/yuccapoison"
 	"yuccawell.example/core/yuccaplan"
+	"yuccawell.example/core/yuccapoison"
 	"yuccawell.example/core/yuccarelay"
 	"yuccawell.example/core/yuccastore"
 	"yuccawell.example/core/yuccaview"
@@ -51,7 +51,7 @@
 	feed.Subscribe(func(s yuccafeed.Snapshot) { peers.Update(s.View.Entries()) })
 	sharer := yuccapick.NewSharer(picker, peers)
 	burn := yuccaburn.New(set.Name, peers, members(feed), log)
-	claims := yuccaclaim.New(yuccaclaim.Options{Store: store, Bus: peers, Self: set.Name, Members: members(feed), Log: log})
+	claims := yuccaclaim.New(yuccaclaim.Options{Store: platform, Bus: peers, Self: set.Name, Members: members(feed), Log: log})
 	poison := yuccapoison.New(yuccapoison.Options{Bus: peers, Self: set.Name, Members: members(feed), Alive: alive(feed), Log: log})
 	relay := yuccarelay.New(yuccarelay.Options{
 		Region:   set.Region,
