Ambiguous requests are refused after all; the caller is watched after 1 ms

Cause: the table of ambiguous requests closed its half of the connection, so that the watch on the caller ended each request before it ran. Change: the check is back, the test keeps its half open (a request that is to end early excepted). The watch begins after a millisecond, or with a body that is not at hand, so that quick requests are spared it.

--- a/core/yuccarelay/exchange.go
+++ b/core/yuccarelay/exchange.go
@@ -152,6 +152,11 @@
 
 func (x *exchange) status() int { return x.head.StatusCode() }
 
+// arrived reports whether the whole body can be read without waiting.
+func (x *exchange) arrived() bool {
+	return x.left >= 0 && x.left <= int64(x.conn.r.Buffered())
+}
+
 // length returns the length of the body, -1 when it is not known.
 func (x *exchange) length() int {
 	return max(x.head.ContentLength(), chunked)
--- a/core/yuccarelay/fields.go
+++ b/core/yuccarelay/fields.go
@@ -5,19 +5,22 @@
 	"bytes"
 	"errors"
 	"strings"
+
+	"yuccawell.example/core/yuccafault"
 )
 
 var (
 	errField   = errors.New("header line is not a field")
 	errFraming = errors.New("body length is ambiguous")
+	errHost    = errors.New("not exactly one Host")
 	errHead    = errors.New("head is too long")
 )
 
-// checkFields refuses an answer's header lines that another reader could
-// understand in another way: folded lines, bare line feeds, several lengths, a length beside
+// checkFields refuses header lines that another reader could understand in
+// another way: folded lines, bare line feeds, several lengths, a length beside
 // chunks and other codings than chunked.
-func checkFields(raw []byte) error {
-	lengths, codings := 0, 0
+func checkFields(raw []byte, request bool) error {
+	lengths, codings, hosts := 0, 0, 0
 	for len(raw) > 0 {
 		line, rest, ok := bytes.Cut(raw, []byte("\r\n"))
 		raw = rest
@@ -40,11 +43,16 @@
 			if !strings.EqualFold(string(value), "chunked") {
 				return errFraming
 			}
+		case "host":
+			hosts++
 		}
 	}
 	if lengths+codings > 1 {
 		return errFraming
 	}
+	if request && hosts != 1 {
+		return errHost
+	}
 	return nil
 }
 
@@ -77,10 +85,15 @@
 		}
 		if end := bytes.Index(head, []byte("\r\n\r\n")); end >= 0 {
 			_, fields, _ := bytes.Cut(head[:end+2], []byte("\r\n"))
-			return checkFields(fields)
+			return checkFields(fields, false)
 		}
 		if bytes.Contains(head, []byte("\n\n")) {
 			return errField
 		}
 	}
 }
+
+// checkRequest refuses a request that could be understood in two ways.
+func checkRequest(raw []byte) error {
+	return yuccafault.Wrap(yuccafault.Malformed, checkFields(raw, true))
+}
--- a/core/yuccarelay/guard.go
+++ b/core/yuccarelay/guard.go
@@ -64,6 +64,7 @@
 	if t.idempotent || len(key) == 0 || t.relay.opt.Claims == nil {
 		return nil
 	}
+	t.watchCaller()
 	claim, err := t.relay.opt.Claims.Begin(t.work, yuccaclaim.Request{
 		Service:  t.service,
 		Key:      string(key),
--- a/core/yuccarelay/guard_test.go
+++ b/core/yuccarelay/guard_test.go
@@ -1,6 +1,7 @@
 package yuccarelay_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -234,8 +235,8 @@
 		{"two codings", post + host + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
 		{"other coding", post + host + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n"},
 		{"space before colon", post + host + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n"},
-		{"bare line feed", get + host + "A: b\nContent-Length: 4\r\n\r\n"},
-		{"bare line feeds", "GET / HTTP/1.1\nHost: s.example\nToken: t\n\n"},
+		{"bare line feed", get + host + "A: b\nContent-Length: 4\r\n\r\nbody"},
+		{"bare line feeds", "GET / HTTP/1.1\nHost: s.example\nToken: t\n\n\r\n\r\n"},
 		{"folded line", get + host + "A: b\r\n c\r\n\r\n"},
 		{"bare return", get + host + "A: b\rc\r\n\r\n"},
 		{"no colon", get + host + "A\r\n\r\n"},
@@ -251,24 +252,27 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			status := exchange(t, w.addr, test.request)
-			c.Assert(status == "" || strings.HasPrefix(status, "HTTP/1.1 4"), qt.IsTrue, qt.Commentf("%s", status))
+			status := exchange(t, w.addr, test.request, test.name == "short body")
+			// The connection may be reset before a huge head is read.
+			reset := status == "" && test.name == "huge head"
+			c.Assert(reset || strings.HasPrefix(status, "HTTP/1.1 4"), qt.IsTrue, qt.Commentf("%s", status))
 		})
 	}
 	c.Assert(w.ledger.Times("t"), qt.Equals, 0)
 }
 
-// exchange sends bytes, closes its half and returns the first line that came
-// back.
-func exchange(t *testing.T, addr, text string) string {
+// exchange sends bytes and returns the first line that came back. Both halves of
+// the connection stay open until then, unless the request is to end early.
+func exchange(t *testing.T, addr, text string, early bool) string {
 	conn, err := net.Dial("tcp", addr)
 	qt.Assert(t, err, qt.IsNil)
 	defer func() { _ = conn.Close() }()
 	_, _ = io.WriteString(conn, text)
-	_ = conn.(*net.TCPConn).CloseWrite()
-	answer, _ := io.ReadAll(conn)
-	line, _, _ := strings.Cut(string(answer), "\r\n")
-	return line
+	if early {
+		_ = conn.(*net.TCPConn).CloseWrite()
+	}
+	line, _ := bufio.NewReader(conn).ReadString('\n')
+	return strings.TrimSpace(line)
 }
 
 func TestRelayKeepsHopHeadersBack(t *testing.T) {
--- a/core/yuccarelay/stream.go
+++ b/core/yuccarelay/stream.go
@@ -36,6 +36,9 @@
 		s.finish(nil)
 		return
 	}
+	if !x.arrived() {
+		t.watchCaller()
+	}
 	t.ctx.Response.SetBodyStream(s, x.length())
 }
 
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -24,6 +24,8 @@
 	// server is asked.
 	hedgeQuantile = 0.99
 	minHedgeDelay = time.Millisecond
+	// watchDelay spares quick requests the watch on their callers.
+	watchDelay = time.Millisecond
 )
 
 // task is one request on its way.
@@ -55,6 +57,8 @@
 	attempts []*attempt
 	winner   *attempt
 	hedge    *time.Timer
+	// unwatched runs while the request is too young to watch its caller.
+	unwatched *time.Timer
 
 	mu   sync.Mutex
 	life yuccalife.Life
@@ -73,6 +77,9 @@
 }
 
 func (t *task) prepare() error {
+	if err := checkRequest(t.ctx.Request.Header.RawHeaders()); err != nil {
+		return err
+	}
 	snapshot := t.relay.opt.Source.Snapshot()
 	if !snapshot.Ready() {
 		return yuccafault.New(yuccafault.Unready, "no rules yet")
@@ -110,9 +117,6 @@
 func (t *task) run() {
 	t.life = yuccalife.New(t.idempotent)
 	t.relay.services.Update(t.arrived, t.service, yuccaretry.Request)
-	if t.body.whole() {
-		t.watch = watchCaller(t.ctx.Conn(), t.hangUp)
-	}
 	if err := t.guard(); err != nil {
 		k := yuccafault.KindOf(err)
 		t.answer(k, k.Row().Ran)
@@ -122,6 +126,7 @@
 		t.replay(t.claim.Replay)
 		return
 	}
+	t.unwatched = time.NewTimer(watchDelay)
 	cmd := t.step(yuccalife.Admitted{})
 	for {
 		switch cmd.Action {
@@ -159,6 +164,14 @@
 	return t.life.MayHaveRun()
 }
 
+// watchCaller starts to watch the caller's connection, unless its request is
+// still being read from it.
+func (t *task) watchCaller() {
+	if t.watch == nil && t.body.whole() {
+		t.watch = newWatch(t.ctx.Conn(), t.hangUp)
+	}
+}
+
 func (t *task) hangUp() {
 	close(t.gone)
 	t.cancel()
@@ -232,6 +245,8 @@
 			return t.settle(o)
 		case <-t.gone:
 			return yuccalife.HungUp{}
+		case <-t.unwatched.C:
+			t.watchCaller()
 		case <-hedge:
 			if t.second() {
 				return yuccalife.Hedged{}
@@ -324,8 +339,10 @@
 func (t *task) end(a *yuccaclaim.Answer) {
 	t.watch.stop()
 	t.cancel()
-	if t.hedge != nil {
-		t.hedge.Stop()
+	for _, timer := range []*time.Timer{t.hedge, t.unwatched} {
+		if timer != nil {
+			timer.Stop()
+		}
 	}
 	_ = t.group.Wait()
 	t.discard()
--- a/core/yuccarelay/watch.go
+++ b/core/yuccarelay/watch.go
@@ -17,9 +17,9 @@
 	group errgroup.Group
 }
 
-// watchCaller calls gone when the connection's other end closes it. It returns
+// newWatch calls gone when the connection's other end closes it. It returns
 // nil for a connection that cannot be watched.
-func watchCaller(c net.Conn, gone func()) *watch {
+func newWatch(c net.Conn, gone func()) *watch {
 	s, ok := c.(syscall.Conn)
 	if !ok {
 		return nil
