The call budget follows an entry's role

Cause: the rate was set only when the list changed, so an entry that stopped reading the platform kept a watcher's share and one that stood in had none.

Change: it is set with every heartbeat. Shown failing with that taken out: TestOthersReadWhenTheWatchersAreCutOff, which now asks for the shares.

--- a/core/yuccafeed/beat.go
+++ b/core/yuccafeed/beat.go
@@ -37,6 +37,7 @@
 	for ctx.Err() == nil {
 		f.Refresh()
 		f.decideRole(time.Now())
+		f.pace()
 		f.catchUp()
 		interval := f.interval()
 		f.tell(time.Now(), interval)
--- a/core/yuccafeed/fleet_test.go
+++ b/core/yuccafeed/fleet_test.go
@@ -24,6 +24,7 @@
 	yuccastore.Store
 	cut   atomic.Bool
 	lists atomic.Int64
+	pace  atomic.Int64
 }
 
 func (g *gate) err() error {
@@ -52,6 +53,9 @@
 	return g.Store.Instances(ctx)
 }
 
+// Pace implements the rate that a feed sets.
+func (g *gate) Pace(perSecond float64) { g.pace.Store(int64(perSecond)) }
+
 type node struct {
 	name string
 	feed *yuccafeed.Feed
@@ -177,6 +181,9 @@
 			}
 		}
 		c.Assert(cut, qt.Equals, yuccafeed.Watchers)
+		for _, n := range f.nodes {
+			c.Assert(n.gate.pace.Load(), qt.Equals, map[bool]int64{true: 300/6 + 500/4, false: 300 / 6}[n.gate.cut.Load()])
+		}
 		f.apply(1)
 		time.Sleep(7 * time.Second)
 		f.inForce(1)
--- a/core/yuccafeed/watch.go
+++ b/core/yuccafeed/watch.go
@@ -192,7 +192,6 @@
 	f.mu.Unlock()
 	if changed {
 		f.Refresh()
-		f.pace(list)
 		f.wake()
 	}
 }
@@ -208,9 +207,12 @@
 type pacer interface{ Pace(perSecond float64) }
 
 // pace divides the platform's rates over the entries of the list.
-func (f *Feed) pace(list []yuccastore.Instance) {
+func (f *Feed) pace() {
+	f.mu.Lock()
+	list := f.list
+	f.mu.Unlock()
 	p, ok := f.store.(pacer)
-	if !ok {
+	if !ok || len(list) == 0 {
 		return
 	}
 	entries, domains := 0, map[string]bool{}
