--- /dev/null
+++ b/entry/settings_test.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccaset"
+)
+
+func TestSettings(t *testing.T) {
+	tests := []struct {
+		name     string
+		old, new string
+		want     []string
+	}{
+		{"example", "", "", nil},
+		{"unknown key", "log    =", "lag    =", []string{"lag: unknown key"}},
+		{"no name", `name   = "e1"`, `name = ""`, []string{"name: missing"}},
+		{"no port", "127.0.1.1:7101", "127.0.1.1", []string{"addr: not an address"}},
+		{"name for an address", "127.0.1.1:7102", "localhost:7102", []string{"peer: not an address"}},
+		{"store without scheme", "http://127", "127", []string{"store: not an address"}},
+		{"short ttl", `"5s"`, `"10ms"`, []string{"ttl: too short"}},
+		{"negative linger", `"10s"`, `"-1s"`, []string{"linger: negative"}},
+		{"bad seed", "127.0.1.2:7102", "nowhere", []string{"seeds: not an address: nowhere"}},
+		{"not a duration", `"5s"`, `"soon"`, []string{"is not a duration"}},
+		{"all at once", "127.0.1.1", "x", []string{"addr: ", "peer: ", "admin: "}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			set := defaults()
+			err := yuccaset.Parse("entry.toml", []byte(strings.ReplaceAll(example, test.old, test.new)), &set)
+			if test.want == nil {
+				c.Assert(err, qt.IsNil)
+				return
+			}
+			c.Assert(yuccafault.Is(err, yuccafault.Refused), qt.IsTrue)
+			for _, want := range test.want {
+				c.Assert(err.Error(), qt.Contains, want)
+			}
+		})
+	}
+}
+
+func TestCommands(t *testing.T) {
+	tests := []struct {
+		args []string
+		exit int
+		want string
+	}{
+		{[]string{"settings"}, 0, ""},
+		{[]string{"run", "--settings", "no-such-file"}, 1, "read settings"},
+		{[]string{"run", "--nope"}, 2, "unknown flag"},
+		{[]string{"version"}, 0, ""},
+	}
+	for _, test := range tests {
+		t.Run(strings.Join(test.args, " "), func(t *testing.T) {
+			c := qt.New(t)
+			var out bytes.Buffer
+			cmd := command()
+			cmd.SetOut(&out)
+			cmd.SetArgs(test.args)
+			err := cmd.Execute()
+			c.Assert(yuccafault.KindOf(err).Row().Exit, qt.Equals, test.exit, qt.Commentf("%v", err))
+			if err != nil {
+				c.Assert(err.Error(), qt.Contains, test.want)
+			}
+		})
+	}
+}
--- a/standin/world.go
+++ b/standin/world.go
@@ -80,6 +80,8 @@
 	Admin  string `toml:"admin"`
 	TTL    string `toml:"ttl"`
 	Linger string `toml:"linger"`
+	// Seeds are other entries' peer addresses as this one reaches them.
+	Seeds []string `toml:"seeds"`
 }
 
 func worldCommand() *cobra.Command {
@@ -113,7 +115,9 @@
 		"yuccactl.toml": map[string]string{"store": "http://" + storeAddr(0), "by": "operations"},
 	}
 	for i := range worldEntries {
-		files[fmt.Sprintf("entry-%d.toml", i+1)] = d.entry(i)
+		e := d.entry(i)
+		e.Seeds = d.seeds(i)
+		files[fmt.Sprintf("entry-%d.toml", i+1)] = e
 	}
 	for name, content := range files {
 		text, err := toml.Marshal(content)
@@ -162,6 +166,29 @@
 	}
 }
 
+// seeds returns the peer addresses of the other entries as one of them reaches
+// them, those of its own region first.
+func (d deployment) seeds(i int) []string {
+	via := map[string]string{}
+	for _, c := range d.crossings() {
+		if c.from == i%len(d.regions) {
+			via[c.real] = c.via
+		}
+	}
+	var near, far []string
+	for j := range worldEntries {
+		peer := entryAddr(j, peerPort)
+		switch {
+		case j == i:
+		case d.region(j) == d.region(i):
+			near = append(near, peer)
+		default:
+			far = append(far, via[peer])
+		}
+	}
+	return append(near, far...)
+}
+
 // instances returns the list as the region of each instance sees it.
 func (d deployment) instances() []yuccastore.Instance {
 	var list []yuccastore.Instance
