Admission follows the plan: spill within its part, floor after a lapse, rates of links

Cause: admission spread a lost region's whole share over the others at once and spilled over every share, whatever the cap said; it read neither the plan's spill list and part nor its floor and link rates. Change: a request spills only to the regions that the plan names and only within the route's part; a lost region's other requests are refused; a lapsed plan leaves the floor; answers over links are admitted by the booked rate.

--- a/core/yuccapick/ask.go
+++ b/core/yuccapick/ask.go
@@ -41,6 +41,8 @@
 	Started time.Time
 
 	seat *seat
+	// booked is what the answer was expected to take over links, in bytes.
+	booked float64
 }
 
 // Result is what came of a ticket.
--- a/core/yuccapick/core.go
+++ b/core/yuccapick/core.go
@@ -24,13 +24,17 @@
 	nextID  uint64
 	out     []Command
 	now     time.Time
+	// lapsed is set when the plan has lapsed.
+	lapsed bool
+	// spills holds what each route may still spill, in requests.
+	spills map[place]*float64
 	tidied  time.Time
 }
 
 // NewCore returns the core of the named entry. The run tells this start of the
 // entry from earlier ones.
 func NewCore(self string, run uint64) *Core {
-	return &Core{self: self, run: run, servers: map[string]*server{}, pools: map[place]*pool{}, peers: map[string]*peer{}}
+	return &Core{self: self, run: run, servers: map[string]*server{}, pools: map[place]*pool{}, peers: map[string]*peer{}, spills: map[place]*float64{}}
 }
 
 // Commands returns what has to be done since the last call. The slice is valid
@@ -51,16 +55,17 @@
 	if !ok {
 		return Answer{Kind: yuccafault.Unknown}
 	}
-	first, spare := c.region(route, ask.Dice)
-	if first == nil {
-		return Answer{Kind: c.refusal(route)}
+	c.earn(route)
+	first := c.region(route, ask.Dice)
+	if first == nil || first.lost() && !first.tryLost(c.now) {
+		return c.elsewhere(route, first, ask)
 	}
-	if s := c.choose(first, ask, spare, 0); s != nil {
+	if s := c.choose(first, ask, false, 0); s != nil {
 		return c.take(s, ask)
 	}
 	wait := first.wait(1)
 	if wait > farCost || wait > first.patience(c.now) {
-		if s := c.spill(route, first, ask, spare); s != nil {
+		if s := c.spill(route, first, ask); s != nil {
 			return c.take(s, ask)
 		}
 	}
@@ -70,42 +75,30 @@
 	return c.enqueue(first, ask)
 }
 
-// region draws the region by the route's shares. A lost region's share is
-// spread over the others, and spare is set.
-func (c *Core) region(route yuccaplan.Route, dice uint64) (first *pool, spare bool) {
-	sum, live := 0.0, 0.0
-	for _, share := range route.Shares {
-		sum += share.Part
-		p := c.pools[place{route.Service, share.Region}]
-		if p == nil || p.lost() {
-			spare = spare || share.Part > 0
-			if p != nil && p.tryLost(c.now) {
-				return p, spare
-			}
-			continue
-		}
-		live += share.Part
+// elsewhere answers a request whose region is lost or that the plan has held.
+func (c *Core) elsewhere(route yuccaplan.Route, first *pool, ask Ask) Answer {
+	if s := c.spill(route, first, ask); s != nil {
+		return c.take(s, ask)
 	}
+	return Answer{Kind: c.refusal(route)}
+}
+
+// region draws the region by the route's shares, nil for the remainder and for
+// a region that the plan gives this entry nothing of.
+func (c *Core) region(route yuccaplan.Route, dice uint64) *pool {
 	at := unit(dice)
-	if at >= sum+shareError {
-		return nil, spare
-	}
-	if sum > 0 {
-		at *= live / sum
-	}
 	var last *pool
 	for _, share := range route.Shares {
-		p := c.pools[place{route.Service, share.Region}]
-		if p == nil || p.lost() {
-			continue
-		}
-		last = p
+		last = c.pools[place{route.Service, share.Region}]
 		if at < share.Part {
-			return p, spare
+			return last
 		}
 		at -= share.Part
 	}
-	return last, spare
+	if at < shareError {
+		return last
+	}
+	return nil
 }
 
 // shareError covers the rounding of shares that add up to one.
@@ -120,7 +113,7 @@
 
 // choose returns the seat to use, nil when there is none or waiting is better.
 func (c *Core) choose(p *pool, ask Ask, spare bool, extra time.Duration) *seat {
-	if p.busy >= p.limit(spare) {
+	if p.busy >= p.limit(spare) || !p.link.admits(c.now) {
 		return nil
 	}
 	s, cost := p.best(c.now, ask.Dice, ask.Avoid)
@@ -133,20 +126,6 @@
 	return s
 }
 
-// spill looks for a slot in the route's other regions.
-func (c *Core) spill(route yuccaplan.Route, first *pool, ask Ask, spare bool) *seat {
-	for _, share := range route.Shares {
-		p := c.pools[place{route.Service, share.Region}]
-		if p == nil || p == first || p.lost() {
-			continue
-		}
-		if s := c.choose(p, ask, spare, farCost); s != nil {
-			return s
-		}
-	}
-	return nil
-}
-
 func (c *Core) refusal(route yuccaplan.Route) yuccafault.Kind {
 	for _, share := range route.Shares {
 		if p := c.pools[place{route.Service, share.Region}]; p != nil && p.alive > 0 {
@@ -162,7 +141,7 @@
 	p.busy++
 	p.used = c.now
 	c.borrow(p)
-	return Answer{Ticket: Ticket{Service: p.service, Region: p.region, Server: s.Name, Addr: s.Addr, Started: ask.Now, seat: s}}
+	return Answer{Ticket: Ticket{Service: p.service, Region: p.region, Server: s.Name, Addr: s.Addr, Started: ask.Now, seat: s, booked: p.link.book()}}
 }
 
 func (c *Core) enqueue(p *pool, ask Ask) Answer {
@@ -188,6 +167,7 @@
 	}
 	s.busy--
 	s.pool.busy--
+	s.pool.link.settle(t.booked, r.Bytes)
 	s.learn(t.Started, r)
 	s.pool.learn(r)
 	if s.failures >= failuresToEject && !s.resting(c.now) && s.pool.mayEject(c.now) {
@@ -237,6 +217,7 @@
 		return
 	}
 	c.tidied = c.now
+	c.lapse()
 	for _, p := range c.order {
 		p.refresh(c.now, min(passed, time.Second))
 		c.giveBack(p)
@@ -252,7 +233,7 @@
 			continue
 		}
 		route, _ := c.plan.Route(w.ask.Service, w.ask.From)
-		s := c.spill(route, p, w.ask, false)
+		s := c.spill(route, p, w.ask)
 		if s == nil && p.busy < p.limit(false) {
 			s, _ = p.best(c.now, w.ask.Dice, w.ask.Avoid)
 		}
--- a/core/yuccapick/pool.go
+++ b/core/yuccapick/pool.go
@@ -41,6 +41,10 @@
 	weight  float64
 	budget  int
 	reserve int
+	// floor is the part of the budget that stays when the plan has lapsed.
+	floor int
+	// link books the bytes that come over links.
+	link link
 	// allowed is the part of the budget in use: a larger budget is used from
 	// raise on, when entries whose budget shrank have had time to follow.
 	allowed int
--- /dev/null
+++ b/core/yuccapick/spill_test.go
@@ -0,0 +1,170 @@
+package yuccapick_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccapick"
+	"yuccawell.example/core/yuccaplan"
+	"yuccawell.example/core/yuccarule"
+)
+
+// spilling returns a plan whose requests go to region b and may spill to a.
+func spilling(part float64) yuccaplan.Plan {
+	p := threePlan(0, 1, 0, 2)
+	p.Routes[0].Spill = []string{"a", "c"}
+	p.Routes[0].SpillPart = part
+	return p
+}
+
+// TestReserveIsForSpilledRequests loses the region of all requests. Those that
+// spill use the budget elsewhere and its reserve; the others are refused at
+// once, since moving them would break the cap.
+func TestReserveIsForSpilledRequests(t *testing.T) {
+	tests := []struct {
+		name string
+		lost bool
+		part float64
+		a, b int
+	}{
+		{"all there, nothing may spill", false, 0, 0, 4},
+		{"all there, all may spill when full", false, 1, 6, 4},
+		{"lost, all may spill", true, 1, 6, 0},
+		{"lost, a tenth may spill", true, 0.1, 4, 0},
+		{"lost, nothing may spill", true, 0, 0, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			core, view := threeRegions(0, 1, 0, 2)
+			if test.lost {
+				view = view.WithLeaving("b0", "b1")
+			}
+			plan := spilling(test.part)
+			plan.Routes[0].Spill = []string{"a"}
+			core.Update(plan, yuccarule.Rules{}, view)
+			count := map[string]int{}
+			for i := range 40 {
+				a := core.Ask(yuccapick.Ask{Now: start, Service: "s", From: "a", Dice: uint64(i) << 60})
+				if !a.Waiting && a.Kind == yuccafault.None {
+					count[a.Ticket.Region]++
+				}
+				qt.Assert(t, a.Waiting && test.lost, qt.IsFalse)
+			}
+			qt.Assert(t, count["a"], qt.Equals, test.a)
+			qt.Assert(t, count["b"], qt.Equals, test.b)
+		})
+	}
+}
+
+// TestSpillStaysWithinItsPart draws any load, with the region of all requests
+// full, lost or back, and counts what leaves it.
+func TestSpillStaysWithinItsPart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		part := float64(rapid.IntRange(0, 30).Draw(t, "percent")) / 100
+		core, whole := threeRegions(0, 1, 0, 2)
+		gone := whole.WithLeaving("b0", "b1")
+		core.Update(spilling(part), yuccarule.Rules{}, whole)
+		now := start
+		requests, spilled := 0, 0
+		var open []yuccapick.Ticket
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 9).Draw(t, "act") {
+			case 0:
+				core.Update(spilling(part), yuccarule.Rules{}, gone)
+			case 1:
+				core.Update(spilling(part), yuccarule.Rules{}, whole)
+			case 2, 3, 4:
+				if len(open) > 0 {
+					core.Done(open[0], yuccapick.Result{Now: now})
+					open = open[1:]
+				}
+			default:
+				requests++
+				a := core.Ask(yuccapick.Ask{Now: now, Service: "s", From: "a", Dice: rapid.Uint64().Draw(t, "dice")})
+				if a.Kind == yuccafault.None && !a.Waiting {
+					open = append(open, a.Ticket)
+				}
+			}
+			core.Tick(now)
+			for _, cmd := range core.Commands() {
+				if g, ok := cmd.(yuccapick.Grant); ok {
+					open = append(open, g.Ticket)
+					if g.Ticket.Region != "b" {
+						spilled++
+					}
+				}
+			}
+			if n := len(open); n > 0 && open[n-1].Region != "b" && open[n-1].Started.Equal(now) {
+				spilled = max(spilled, countFar(open))
+			}
+			if far := countFar(open); float64(far) > part*float64(requests)+1 {
+				t.Fatalf("%d of %d requests are away, allowed is a part of %v", far, requests, part)
+			}
+		}
+	})
+}
+
+func countFar(open []yuccapick.Ticket) int {
+	n := 0
+	for _, ticket := range open {
+		if ticket.Region != "b" {
+			n++
+		}
+	}
+	return n
+}
+
+// TestLapsedPlanLeavesTheFloor lets a plan lapse and expects no more than its
+// floor to be used from then on.
+func TestLapsedPlanLeavesTheFloor(t *testing.T) {
+	c := qt.New(t)
+	core, view := threeRegions(1, 0, 0, 0)
+	plan := threePlan(1, 0, 0, 0)
+	plan.Until = start.Add(time.Minute)
+	for i := range plan.Budgets {
+		plan.Budgets[i].Floor = 1
+	}
+	core.Update(plan, yuccarule.Rules{}, view)
+	admitted := func(now time.Time, asks int) int {
+		var open []yuccapick.Ticket
+		for i := range asks {
+			a := core.Ask(yuccapick.Ask{Now: now, Service: "s", From: "a", Dice: uint64(i)})
+			if a.Kind == yuccafault.None && !a.Waiting {
+				open = append(open, a.Ticket)
+			}
+		}
+		for _, ticket := range open {
+			core.Done(ticket, yuccapick.Result{Now: now})
+		}
+		return len(open)
+	}
+	c.Assert(admitted(start, 4), qt.Equals, 4)
+	c.Assert(admitted(start.Add(2*time.Minute), 10), qt.Equals, 1)
+}
+
+// TestLinkRateBoundsAdmission gives the entry 1,000 bytes a second over links
+// and answers of 1,000 bytes.
+func TestLinkRateBoundsAdmission(t *testing.T) {
+	c := qt.New(t)
+	core, view := threeRegions(1, 0, 0, 0)
+	plan := threePlan(1, 0, 0, 0)
+	for i := range plan.Budgets {
+		plan.Budgets[i].Rate = 1000
+	}
+	core.Update(plan, yuccarule.Rules{}, view)
+	answers := 0
+	for i := range 1000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		a := core.Ask(yuccapick.Ask{Now: now, Service: "s", From: "a", Dice: uint64(i)})
+		if a.Kind == yuccafault.None && !a.Waiting {
+			core.Done(a.Ticket, yuccapick.Result{Now: now, Bytes: 1000})
+			answers++
+		}
+	}
+	c.Assert(answers >= 5 && answers <= 12, qt.IsTrue, qt.Commentf("%d answers in 10 s", answers))
+}
--- a/core/yuccapick/update.go
+++ b/core/yuccapick/update.go
@@ -15,6 +15,7 @@
 // counted.
 func (c *Core) Update(plan yuccaplan.Plan, rules yuccarule.Rules, view yuccaview.View) {
 	c.plan = plan
+	c.lapsed = false
 	c.step++
 	c.updateServers(rules, view)
 	c.dropPeers(view)
@@ -44,6 +45,7 @@
 		}
 	}
 	c.countOthers()
+	c.lapse()
 	for _, p := range c.order {
 		c.dispatch(p)
 	}
@@ -92,16 +94,17 @@
 // deal gives the pool its seats.
 func (c *Core) deal(p *pool, budgets []yuccaplan.Budget, rules yuccarule.Rules) {
 	var claims []claim
-	budget := 0
-	p.reserve, p.capacity = 0, 0
+	budget, rate := 0, 0.0
+	p.reserve, p.floor, p.capacity = 0, 0, 0
 	for _, b := range budgets {
 		claims = append(claims, claim{b.Entry, b.Slots + b.Reserve})
 		p.capacity += b.Slots
 		if b.Entry == c.self {
-			budget, p.reserve = b.Slots, b.Reserve
+			budget, p.reserve, p.floor, rate = b.Slots, b.Reserve, b.Floor, b.Rate
 		}
 	}
 	p.allow(budget, c.now)
+	p.link.set(rate, c.now)
 	p.weight = weight(rules, p.service)
 	members := c.members(p.place)
 	p.alive = len(members)
