The reserve is no larger than what can spill

Cause: an eighth of every region's slots was kept for spilled requests, while what may spill is a quarter of a cap; the rest stood idle. Change: the reserve is the part that may spill of the other regions' slots, an eighth at most.

--- a/core/yuccaplan/budget.go
+++ b/core/yuccaplan/budget.go
@@ -11,8 +11,8 @@
 	lifetime = time.Minute
 	// renewal is how long before its end a plan is made anew.
 	renewal = lifetime / 2
-	// reserveShare is the part of a region's slots set aside for entries of
-	// other regions.
+	// reserveShare bounds the part of a region's slots set aside for entries of
+	// other regions: one in so many.
 	reserveShare = 8
 )
 
@@ -114,11 +114,11 @@
 		}
 	}
 	reserve := 0
-	if anyFar && capacity > 0 {
-		reserve = capacity / reserveShare
-	}
-	if anyFar && !anyNear {
+	switch {
+	case anyFar && !anyNear:
 		reserve = capacity
+	case anyFar:
+		reserve = min(capacity/reserveShare, w.spilled(p))
 	}
 	for i, n := range apportion(int64(reserve), far) {
 		claims[i].reserve = int(n)
@@ -131,6 +131,18 @@
 	}
 }
 
+// spilled returns the slots that a place needs at most for requests that spill
+// from the service's other regions, were all of those busy.
+func (w *world) spilled(p place) int {
+	others := 0
+	for at, n := range w.capacity {
+		if at.service == p.service && at.region != p.region {
+			others += n
+		}
+	}
+	return int(math.Ceil(float64(others) * spillOf(w.in.Rules.CapOf(p.service)).float()))
+}
+
 // bound is the most that an entry may use of a place under any plan before this
 // one.
 func (w *world) bound(c claim) int {
