--- a/core/yuccapick/core.go
+++ b/core/yuccapick/core.go
@@ -28,7 +28,7 @@
 	lapsed bool
 	// spills holds what each route may still spill, in requests.
 	spills map[place]*float64
-	tidied  time.Time
+	tidied time.Time
 }
 
 // NewCore returns the core of the named entry. The run tells this start of the
