--- /dev/null
+++ b/core/yuccabench/run_test.go
@@ -0,0 +1,49 @@
+package yuccabench_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccawell.example/core/yuccabench"
+	"yuccawell.example/core/yuccafake"
+)
+
+func TestMain(m *testing.M) { yuccafake.Main(m) }
+
+func options(cases []yuccabench.Case, policies ...string) yuccabench.Options {
+	return yuccabench.Options{
+		Seed:        1,
+		Deployments: yuccabench.Deployments()[:1],
+		Cases:       cases,
+		Loads:       yuccabench.Loads()[1:2],
+		Policies:    policies,
+		Requests:    1000,
+		Length:      2 * time.Second,
+	}
+}
+
+// TestRunIsRepeatable runs everything twice with one seed.
+func TestRunIsRepeatable(t *testing.T) {
+	o := options(yuccabench.Cases(), yuccabench.Policies()...)
+	qt.Assert(t, slices.Equal(yuccabench.Run(o), yuccabench.Run(o)), qt.IsTrue)
+}
+
+// TestSlotsHold checks at 80% of slots that the choice stays within slots and
+// regions but for what is on the way, and that round robin, which has no such
+// bound, does not.
+func TestSlotsHold(t *testing.T) {
+	c := qt.New(t)
+	cases := []yuccabench.Case{yuccabench.AllWell, yuccabench.Slow, yuccabench.Lying}
+	for _, r := range yuccabench.Run(options(cases, yuccabench.Ours)) {
+		c.Assert(r.Over <= 1, qt.IsTrue, qt.Commentf("%+v", r))
+		c.Assert(r.RegionOver, qt.Equals, 0, qt.Commentf("%+v", r))
+	}
+	most := 0
+	for _, r := range yuccabench.Run(options(cases, yuccabench.RoundRobin)) {
+		most = max(most, r.Over)
+	}
+	c.Assert(most > 1, qt.IsTrue)
+}
--- a/core/yuccarelay/guard_test.go
+++ b/core/yuccarelay/guard_test.go
@@ -297,23 +297,13 @@
 	c := qt.New(t)
 	seen := make(chan string, 1)
 	w := &world{ledger: yuccafake.NewLedger()}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+	addr := listen(t, func(ctx *fasthttp.RequestCtx) {
 		seen <- ctx.Request.Header.String()
 		ctx.Response.Header.Set("Keep-Alive", "timeout=5")
 		ctx.Response.Header.Set("Proxy-Authenticate", "Basic")
 		ctx.Response.Header.Set("Kept", "yes")
-	}}
-	done := make(chan error, 1)
-	var group sync.WaitGroup
-	group.Go(func() { done <- server.Serve(l) })
-	t.Cleanup(func() {
-		_ = server.Shutdown()
-		<-done
-		group.Wait()
 	})
-	w.open(t, yuccarelay.Options{}, []place{{l.Addr().String(), 1}})
+	w.open(t, yuccarelay.Options{}, []place{{addr, 1}})
 	resp, err := w.call(func(r *fasthttp.Request) {
 		for _, name := range []string{"Connection", "Keep-Alive", "Te", "Upgrade", "Proxy-Connection", "Proxy-Authorization", "Named", "Expect"} {
 			r.Header.Set(name, "named")
--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -77,6 +77,7 @@
 	pool     *pool
 	services *yuccaretry.Services
 	rates    *yuccaretry.Services
+	failures zerolog.Logger
 }
 
 // New returns a relay.
@@ -92,6 +93,7 @@
 		pool:     newPool(opt.Dial),
 		services: yuccaretry.NewServices(),
 		rates:    yuccaretry.NewServices(),
+		failures: sampled(opt.Log),
 	}
 }
 
--- a/core/yuccarelay/relay_test.go
+++ b/core/yuccarelay/relay_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
@@ -78,7 +77,7 @@
 	w.picker.Update(plan, rules, view)
 	snapshot := yuccafeed.Snapshot{Document: yuccarule.Document{Version: 1}, Rules: rules, View: view, Plan: plan}
 	snapshot.Table = tableOf(rules)
-	opt.Region, opt.Picker, opt.Source, opt.Log = "a", w.picker, fixed{snapshot}, zerolog.Nop()
+	opt.Region, opt.Picker, opt.Source = "a", w.picker, fixed{snapshot}
 	w.serve(t, yuccarelay.New(opt))
 }
 
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -45,6 +45,8 @@
 	avoid      []string
 	ticket     yuccapick.Ticket
 	took       time.Duration
+	// trace is the request's id in logs and at the backend server.
+	trace string
 
 	// work ends when the caller hangs up or has its answer.
 	work   context.Context
@@ -102,6 +104,7 @@
 	t.idempotent = idempotent(&t.ctx.Request.Header)
 	t.head = t.ctx.IsHead()
 	t.request = requestHead(&t.ctx.Request.Header, t.body)
+	t.trace = trace(t.request)
 	t.print = printOf(t.service, &t.ctx.Request, t.body.head)
 	return nil
 }
@@ -322,6 +325,7 @@
 // answer ends the request with an answer of the system's own.
 func (t *task) answer(k yuccafault.Kind, ran yuccafault.Ran) {
 	WriteError(t.ctx, k, ran)
+	t.report(k, ran)
 	t.observe(k, k.Row().Status, 0)
 	t.end(nil)
 }
--- /dev/null
+++ b/core/yuccarelay/trace_test.go
@@ -0,0 +1,77 @@
+package yuccarelay_test
+
+import (
+	"bytes"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccafake"
+	"yuccawell.example/core/yuccalog"
+	"yuccawell.example/core/yuccarelay"
+)
+
+// TestTraceReachesTheServer sends a request with and without a trace and
+// compares what the server sees.
+func TestTraceReachesTheServer(t *testing.T) {
+	const given = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+	tests := []struct{ name, sent, want string }{
+		{"given", given, given},
+		{"none", "", `00-[0-9a-f]{32}-[0-9a-f]{16}-00`},
+		{"broken", "00-xyz", `00-[0-9a-f]{32}-[0-9a-f]{16}-00`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			seen := make(chan string, 1)
+			w := &world{ledger: yuccafake.NewLedger()}
+			addr := listen(t, func(ctx *fasthttp.RequestCtx) { seen <- string(ctx.Request.Header.Peek(yuccarelay.TraceHeader)) })
+			w.open(t, yuccarelay.Options{}, []place{{addr, 1}})
+			_, err := w.call(func(r *fasthttp.Request) {
+				if test.sent != "" {
+					r.Header.Set(yuccarelay.TraceHeader, test.sent)
+				}
+			})
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, <-seen, qt.Matches, test.want)
+		})
+	}
+}
+
+// TestFailuresAreLogged fails one request and many more, and expects one line
+// with the trace and a bounded number of lines.
+func TestFailuresAreLogged(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	w := &world{ledger: yuccafake.NewLedger()}
+	s := yuccafake.NewServer("127.0.0.1:0", yuccafake.Behaviour{Slots: 1, Work: time.Minute, Lie: -1}, w.ledger)
+	c.Assert(s.Start(), qt.IsNil)
+	t.Cleanup(s.Close)
+	w.open(t, yuccarelay.Options{Log: yuccalog.New(&out, "info")}, []place{{s.Addr(), 1}})
+	for range 100 {
+		_, err := w.call(func(r *fasthttp.Request) { r.Header.Set(yuccarelay.DeadlineHeader, "0s") })
+		c.Assert(err, qt.IsNil)
+	}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	c.Assert(lines[0], qt.Matches, `time=\S+ level=info event=request_failed kind=expired run=no server= service=s trace=[0-9a-f]{32} tries=0`)
+	c.Assert(len(lines) < 100, qt.IsTrue, qt.Commentf("%d lines", len(lines)))
+}
+
+// listen serves a handler until the test ends and returns its address.
+func listen(t *testing.T, h fasthttp.RequestHandler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	server := &fasthttp.Server{Handler: h}
+	group := &errgroup.Group{}
+	group.Go(func() error { return server.Serve(l) })
+	t.Cleanup(func() {
+		_ = l.Close()
+		_ = server.Shutdown()
+		_ = group.Wait()
+	})
+	return l.Addr().String()
+}
--- a/ctl/draw.go
+++ b/ctl/draw.go
@@ -17,7 +17,10 @@
 const (
 	drawWidth  = 20 * vg.Centimeter
 	drawHeight = 11 * vg.Centimeter
-	lineWidth  = 1.5 * vg.Millimeter / 2
+	lineWidth  = vg.Length(1.5)
+	// legendRoom is the least top of the axis in percent, above which the legend
+	// stands free of the lines.
+	legendRoom = 150
 )
 
 // dashes and glyphs tell the lines apart without colour.
@@ -30,7 +33,7 @@
 	p := plot.New()
 	p.Title.Text = "Error budget spent"
 	p.Y.Label.Text = "spent (% of the budget)"
-	p.Y.Min = 0
+	p.Y.Min, p.Y.Max = 0, legendRoom
 	p.Legend.Top = true
 	p.Legend.Left = true
 	p.Add(plotter.NewGrid())
