Lost peers stay out of the mesh for a while, and are logged once

Cause: the failures to reach a peer were forgotten as soon as the mesh dropped it, so a lost peer counted as untried, came back to the mesh, failed and was dropped again, with a log line and a new mesh each second. Ruled out: new addresses in the list, which did not change. Change: failures are remembered for 5 s after the last attempt was due.

--- a/core/yuccapeer/connect.go
+++ b/core/yuccapeer/connect.go
@@ -19,6 +19,9 @@
 	lostAfter    = 2
 	firstBackoff = 200 * time.Millisecond
 	maxBackoff   = 10 * time.Second
+	// forgetAfter is how long the failures to reach a peer outside the mesh are
+	// remembered, so that a lost peer does not come back to the mesh at once.
+	forgetAfter = 5 * time.Second
 	// keepIdle is how long a session outside the mesh is kept without a call.
 	keepIdle = time.Minute
 )
@@ -44,6 +47,12 @@
 	return t.dialing == nil && now.After(t.next) && (lower || now.Sub(t.since) > patience)
 }
 
+// forgotten reports whether the failures of a peer outside the mesh no longer
+// count.
+func (t *target) forgotten(now time.Time) bool {
+	return t.dialing == nil && now.Sub(t.next) > forgetAfter
+}
+
 // connect keeps the sessions that the mesh asks for until the bus stops.
 func (p *Peers) connect() error {
 	ticker := time.NewTicker(connectInterval)
@@ -69,6 +78,11 @@
 		known[e.Name] = true
 	}
 	p.seen.keep(known)
+	p.remesh()
+}
+
+// remesh chooses the peers to keep sessions with. The caller holds mu.
+func (p *Peers) remesh() {
 	p.mesh = newMesh(p.set.Name, p.set.Domain, p.view, p.hopeful)
 	select {
 	case p.wake <- struct{}{}:
@@ -98,9 +112,11 @@
 			wanted[addr] = addr
 		}
 	}
+	changed := false
 	for name := range p.targets {
-		if _, ok := wanted[name]; !ok && p.targets[name].dialing == nil {
+		if _, ok := wanted[name]; !ok && p.targets[name].forgotten(now) {
 			delete(p.targets, name)
+			changed = true
 		}
 	}
 	for name, addr := range wanted {
@@ -112,6 +128,9 @@
 			p.attempt(name, addr, t)
 		}
 	}
+	if changed {
+		p.remesh()
+	}
 }
 
 // target returns the state of the attempts to reach a peer. The caller holds
--- a/core/yuccapeer/peers_test.go
+++ b/core/yuccapeer/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -228,3 +229,28 @@
 		}
 	}
 }
+
+// TestLostPeersAreLoggedSeldom runs an entry beside six that never answer and
+// counts the lines about them in a time shorter than failures are remembered.
+func TestLostPeersAreLoggedSeldom(t *testing.T) {
+	c := qt.New(t)
+	lines := make(chan struct{}, 10_000)
+	log := zerolog.New(io.Discard).Hook(zerolog.HookFunc(func(_ *zerolog.Event, _ zerolog.Level, message string) {
+		if message == "peer_unreachable" {
+			lines <- struct{}{}
+		}
+	}))
+	p := yuccapeer.New(yuccapeer.Settings{Name: "e1", Domain: "d1", Addr: "127.0.0.1:0", Start: 1}, log)
+	var all []yuccastore.Instance
+	for i := range 7 {
+		name := fmt.Sprint("e", i+1)
+		all = append(all, yuccastore.Instance{Name: name, Kind: yuccastore.Entry, Domain: fmt.Sprint("d", i+1), Peer: "127.0.0.1:1"})
+	}
+	group := &errgroup.Group{}
+	c.Assert(p.Start(context.Background(), group), qt.IsNil)
+	p.Update(all)
+	time.Sleep(3 * time.Second)
+	c.Assert(p.Stop(context.Background()), qt.IsNil)
+	c.Assert(group.Wait(), qt.IsNil)
+	c.Assert(len(lines) <= 6, qt.IsTrue, qt.Commentf("%d lines about 6 peers", len(lines)))
+}
