--- a/core/yuccafeed/feed.go
+++ b/core/yuccafeed/feed.go
@@ -158,7 +158,7 @@
 	now := f.state.now
 	f.current.Store(&now)
 	if now.Document.Version != before.Document.Version {
-		f.log.Info().Uint64("version", now.Document.Version).Msg("rules_in_force")
+		f.log.Info().Str("at", now.Document.At.Format(time.RFC3339Nano)).Uint64("version", now.Document.Version).Msg("rules_in_force")
 		f.wake()
 	}
 	if now.Plan.Epoch != before.Plan.Epoch {
--- a/core/yuccalog/log.go
+++ b/core/yuccalog/log.go
@@ -5,7 +5,7 @@
 //
 // prints
 //
-//	time=2027-03-27T20:00:00Z level=info event=server_ejected busy=3 server=10.0.0.7:80
+//	time=2027-03-27T20:00:00.123456789Z level=info event=server_ejected busy=3 server=10.0.0.7:80
 package yuccalog
 
 import (
@@ -16,6 +16,10 @@
 	"github.com/rs/zerolog"
 )
 
+// Times carry fractions of a second, so that events of several entries can be
+// put in order.
+func init() { zerolog.TimeFieldFormat = time.RFC3339Nano }
+
 // New returns a logger that writes lines of at least the given level to w. The
 // level is one of debug, info, warn and error; any other word means info.
 func New(w io.Writer, level string) zerolog.Logger {
--- a/core/yuccapoison/path_test.go
+++ b/core/yuccapoison/path_test.go
@@ -53,7 +53,7 @@
 	names := []string{"e0", "e1", "e2"}
 	bus := yuccafake.NewNet()
 	for _, name := range names {
-		opt := yuccarelay.Options{Region: "a", Picker: p, Source: fixed{snapshot}, NoHedge: true, Log: zerolog.Nop()}
+		opt := yuccarelay.Options{Region: "a", Picker: p, Source: fixed{snapshot}, Log: zerolog.Nop()}
 		if guarded {
 			b, members := bus.Bus(name), func() []string { return names }
 			keeper := yuccaclaim.New(yuccaclaim.Options{Store: p.platform, Bus: b, Self: name, Members: members, Log: zerolog.Nop()})
--- /dev/null
+++ b/standin/call.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+
+	"yuccawell.example/core/yuccafault"
+)
+
+func getCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "get URL",
+		Short: "Print what an address answers; fail unless the status is 200",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			status, body, err := fasthttp.Get(nil, args[0])
+			if err != nil {
+				return yuccafault.Wrap(yuccafault.Unreachable, err)
+			}
+			fmt.Fprint(c.OutOrStdout(), string(body))
+			if status != fasthttp.StatusOK {
+				return yuccafault.New(yuccafault.Refused, "status %d", status)
+			}
+			return nil
+		},
+	}
+}
+
+func postCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "post URL BODY",
+		Short:   "Send a body to an address; fail unless the status is 200",
+		Example: "  yucca-standin post http://127.0.0.2:7900/faults '{\"down\":true}'",
+		Args:    cobra.ExactArgs(2),
+		RunE: func(_ *cobra.Command, args []string) error {
+			var req fasthttp.Request
+			var resp fasthttp.Response
+			req.SetRequestURI(args[0])
+			req.Header.SetMethod(fasthttp.MethodPost)
+			req.SetBodyString(args[1])
+			if err := fasthttp.Do(&req, &resp); err != nil {
+				return yuccafault.Wrap(yuccafault.Unreachable, err)
+			}
+			if resp.StatusCode() != fasthttp.StatusOK {
+				return yuccafault.New(yuccafault.Refused, "status %d: %s", resp.StatusCode(), resp.Body())
+			}
+			return nil
+		},
+	}
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -40,7 +40,9 @@
 		part("load", "Send load by schedule and count what comes of it", &loadSettings{}, runLoad),
 		worldCommand(),
 		sumCommand(),
+		inforceCommand(),
 		getCommand(),
+		postCommand(),
 		benchCommand(),
 	)
 	return root
--- a/standin/sum.go
+++ b/standin/sum.go
@@ -9,7 +9,6 @@
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
-	"github.com/valyala/fasthttp"
 
 	"yuccawell.example/core/yuccafake"
 	"yuccawell.example/core/yuccafault"
@@ -93,22 +92,3 @@
 	}
 	return nil
 }
-
-func getCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:   "get URL",
-		Short: "Print what an address answers; fail unless the status is 200",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			status, body, err := fasthttp.Get(nil, args[0])
-			if err != nil {
-				return yuccafault.Wrap(yuccafault.Unreachable, err)
-			}
-			fmt.Fprint(c.OutOrStdout(), string(body))
-			if status != fasthttp.StatusOK {
-				return yuccafault.New(yuccafault.Refused, "status %d", status)
-			}
-			return nil
-		},
-	}
-}
