The expiry of idempotency keys is a setting; tests of the stand-ins

Cause: the expiry must be longer than any caller sends again, which only operators know; the stand-ins' verdict on a load had no test. Change: keys = 1h in an entry's settings, a minute at least; tables for the verdict, the written settings and the time in force. Figures: 6 verdicts, of which 5 must fail; both deployments' files are read back.

--- a/entry/run.go
+++ b/entry/run.go
@@ -54,7 +54,14 @@
 	keeper := yuccalease.New(set.Name, start, store, feed, log)
 	demand := yuccademand.New(set.Name, peers, members(feed), keeper, picker.Busy, log)
 	burn := yuccaburn.New(set.Name, peers, members(feed), log)
-	claims := yuccaclaim.New(yuccaclaim.Options{Store: platform, Bus: peers, Self: set.Name, Members: members(feed), Log: log})
+	claims := yuccaclaim.New(yuccaclaim.Options{
+		Store:   platform,
+		Bus:     peers,
+		Self:    set.Name,
+		Members: members(feed),
+		Log:     log,
+		Expiry:  time.Duration(set.Keys),
+	})
 	poison := yuccapoison.New(yuccapoison.Options{Bus: peers, Self: set.Name, Members: members(feed), Alive: alive(feed), Log: log})
 	relay := yuccarelay.New(yuccarelay.Options{
 		Region:   set.Region,
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -27,6 +27,9 @@
 	TTL yuccaset.Duration `toml:"ttl"`
 	// Linger is how long a leaving entry serves after it left the look-ups.
 	Linger yuccaset.Duration `toml:"linger"`
+	// Keys is how long an idempotency key is remembered. All entries must have
+	// the same.
+	Keys yuccaset.Duration `toml:"keys"`
 	// Log is the lowest level that is logged.
 	Log string `toml:"log"`
 }
@@ -42,13 +45,18 @@
 seeds  = ["127.0.1.2:7102"]       # other entries, for a start while the platform is down
 ttl    = "5s"                     # how long callers keep a look-up
 linger = "10s"                    # how long a leaving entry goes on serving
+keys   = "1h"                     # how long an idempotency key is remembered
 log    = "info"                   # debug, info, warn or error
 `
 
+// minKeys is the least time for which an idempotency key is remembered.
+const minKeys = time.Minute
+
 func defaults() settings {
 	return settings{
 		TTL:    yuccaset.Duration(5 * time.Second),
 		Linger: yuccaset.Duration(10 * time.Second),
+		Keys:   yuccaset.Duration(time.Hour),
 		Log:    "info",
 	}
 }
@@ -80,6 +88,9 @@
 	if time.Duration(s.TTL) < time.Second {
 		fail("ttl", "too short", "1s or more")
 	}
+	if time.Duration(s.Keys) < minKeys {
+		fail("keys", "too short", "1m or more, and longer than any caller sends a request again")
+	}
 	if s.Linger < 0 {
 		fail("linger", "negative", "0s or more")
 	}
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -25,6 +25,7 @@
 		{"store without scheme", "http://127", "127", []string{"store: not an address"}},
 		{"short ttl", `"5s"`, `"10ms"`, []string{"ttl: too short"}},
 		{"negative linger", `"10s"`, `"-1s"`, []string{"linger: negative"}},
+		{"keys too short", `"1h"`, `"10s"`, []string{"keys: too short"}},
 		{"bad seed", "127.0.1.2:7102", "nowhere", []string{"seeds: not an address: nowhere"}},
 		{"not a duration", `"5s"`, `"soon"`, []string{"is not a duration"}},
 		{"all at once", "127.0.1.1", "x", []string{"addr: ", "peer: ", "admin: "}},
--- /dev/null
+++ b/standin/standin_test.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccawell.example/core/yuccafake"
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccaset"
+)
+
+func TestMain(m *testing.M) { yuccafake.Main(m) }
+
+// TestVerdict checks that each broken promise fails the sum of a load.
+func TestVerdict(t *testing.T) {
+	tests := []struct {
+		name  string
+		rows  []row
+		total yuccafake.Total
+		want  yuccafault.Kind
+	}{
+		{"kept", []row{{Whole: 5, Refused: 2}}, yuccafake.Total{Tokens: 5}, yuccafault.None},
+		{"lost", []row{{Whole: 5, Lost: 1}}, yuccafake.Total{Tokens: 5}, yuccafault.Refused},
+		{"cut", []row{{Whole: 5}, {Whole: 5, Wrong: 1}}, yuccafake.Total{Tokens: 5}, yuccafault.Refused},
+		{"doubled", []row{{Whole: 5}}, yuccafake.Total{Tokens: 5, Doubled: 1}, yuccafault.Refused},
+		{"nothing served", []row{{Refused: 5}}, yuccafake.Total{}, yuccafault.Refused},
+		{"no rows", nil, yuccafake.Total{}, yuccafault.Refused},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, yuccafault.KindOf(verdict(test.rows, test.total)), qt.Equals, test.want)
+		})
+	}
+}
+
+// TestWorldIsReadable writes each deployment and reads its files back as the
+// parts do.
+func TestWorldIsReadable(t *testing.T) {
+	for name, d := range deployments {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			dir := t.TempDir()
+			c.Assert(d.write(dir), qt.IsNil)
+			for file, set := range map[string]yuccaset.Checked{
+				"store.toml": &storeSettings{}, "server.toml": &serverSettings{}, "link.toml": &linkSettings{}, "load.toml": &loadSettings{},
+			} {
+				c.Assert(yuccaset.Load(filepath.Join(dir, file), set), qt.IsNil, qt.Commentf("%s", file))
+			}
+			entries, err := filepath.Glob(filepath.Join(dir, "entry-*.toml"))
+			c.Assert(err, qt.IsNil)
+			c.Assert(entries, qt.HasLen, worldEntries)
+		})
+	}
+}
+
+func TestInForce(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(t.TempDir(), "entry.log")
+	text := "time=2027-03-27T20:00:00.25Z level=info event=rules_in_force at=2027-03-27T20:00:00Z entry=e1 version=2\n" +
+		"time=2027-03-27T20:00:01Z level=info event=leaving entry=e1\n"
+	c.Assert(os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	delays, err := readDelays(path)
+	c.Assert(err, qt.IsNil)
+	c.Assert(delays, qt.DeepEquals, []time.Duration{250 * time.Millisecond})
+	var out bytes.Buffer
+	c.Assert(printDelays(&out, delays), qt.IsNil)
+	c.Assert(out.String(), qt.Contains, "1 times, p50 250ms")
+	c.Assert(yuccafault.KindOf(printDelays(&out, nil)), qt.Equals, yuccafault.Refused)
+}
