Status names the planner and what still moves

Cause: operators could not see who plans, how old the plan is and when a drain is done; the status type stood twice. Change: one Status in yuccafeed for entry and command; the plan's epoch, age and ramps, and the lease's holder, are shown. Conclusion: bars of links are still missing.

--- a/ctl/command_test.go
+++ b/ctl/command_test.go
@@ -18,6 +18,7 @@
 	"yuccawell.example/core/yuccafake"
 	"yuccawell.example/core/yuccafault"
 	"yuccawell.example/core/yuccafeed"
+	"yuccawell.example/core/yuccaplan"
 	"yuccawell.example/core/yuccastore"
 )
 
@@ -68,8 +69,11 @@
 }
 
 func (d *desk) admin(ctx *fasthttp.RequestCtx) {
-	var page any = entryStatus{Name: "e1", Region: "a", Domain: "a1", Ready: true, Rules: d.rules,
-		Use: []yuccafeed.Use{{Service: "search", Region: "a", Busy: 3, Slots: 12}}}
+	var page any = yuccafeed.Status{
+		Name: "e1", Region: "a", Domain: "a1", Ready: true, Rules: d.rules, Plan: 7, Epoch: 2, Made: time.Now(),
+		Use:   []yuccafeed.Use{{Service: "search", Region: "a", Busy: 3, Slots: 12}},
+		Ramps: []yuccaplan.Ramp{{Service: "search", From: "a", Left: 0.4, End: time.Date(2027, 3, 27, 20, 0, 0, 0, time.UTC)}},
+	}
 	if string(ctx.Path()) == "/burn" {
 		keep := yuccaburn.Keep{}.With(yuccaburn.Copy{Origin: "e1", Run: "1", Seq: 1, At: time.Now(), Windows: d.windows})
 		page, _ = yuccaburn.Share(keep)
@@ -123,6 +127,8 @@
 		{"unreachable", []string{"apply", "@good.txt", "--settings", "@lost.toml"}, 3, "platform"},
 		{"bad settings", []string{"status", "--settings", "@good.txt"}, 1, "good.txt"},
 		{"status", []string{"status"}, 0, "3 of 12"},
+		{"status of the plan", []string{"status"}, 0, "plan 7 of epoch 2, made "},
+		{"status of ramps", []string{"status"}, 0, "moving: search from a, 40% left, done about 2027-03-27T20:00:00Z"},
 		{"version", []string{"version"}, 0, "yuccactl"},
 		{"plan without file", []string{"diff"}, 2, "accepts 1 arg"},
 	}
--- a/ctl/status.go
+++ b/ctl/status.go
@@ -16,6 +16,7 @@
 
 	"yuccawell.example/core/yuccafault"
 	"yuccawell.example/core/yuccafeed"
+	"yuccawell.example/core/yuccalease"
 	"yuccawell.example/core/yuccastore"
 )
 
@@ -24,20 +25,9 @@
 	waitInterval = 100 * time.Millisecond
 )
 
-// entryStatus is what an entry's /status shows.
+// entryStatus is an entry's status, or why it gave none.
 type entryStatus struct {
-	Name    string `json:"name"`
-	Region  string `json:"region"`
-	Domain  string `json:"domain"`
-	Ready   bool   `json:"ready"`
-	Leaving bool   `json:"leaving"`
-	Rules   uint64 `json:"rules"`
-	Plan    uint64 `json:"plan"`
-	Entries int    `json:"entries"`
-	Servers int    `json:"servers"`
-	// Use is how much of its budgets the entry uses.
-	Use []yuccafeed.Use `json:"use,omitempty"`
-	// Fault says why the entry gave no status.
+	yuccafeed.Status
 	Fault string `json:"fault,omitempty"`
 }
 
@@ -83,6 +73,7 @@
 			a.printf("\x1b[H\x1b[2J")
 		}
 		a.printEntries(all)
+		a.printPlan(newest(all), holder(ctx, store))
 		a.printUse(sumUse(all), plain)
 	})
 }
@@ -97,6 +88,39 @@
 	}
 }
 
+// newest returns the status of the entry with the latest plan.
+func newest(all []entryStatus) entryStatus {
+	var best entryStatus
+	for _, e := range all {
+		if e.Epoch > best.Epoch || e.Epoch == best.Epoch && e.Plan > best.Plan {
+			best = e
+		}
+	}
+	return best
+}
+
+// holder names the entry that holds the planner's lease, as far as the platform
+// says.
+func holder(ctx context.Context, store yuccastore.Store) string {
+	o, err := store.Get(ctx, yuccalease.Key)
+	var r yuccalease.Record
+	if err != nil || json.Unmarshal(o.Value, &r) != nil || r.Holder == "" {
+		return "nobody"
+	}
+	return r.Holder
+}
+
+// printPlan prints whose plan is in force and what it still moves.
+func (a *app) printPlan(e entryStatus, holder string) {
+	if e.Plan == 0 {
+		return
+	}
+	a.printf("\nplan %d of epoch %d, made %s ago; %s plans\n", e.Plan, e.Epoch, time.Since(e.Made).Round(time.Second), holder)
+	for _, r := range e.Ramps {
+		a.printf("moving: %s from %s, %s left, done about %s\n", r.Service, r.From, percent(r.Left), r.End.UTC().Format(time.RFC3339))
+	}
+}
+
 // sumUse adds the entries' use up by service and region.
 func sumUse(all []entryStatus) []yuccafeed.Use {
 	var total []yuccafeed.Use
@@ -157,7 +181,7 @@
 }
 
 func ask(i yuccastore.Instance) entryStatus {
-	s := entryStatus{Name: i.Name, Region: i.Region, Domain: i.Domain}
+	s := entryStatus{Status: yuccafeed.Status{Name: i.Name, Region: i.Region, Domain: i.Domain}}
 	status, body, err := fasthttp.GetTimeout(nil, "http://"+i.Admin+"/status", askTimeout)
 	switch {
 	case err != nil:
--- a/entry/run.go
+++ b/entry/run.go
@@ -21,7 +21,6 @@
 	"yuccawell.example/core/yuccapoison"
 	"yuccawell.example/core/yuccarelay"
 	"yuccawell.example/core/yuccastore"
-	"yuccawell.example/core/yuccaview"
 )
 
 // firstRate is how many calls a second the entry makes to the platform until it
@@ -153,28 +152,11 @@
 	}
 }
 
-// Status is what /status shows.
-type Status struct {
-	Name    string `json:"name"`
-	Region  string `json:"region"`
-	Domain  string `json:"domain"`
-	Ready   bool   `json:"ready"`
-	Leaving bool   `json:"leaving"`
-	Rules   uint64 `json:"rules"`
-	Plan    uint64 `json:"plan"`
-	Entries int    `json:"entries"`
-	Servers int    `json:"servers"`
-	// Use is how much of its budgets the entry uses.
-	Use []yuccafeed.Use `json:"use"`
-	// All says which versions each entry has in force, as far as this one
-	// knows.
-	All []yuccaview.Report `json:"all"`
-}
-
+// status returns what /status shows.
 func status(set settings, feed *yuccafeed.Feed, front *yuccafront.Front, picker *yuccapick.Picker) yuccadmin.Page {
 	return func() (any, error) {
 		s := feed.Snapshot()
-		return Status{
+		return yuccafeed.Status{
 			Name:    set.Name,
 			Region:  set.Region,
 			Domain:  set.Domain,
@@ -182,6 +164,9 @@
 			Leaving: front.Leaving(),
 			Rules:   s.Document.Version,
 			Plan:    s.Plan.Version,
+			Epoch:   s.Plan.Epoch,
+			Made:    s.Plan.Made,
+			Ramps:   s.Plan.Ramps,
 			Entries: len(s.View.Entries()),
 			Servers: len(s.View.Servers()),
 			Use:     yuccafeed.UseOf(s.Plan, set.Name, picker.Busy),
