One function that waits or ends with its context

Cause: the same dozen lines stood in six places under three names (sleep, pause, wait), with and without a result.

--- a/core/yuccafake/link.go
+++ b/core/yuccafake/link.go
@@ -9,6 +9,8 @@
 
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
+
+	"yuccawell.example/core/yuccapause"
 )
 
 // Line is how a Link treats what passes through it.
@@ -133,7 +135,7 @@
 	if !l.keep(a) {
 		return
 	}
-	if !wait(ctx, l.now().Delay) {
+	if !yuccapause.For(ctx, l.now().Delay) {
 		return
 	}
 	b, err := net.Dial("tcp", l.to)
@@ -212,7 +214,7 @@
 func (l *Link) deliver(ctx context.Context, queue <-chan packet, from, to net.Conn, way int) error {
 	failed := false
 	for p := range queue {
-		if failed || !wait(ctx, time.Until(p.due)) {
+		if failed || !yuccapause.For(ctx, time.Until(p.due)) {
 			continue
 		}
 		l.mu.Lock()
@@ -228,17 +230,3 @@
 	}
 	return nil
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/core/yuccafeed/beat.go
+++ b/core/yuccafeed/beat.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccapause"
 	"yuccawell.example/core/yuccapeer"
 	"yuccawell.example/core/yuccaview"
 )
@@ -41,7 +42,7 @@
 		f.catchUp()
 		interval := f.interval()
 		f.tell(time.Now(), interval)
-		sleep(ctx, interval/newsShare)
+		yuccapause.For(ctx, interval/newsShare)
 		f.awaitNews(ctx, interval-interval/newsShare)
 	}
 	return nil
--- a/core/yuccafeed/feed.go
+++ b/core/yuccafeed/feed.go
@@ -176,12 +176,3 @@
 func newer(epoch, version uint64, than yuccaplan.Plan) bool {
 	return epoch > than.Epoch || epoch == than.Epoch && version > than.Version
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/core/yuccafeed/watch.go
+++ b/core/yuccafeed/watch.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"yuccawell.example/core/yuccapause"
 	"yuccawell.example/core/yuccapeer"
 	"yuccawell.example/core/yuccaplan"
 	"yuccawell.example/core/yuccarule"
@@ -81,7 +82,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		if !f.reading.Load() {
-			sleep(ctx, roleInterval)
+			yuccapause.For(ctx, roleInterval)
 			continue
 		}
 		err := step(ctx)
@@ -94,7 +95,7 @@
 			f.log.Warn().Err(err).Msg("platform_call_failed")
 		}
 		failures++
-		sleep(ctx, backoff(failures, rand.Float64()))
+		yuccapause.For(ctx, backoff(failures, rand.Float64()))
 	}
 	return nil
 }
@@ -172,7 +173,7 @@
 	}
 	f.learnList(list.Instances)
 	f.lastFed.Store(time.Now().UnixNano())
-	sleep(ctx, listInterval)
+	yuccapause.For(ctx, listInterval)
 	return nil
 }
 
--- a/core/yuccafront/front.go
+++ b/core/yuccafront/front.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"yuccawell.example/core/yuccafeed"
+	"yuccawell.example/core/yuccapause"
 )
 
 // Source gives what the entry knows.
@@ -91,7 +92,7 @@
 func (f *Front) Stop(ctx context.Context) error {
 	defer close(f.done)
 	f.leaving.Store(true)
-	sleep(ctx, f.set.Linger)
+	yuccapause.For(ctx, f.set.Linger)
 	_ = f.socket.Close()
 	if err := f.server.ShutdownWithContext(ctx); !errors.Is(err, net.ErrClosed) {
 		return err
@@ -118,15 +119,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // quiet drops what fasthttp logs; every failure has its own event.
 type quiet struct{}
 
--- a/core/yuccapeer/connect.go
+++ b/core/yuccapeer/connect.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccapause"
 )
 
 const (
@@ -213,7 +214,7 @@
 			return nil
 		}
 		if err != nil {
-			pause(p.ctx, firstBackoff)
+			yuccapause.For(p.ctx, firstBackoff)
 			continue
 		}
 		select {
@@ -348,12 +349,3 @@
 	}
 	return ""
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/core/yuccapeer/export_test.go
+++ b/core/yuccapeer/export_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"yuccawell.example/core/yuccapause"
 )
 
 // Await returns when there is a session to the named peer.
@@ -14,7 +16,7 @@
 		if s != nil {
 			return nil
 		}
-		pause(ctx, time.Millisecond)
+		yuccapause.For(ctx, time.Millisecond)
 	}
 	return ctx.Err()
 }
--- a/core/yuccastore/settle.go
+++ b/core/yuccastore/settle.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccapause"
 )
 
 // Outcome says what became of a conditional write.
@@ -54,8 +55,8 @@
 		case raced && (!unanswered || readErr == nil && !stale(o, cond)):
 			return o, Lost, yuccafault.New(yuccafault.Raced, "%s was written by another", key)
 		}
-		if err := pause(ctx, SettleWait); err != nil {
-			return Object{}, Unknown, yuccafault.New(yuccafault.Platform, "write of %s is not settled: %w", key, err)
+		if !yuccapause.For(ctx, SettleWait) {
+			return Object{}, Unknown, yuccafault.New(yuccafault.Platform, "write of %s is not settled: %w", key, ctx.Err())
 		}
 	}
 }
@@ -63,14 +64,3 @@
 // stale reports whether an object read after its condition failed is the one
 // from before that.
 func stale(o Object, cond Cond) bool { return o.Tag == cond.Tag }
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/standin/headroom.go
+++ b/standin/headroom.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"yuccawell.example/core/yuccafeed"
+	"yuccawell.example/core/yuccapause"
 )
 
 const (
@@ -24,7 +25,7 @@
 // run samples until ctx ends and hands the headroom of each service to keep: the
 // free part of its slots in all regions, from 0 to 1.
 func (s *sampler) run(ctx context.Context, keep func(service string, headroom float64)) {
-	for wait(ctx, sampleInterval) {
+	for yuccapause.For(ctx, sampleInterval) {
 		for service, u := range s.use() {
 			if u.Slots > 0 {
 				keep(service, 1-float64(u.Busy)/float64(u.Slots))
--- a/standin/load.go
+++ b/standin/load.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"yuccawell.example/core/yuccapause"
 	"yuccawell.example/core/yuccaset"
 )
 
@@ -153,12 +154,12 @@
 	due := time.Now()
 	for {
 		due = due.Add(time.Duration(arrivals.ExpFloat64() / rate * float64(time.Second)))
-		if !wait(ctx, time.Until(due)) {
+		if !yuccapause.For(ctx, time.Until(due)) {
 			return
 		}
 		at := due
 		group.Go(func() error {
-			wait(context.Background(), time.Duration(l.set.Delay))
+			yuccapause.For(context.Background(), time.Duration(l.set.Delay))
 			result.add(c.set.Service, c.call(), time.Since(at))
 			return nil
 		})
--- a/standin/server.go
+++ b/standin/server.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"yuccawell.example/core/yuccafake"
+	"yuccawell.example/core/yuccapause"
 	"yuccawell.example/core/yuccaset"
 )
 
@@ -71,7 +72,7 @@
 
 // revive starts crashed servers again.
 func revive(ctx context.Context, servers map[string]*yuccafake.Server, after time.Duration) error {
-	for wait(ctx, after) {
+	for yuccapause.For(ctx, after) {
 		for _, s := range servers {
 			if !s.Alive() {
 				if err := s.Start(); err != nil {
@@ -108,14 +109,3 @@
 		s.Act(func(b *yuccafake.Behaviour) { decode(ctx, b) })
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
