yuccactl status ADDRESS... shows what entries on the platform take for true

Change: the admin address has /status (yuccafleet.Belief); status with addresses asks them. Looking at placement no longer starts its counts anew: Collect does.

--- a/core/yuccabeat/service.go
+++ b/core/yuccabeat/service.go
@@ -33,7 +33,7 @@
 type Placer interface {
 	Busy(now time.Time) map[string]float64
 	Share(demand map[string]yuccaplace.Demand, elapsed time.Duration)
-	Status() []yuccaplace.Status
+	Collect() []yuccaplace.Status
 }
 
 // Service sends and takes beats. Make one with New.
@@ -142,7 +142,7 @@
 
 // logStatus tells what the choices of servers rest on.
 func (s *Service) logStatus() {
-	for _, v := range s.placer.Status() {
+	for _, v := range s.placer.Collect() {
 		s.log.Info().
 			Str("service", v.Service).
 			Stringer("shares", v.Shares).
--- a/core/yuccadmin/admin.go
+++ b/core/yuccadmin/admin.go
@@ -32,8 +32,14 @@
 // New returns an admin service for the given address. Each of the pages is served
 // under its path, such as /status.
 func New(addr string, registry *prometheus.Registry, probe Probe, pages map[string]Page) *Admin {
+	handler := Handler(registry, probe, pages)
+	return &Admin{addr: addr, server: &fasthttp.Server{Handler: handler, Name: "yuccawell", CloseOnShutdown: true}, done: make(chan struct{})}
+}
+
+// Handler answers what an admin service is asked.
+func Handler(registry *prometheus.Registry, probe Probe, pages map[string]Page) fasthttp.RequestHandler {
 	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
-	handler := func(ctx *fasthttp.RequestCtx) {
+	return func(ctx *fasthttp.RequestCtx) {
 		path := string(ctx.Path())
 		if page, ok := pages[path]; ok {
 			serveJSON(ctx, page)
@@ -50,7 +56,6 @@
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
 		}
 	}
-	return &Admin{addr: addr, server: &fasthttp.Server{Handler: handler, Name: "yuccawell", CloseOnShutdown: true}, done: make(chan struct{})}
 }
 
 func serveReady(ctx *fasthttp.RequestCtx, probe Probe) {
--- /dev/null
+++ b/core/yuccafleet/belief.go
@@ -0,0 +1,42 @@
+package yuccafleet
+
+import (
+	"time"
+
+	"yuccawell.example/core/yuccaplace"
+)
+
+// Belief is what an entry takes for true, as it shows operators.
+type Belief struct {
+	Name    string `json:"name"`
+	Region  string `json:"region"`
+	Domain  string `json:"domain"`
+	Ready   bool   `json:"ready"`
+	Leaving bool   `json:"leaving"`
+	// Routes is the version of the routes in force, zero before any.
+	Routes uint64 `json:"routes"`
+	// Servers counts the backend servers that are known.
+	Servers int `json:"servers"`
+	// Age is how long ago the platform last told anything of the servers, in
+	// nanoseconds in JSON.
+	Age time.Duration `json:"age_ns"`
+	// Evacuated are the failure domains that get no new requests.
+	Evacuated []string `json:"evacuated"`
+	// Entries are the entries that may be sending requests, this one included.
+	Entries []string `json:"entries"`
+	// Services tell where the requests of each service go.
+	Services []yuccaplace.Status `json:"services"`
+}
+
+// Belief returns what the keeper holds at the given time. Whoever asks adds the
+// rest.
+func (k *Keeper) Belief(now time.Time) Belief {
+	b := Belief{Ready: k.Ready(), Servers: k.Count(), Age: k.Age(now)}
+	if table := k.table.Load(); table != nil {
+		b.Routes = table.Version()
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	b.Evacuated, b.Entries = keys(k.evacuated), k.entries
+	return b
+}
--- a/core/yuccaplace/picker.go
+++ b/core/yuccaplace/picker.go
@@ -31,6 +31,13 @@
 	p.core.Share(demand, elapsed)
 }
 
+// Collect returns the state of each service and starts counting choices anew.
+func (p *Picker) Collect() []Status {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.Collect()
+}
+
 // Status returns the state of each service.
 func (p *Picker) Status() []Status {
 	p.mu.Lock()
--- a/core/yuccaplace/status.go
+++ b/core/yuccaplace/status.go
@@ -10,19 +10,31 @@
 
 // Status is what a service's choices rest on.
 type Status struct {
-	Service string
+	Service string `json:"service"`
 	// Shares are the parts of the requests that run in each region.
-	Shares Shares
+	Shares Shares `json:"shares"`
 	// Busy is how many requests of this entry are in flight.
-	Busy int
+	Busy int `json:"busy"`
 	// Pace is the mean time to an answer, Warm and Cold that with an object that
-	// the server has lately had from this entry and with another.
-	Pace, Warm, Cold time.Duration
-	// Chosen counts the choices since the last status by reason.
-	Chosen map[Reason]int
+	// the server has lately had from this entry and with another, in nanoseconds
+	// in JSON.
+	Pace time.Duration `json:"pace_ns"`
+	Warm time.Duration `json:"warm_ns"`
+	Cold time.Duration `json:"cold_ns"`
+	// Chosen counts the choices since they were last collected by reason.
+	Chosen map[Reason]int `json:"chosen"`
 }
 
-// Status returns the state of each service, by name, and starts counting anew.
+// Collect returns the state of each service, by name, and starts counting anew.
+func (c *Core) Collect() []Status {
+	all := c.Status()
+	for _, p := range c.pools {
+		p.chosen = map[Reason]int{}
+	}
+	return all
+}
+
+// Status returns the state of each service, by name.
 func (c *Core) Status() []Status {
 	var all []Status
 	for _, name := range slices.Sorted(maps.Keys(c.pools)) {
@@ -34,9 +46,8 @@
 			Pace:    p.pace,
 			Warm:    p.work.warm,
 			Cold:    p.work.cold,
-			Chosen:  p.chosen,
+			Chosen:  maps.Clone(p.chosen),
 		})
-		p.chosen = map[Reason]int{}
 	}
 	return all
 }
--- a/ctl/status.go
+++ b/ctl/status.go
@@ -36,11 +36,14 @@
 func (a *app) statusCommand() *cobra.Command {
 	var watch bool
 	c := &cobra.Command{
-		Use:     "status",
+		Use:     "status [ADDRESS...]",
 		Short:   "Show the entries, the versions in force and the use of every region",
-		Example: "  yuccactl status\n  yuccactl status --watch\n  yuccactl status --json",
-		Args:    exactly(0),
-		RunE: func(c *cobra.Command, _ []string) error {
+		Long:    "status asks every entry that the platform lists. With admin addresses it asks these, and shows what each entry takes for true.",
+		Example: "  yuccactl status\n  yuccactl status --watch\n  yuccactl status --json\n  yuccactl status 10.0.0.7:9100 10.0.0.8:9100",
+		RunE: func(c *cobra.Command, addrs []string) error {
+			if len(addrs) > 0 {
+				return a.showBeliefs(addrs)
+			}
 			store, err := a.store()
 			if err != nil {
 				return err
