Servers that leave unannounced are dropped at once when the platform has just answered

Three or more that vanish at once were kept for 2 s, since the store may have been away without a failed call; learning of them took 0.5 to 0.9 s (one gathering pause and a slow answer), and the next tick 0.1 s. Ruled out: a lost store (none lost then), a starved processor (0.04 of 0.37 cores). Change: messages tell how long the platform had told nothing before. A lapse of leases needs an outage, so entries are kept only where the first of them vanished after a second of quiet, and then until 2 s after that. The older story 'many vanish at once without a known outage' now says that the platform was quiet, which was left open before.

--- a/core/yuccafleet/fleet.go
+++ b/core/yuccafleet/fleet.go
@@ -18,10 +18,14 @@
 	// ReturnTime is how long servers whose entries lapsed while the platform was
 	// away have to come back.
 	ReturnTime = 2200 * time.Millisecond
-	// lapseTime is how long many entries that vanish at once are kept.
+	// lapseTime is how long many entries that vanish at once are kept, since the
+	// platform may have been away without a failed call.
 	lapseTime = 2 * time.Second
 	// manyGone is how many make that: more than leave at one time by plan.
 	manyGone = 3
+	// quietTime is how long a platform that was away has told nothing at the
+	// least: leases outlast shorter outages.
+	quietTime = time.Second
 )
 
 // Record is a server as its entry in the platform's list describes it.
@@ -40,10 +44,13 @@
 // Fleet is the state of the servers. It has no clock of its own. Make one with
 // New.
 type Fleet struct {
-	decode  Decoder
-	prefix  string
-	known   map[string]member
+	decode Decoder
+	prefix string
+	known  map[string]member
+	// back is when the platform came back, lapse when entries vanished after it
+	// had told nothing for a while.
 	back    time.Time
+	lapse   time.Time
 	version uint64
 	listed  bool
 }
@@ -112,7 +119,7 @@
 			gone = append(gone, name)
 		}
 	}
-	f.remove(m.At, gone)
+	f.vanish(m.At, m.Quiet, gone)
 }
 
 func (f *Fleet) change(m yuccafollow.Changed) {
@@ -127,7 +134,7 @@
 		gone = slices.DeleteFunc(gone, func(name string) bool { return name == f.name(o) })
 		f.put(m.At, o)
 	}
-	f.remove(m.At, gone)
+	f.vanish(m.At, m.Quiet, gone)
 }
 
 func (f *Fleet) name(o yuccastore.Object) string { return strings.TrimPrefix(o.Key, f.prefix) }
@@ -158,24 +165,41 @@
 	f.version++
 }
 
-// remove drops servers whose entries vanished, at once or, where the entries may
+// vanish drops servers whose entries vanished, at once or, where the entries may
 // have lapsed though the servers live, when they had time to come back.
-func (f *Fleet) remove(now time.Time, names []string) {
-	until := time.Time{}
-	switch {
-	case !f.back.IsZero() && now.Before(f.back.Add(ReturnTime)):
-		until = f.back.Add(ReturnTime)
-	case len(names) >= manyGone:
-		until = now.Add(lapseTime)
-	}
+func (f *Fleet) vanish(now time.Time, quiet time.Duration, names []string) {
+	var unplanned []string
 	for _, name := range names {
 		f.version++
-		v := f.known[name]
-		if until.IsZero() || v.Server.Leaving {
+		if f.known[name].Server.Leaving {
 			delete(f.known, name)
 			continue
 		}
+		unplanned = append(unplanned, name)
+	}
+	if len(unplanned) > 0 && quiet >= quietTime {
+		f.lapse = now
+	}
+	until := f.keepUntil(now, len(unplanned))
+	for _, name := range unplanned {
+		if !now.Before(until) {
+			delete(f.known, name)
+			continue
+		}
+		v := f.known[name]
 		v.until = until
 		f.known[name] = v
 	}
 }
+
+// keepUntil returns until when a number of servers whose entries vanished are
+// kept.
+func (f *Fleet) keepUntil(now time.Time, vanished int) time.Time {
+	if end := f.back.Add(ReturnTime); now.Before(end) {
+		return end
+	}
+	if vanished >= manyGone {
+		return f.lapse.Add(lapseTime)
+	}
+	return now
+}
--- a/core/yuccafleet/fleet_test.go
+++ b/core/yuccafleet/fleet_test.go
@@ -72,11 +72,15 @@
 		tick    time.Time
 		want    string
 	}
+	const quiet = 4 * time.Second
 	listed := func(s float64, seq uint64, texts ...string) yuccafollow.Message {
 		return yuccafollow.Listed{At: at(s), Page: page(seq, texts...)}
 	}
 	changed := func(s float64, seq uint64, texts ...string) yuccafollow.Message {
-		return yuccafollow.Changed{At: at(s), Page: page(seq, texts...)}
+		return yuccafollow.Changed{At: at(s), Quiet: quiet, Page: page(seq, texts...)}
+	}
+	soon := func(s float64, seq uint64, texts ...string) yuccafollow.Message {
+		return yuccafollow.Changed{At: at(s), Quiet: 500 * time.Millisecond, Page: page(seq, texts...)}
 	}
 	all := listed(0, 1, "a=ready", "b=ready", "c=ready", "d=ready")
 	tests := []struct {
@@ -117,6 +121,18 @@
 			{changed(2, 3, "a=ready"), at(2.9), "a b c d"},
 			{nil, at(3.1), "a d"},
 		}},
+		{"many vanish when the platform has just answered", []step{
+			{all, at(0), "a b c d"},
+			{changed(1, 2, "d=leaving"), at(1), "a b c d!"},
+			{soon(1.5, 3, "a=", "b=", "c="), at(1.5), "d!"},
+		}},
+		{"many lapse one after the other", []step{
+			{listed(0, 1, "a=ready", "b=ready", "c=ready", "d=ready", "e=ready"), at(0), "a b c d e"},
+			{changed(1, 2, "a="), at(1), "b c d e"},
+			{soon(1.5, 3, "b=", "c=", "d="), at(1.5), "b c d e"},
+			{soon(2, 4, "c=ready"), at(2.9), "b c d e"},
+			{nil, at(3.1), "c e"},
+		}},
 		{"one that was leaving does not stay through an outage", []step{
 			{listed(0, 1, "a=ready", "b=leaving"), at(0), "a b!"},
 			{yuccafollow.Back{At: at(9)}, at(9), "a b!"},
--- a/core/yuccafollow/follow.go
+++ b/core/yuccafollow/follow.go
@@ -62,13 +62,17 @@
 type (
 	// Listed holds all objects as of one moment.
 	Listed struct {
-		At   time.Time
-		Page yuccastore.Page
+		At time.Time
+		// Quiet is how long the platform had told nothing before.
+		Quiet time.Duration
+		Page  yuccastore.Page
 	}
 	// Changed holds the objects that have changed since the message before.
 	Changed struct {
-		At   time.Time
-		Page yuccastore.Page
+		At time.Time
+		// Quiet is how long the platform had told nothing before.
+		Quiet time.Duration
+		Page  yuccastore.Page
 	}
 	// Lost says that the platform does not answer.
 	Lost struct {
@@ -93,6 +97,7 @@
 	log    zerolog.Logger
 	seq    uint64
 	listed time.Time
+	heard  time.Time
 	size   int
 	away   bool
 	fails  int
@@ -192,9 +197,9 @@
 	if page.Seq < f.seq {
 		return yuccafault.New(yuccafault.Platform, "list as of %d, known is %d", page.Seq, f.seq)
 	}
-	f.answered(false)
+	quiet := f.answered(false)
 	f.seq, f.listed, f.size = page.Seq, time.Now(), len(page.Objects)
-	f.tell(Listed{time.Now(), page})
+	f.tell(Listed{time.Now(), quiet, page})
 	return nil
 }
 
@@ -211,10 +216,10 @@
 		f.listed = time.Time{}
 		return nil
 	}
-	f.answered(time.Since(began) > f.set.Wait+late)
+	quiet := f.answered(time.Since(began) > f.set.Wait+late)
 	f.seq = page.Seq
 	if len(page.Objects) > 0 {
-		f.tell(Changed{time.Now(), page})
+		f.tell(Changed{time.Now(), quiet, page})
 		yuccapause.For(ctx, gather)
 	}
 	return nil
@@ -230,13 +235,20 @@
 	f.tell(Lost{time.Now(), err})
 }
 
-// answered notes that the platform answered, and that it was away before.
-func (f *Follower) answered(away bool) {
+// answered notes that the platform answered, and whether it was away before. It
+// returns how long it had told nothing.
+func (f *Follower) answered(away bool) time.Duration {
 	if f.away || away {
 		f.log.Info().Int("failures", f.fails).Uint64("seq", f.seq).Msg("platform_back")
 		f.tell(Back{time.Now()})
 	}
 	f.away, f.fails = false, 0
+	before := f.heard
+	f.heard = time.Now()
+	if before.IsZero() {
+		return 0
+	}
+	return f.heard.Sub(before)
 }
 
 // backoff returns the pause after a failed call, spread so that the entries do
--- a/core/yuccafollow/follow_test.go
+++ b/core/yuccafollow/follow_test.go
@@ -129,6 +129,8 @@
 	began time.Time
 	known map[string]bool
 	told  []string
+	// quiet are the times that the platform had told nothing before a change.
+	quiet []time.Duration
 }
 
 func (w *witness) tell(m yuccafollow.Message) {
@@ -146,6 +148,7 @@
 			w.known[o.Key] = !o.Gone
 		}
 		w.told = append(w.told, "changed")
+		w.quiet = append(w.quiet, m.Quiet)
 	case yuccafollow.Lost:
 		w.told = append(w.told, "lost")
 	case yuccafollow.Back:
@@ -210,6 +213,22 @@
 	})
 }
 
+// TestQuietIsTold makes a change after a while without any, and one soon after it.
+func TestQuietIsTold(t *testing.T) {
+	follow(t, 1, func(c *qt.C, p *platform, w *witness) {
+		time.Sleep(3 * time.Second)
+		p.put("a")
+		time.Sleep(100 * time.Millisecond)
+		p.put("b")
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		c.Assert(w.quiet, qt.HasLen, 2)
+		c.Assert(w.quiet[0] >= 3*time.Second, qt.IsTrue, qt.Commentf("%v", w.quiet))
+		c.Assert(w.quiet[1] < time.Second, qt.IsTrue, qt.Commentf("%v", w.quiet))
+	})
+}
+
 // TestForgottenHistory drops the history while a change is made that no watch
 // tells.
 func TestForgottenHistory(t *testing.T) {
