--- a/core/yuccabeat/service.go
+++ b/core/yuccabeat/service.go
@@ -151,6 +151,7 @@
 			Dur("warm", v.Warm).
 			Dur("cold", v.Cold).
 			Interface("chosen", v.Chosen).
+			Interface("late", v.Late).
 			Msg("placement")
 	}
 }
--- a/core/yuccaplace/core.go
+++ b/core/yuccaplace/core.go
@@ -43,6 +43,8 @@
 	Warm bool
 	// Queued says that the request was expected to wait for a slot.
 	Queued bool
+	// goal is the time in which the answer is of full use, zero when not known.
+	goal time.Duration
 }
 
 // Server returns the name of the chosen server.
@@ -178,7 +180,7 @@
 	if reason == ByOverflow {
 		p.overflow--
 	}
-	return Choice{seat: best.seat, Reason: reason, Queued: best.wait > 0}
+	return Choice{seat: best.seat, Reason: reason, Queued: best.wait > 0, goal: ask.Goal}
 }
 
 // usable reports whether the server may get the request at all.
@@ -199,5 +201,8 @@
 	if p := c.pools[s.Service]; p != nil {
 		p.count(r.Now, -1)
 		p.learn(r, choice)
+		if cause := c.late(choice, r); cause != "" {
+			p.late[cause]++
+		}
 	}
 }
--- /dev/null
+++ b/core/yuccaplace/late_test.go
@@ -0,0 +1,64 @@
+package yuccaplace_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccawell.example/core/yuccapick"
+	"yuccawell.example/core/yuccaplace"
+)
+
+// TestLateAnswersAreCountedByCause has a request answered after its goal in each
+// of the ways in which that comes about.
+func TestLateAnswersAreCountedByCause(t *testing.T) {
+	const late = 300 * time.Millisecond
+	serve := func(core *yuccaplace.Core, at time.Duration, took time.Duration) {
+		a := ask(at, 1)
+		choice := core.Ask(a)
+		core.Done(choice, yuccapick.Result{Now: a.Now.Add(took), Answered: true, Took: took})
+	}
+	tests := []struct {
+		name  string
+		world yuccaplace.World
+		play  func(core *yuccaplace.Core)
+		want  yuccaplace.Cause
+	}{
+		{"in time", world(1, 4, "a"), func(c *yuccaplace.Core) { serve(c, 0, time.Millisecond) }, ""},
+		{"first of its object", world(1, 4, "a"), func(c *yuccaplace.Core) { serve(c, 0, late) }, yuccaplace.LateObject},
+		{"known object", world(1, 4, "a"), func(c *yuccaplace.Core) {
+			serve(c, 0, time.Millisecond)
+			serve(c, time.Second, late)
+		}, yuccaplace.LateWork},
+		{"full server", world(1, 1, "a"), func(c *yuccaplace.Core) {
+			serve(c, 0, time.Millisecond)
+			c.Ask(ask(time.Second, 2))
+			serve(c, time.Second, late)
+		}, yuccaplace.LateQueue},
+		{"other region", world(1, 4, "b"), func(c *yuccaplace.Core) {
+			serve(c, 0, time.Millisecond)
+			serve(c, time.Second, late)
+		}, yuccaplace.LateRegion},
+		{"started server", coldWorld(), func(c *yuccaplace.Core) { serve(c, time.Second, late) }, yuccaplace.LateStart},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			core := newCore(test.world)
+			test.play(core)
+			want := map[yuccaplace.Cause]int{}
+			if test.want != "" {
+				want[test.want] = 1
+			}
+			qt.Assert(t, core.Status()[0].Late, qt.DeepEquals, want)
+		})
+	}
+}
+
+// coldWorld has a single server, which has just started.
+func coldWorld() yuccaplace.World {
+	w := world(1, 4, "a")
+	w.Servers[0].ColdUntil = start.Add(time.Minute)
+	w.ColdRates = map[string]float64{"s": 50}
+	return w
+}
--- a/core/yuccaplace/pool.go
+++ b/core/yuccaplace/pool.go
@@ -34,13 +34,14 @@
 	since    time.Time
 	changed  time.Time
 	chosen   map[Reason]int
+	late     map[Cause]int
 	// used is set from the first choice on; until then shares cost nothing to
 	// change.
 	used bool
 }
 
 func newPool() *pool {
-	return &pool{regions: map[string][]*seat{}, slots: map[string]float64{}, overflow: overflowBurst, chosen: map[Reason]int{}}
+	return &pool{regions: map[string][]*seat{}, slots: map[string]float64{}, overflow: overflowBurst, chosen: map[Reason]int{}, late: map[Cause]int{}}
 }
 
 // count adds to the number in flight and to its integral over time.
--- a/core/yuccaplace/status.go
+++ b/core/yuccaplace/status.go
@@ -23,13 +23,16 @@
 	Cold time.Duration `json:"cold_ns"`
 	// Chosen counts the choices since they were last collected by reason.
 	Chosen map[Reason]int `json:"chosen"`
+	// Late counts the answers that came after their goal since they were last
+	// collected by cause.
+	Late map[Cause]int `json:"late"`
 }
 
 // Collect returns the state of each service, by name, and starts counting anew.
 func (c *Core) Collect() []Status {
 	all := c.Status()
 	for _, p := range c.pools {
-		p.chosen = map[Reason]int{}
+		p.chosen, p.late = map[Reason]int{}, map[Cause]int{}
 	}
 	return all
 }
@@ -47,6 +50,7 @@
 			Warm:    p.work.warm,
 			Cold:    p.work.cold,
 			Chosen:  maps.Clone(p.chosen),
+			Late:    maps.Clone(p.late),
 		})
 	}
 	return all
