A cold object costs more where slots are scarce

Each choice weighed only its own time: a spilled request holds a slot three times as long and pushes another object out, so waits grow and more spill. Change: where slots of a region are in use, the time that a cold object takes longer counts up to five times. Tests: TestFullServerSpillsByCrowding, TestCrowdedServersKeepTheirObjects, both failing before.

--- a/core/yuccabench/run_test.go
+++ b/core/yuccabench/run_test.go
@@ -74,3 +74,22 @@
 		c.Assert(total[yuccabench.Placed] >= sum, qt.IsTrue, qt.Commentf("%s: %v", policy, total))
 	}
 }
+
+// TestCrowdedServersKeepTheirObjects replays loads of 130% of the slots, counted
+// with cold objects, and waves to 200%, on servers that keep few of them:
+// placement answers more requests within the goal than every other policy.
+func TestCrowdedServersKeepTheirObjects(t *testing.T) {
+	c := qt.New(t)
+	o := yuccabench.PlaceOptions(1, 5000, 10*time.Second)
+	o.Shapes = slices.DeleteFunc(o.Shapes, func(s yuccabench.Shape) bool { return s.Name != "few kept" })
+	o.Loads = slices.DeleteFunc(o.Loads, func(l yuccabench.Load) bool { return l.Name == "80%" })
+	policies := yuccabench.PlacePolicies()
+	results := yuccabench.Run(o)
+	for i := 0; i+len(policies) <= len(results); i += len(policies) {
+		row := results[i : i+len(policies)]
+		placed := row[len(row)-1]
+		for _, r := range row {
+			c.Assert(placed.InGoal >= r.InGoal, qt.IsTrue, qt.Commentf("%v %v: %s %v, placed %v", r.Setup.Case, r.Setup.Load.Name, r.Setup.Policy, r.InGoal, placed.InGoal))
+		}
+	}
+}
--- a/core/yuccaplace/core.go
+++ b/core/yuccaplace/core.go
@@ -167,7 +167,7 @@
 	if !best.first {
 		reason = ByRoom
 	}
-	if p.overflow >= 1 && ask.Goal > 0 && best.cost > ask.Goal {
+	if p.overflow >= 1 && ask.Goal > 0 && best.took > ask.Goal {
 		for _, region := range regions[1:] {
 			if o := c.best(p, region, ask, key); o.cost+regionWay < best.cost {
 				best, reason = o, ByOverflow
--- a/core/yuccaplace/core_test.go
+++ b/core/yuccaplace/core_test.go
@@ -250,3 +250,54 @@
 	}
 	c.Assert(used, qt.HasLen, 4)
 }
+
+// TestFullServerSpillsByCrowding has requests wait at the first server of an
+// object's order. With the others free, a further one goes to one of them; with
+// half of their slots in use it waits too, since a cold object would hold a slot
+// that others want.
+func TestFullServerSpillsByCrowding(t *testing.T) {
+	const slots = 4
+	full := yuccapick.Load{Running: slots, Waiting: 6, Slots: slots}
+	tests := []struct {
+		name   string
+		others yuccapick.Load
+		spills bool
+	}{
+		{"others free", yuccapick.Load{Slots: slots}, true},
+		{"others half full", yuccapick.Load{Running: slots / 2, Slots: slots}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			core := newCore(world(4, slots, "a"))
+			serve(core, 0, 300*time.Millisecond, nil)
+			serve(core, time.Second, 100*time.Millisecond, nil)
+			a := ask(3*time.Second, firstObject)
+			choice := core.Ask(a)
+			core.Done(choice, yuccapick.Result{Now: a.Now})
+			serve(core, 3*time.Second, 100*time.Millisecond, func(server string) *yuccapick.Load {
+				if server == choice.Server() {
+					return &full
+				}
+				return &test.others
+			})
+			qt.Assert(t, core.Ask(a).Server() != choice.Server(), qt.Equals, test.spills)
+		})
+	}
+}
+
+// firstObject is the first of those that serve asks for.
+const firstObject = 100
+
+// serve asks for many objects at one time. Each is answered after took, by a
+// server that tells the load that it is given.
+func serve(core *yuccaplace.Core, at, took time.Duration, load func(server string) *yuccapick.Load) {
+	for object := range uint64(60) {
+		a := ask(at, firstObject+object)
+		choice := core.Ask(a)
+		r := yuccapick.Result{Now: a.Now, Answered: true, Took: took}
+		if load != nil {
+			r.Load = load(choice.Server())
+		}
+		core.Done(choice, r)
+	}
+}
--- a/core/yuccaplace/offer.go
+++ b/core/yuccaplace/offer.go
@@ -19,13 +19,24 @@
 	domainWay = 3 * time.Millisecond
 	regionWay = 40 * time.Millisecond
 	bulkWay   = 30 * time.Millisecond
+	// crowdedFrom is the part of a region's slots in use from which the time that
+	// a cold object takes longer counts for more, crowdedPrice how much more
+	// when all are: others wait for the slot.
+	crowdedFrom  = 0.2
+	crowdedPrice = 4
 )
 
 // offer is a server and what a request is expected to take there.
 type offer struct {
 	seat *seat
-	// cost is the time that counts, wait the part of it before a slot is free.
-	cost, wait time.Duration
+	// took is the expected time, wait the part of it before a slot is free.
+	took, wait time.Duration
+	// extra is how much longer the slot is held than with a warm object.
+	extra time.Duration
+	// cost is what is compared: the time and what it costs others.
+	cost time.Duration
+	// busy is the server's load, up to its slots.
+	busy float64
 	// first is set for the first server of the object's order.
 	first bool
 }
@@ -36,20 +47,24 @@
 	if ask.Deadline.IsZero() || o.wait == 0 {
 		return false
 	}
-	return float64(o.cost) > patience*float64(ask.Deadline.Sub(ask.Now))
+	return float64(o.took) > patience*float64(ask.Deadline.Sub(ask.Now))
 }
 
 // best returns the server of a region with the least cost. The first of the
 // object's order is taken to have the object.
 func (c *Core) best(p *pool, region string, ask yuccapick.Ask, key uint64) offer {
 	home := c.home(p, region, ask, key)
-	var best offer
+	p.offers = p.offers[:0]
 	for _, s := range p.regions[region] {
-		if !c.usable(s, ask) {
-			continue
+		if c.usable(s, ask) {
+			p.offers = append(p.offers, c.price(p, s, ask, s == home))
 		}
-		o := c.price(p, s, ask, s == home)
-		better := best.seat == nil || o.cost < best.cost || o.cost == best.cost && mix(key, s.hash) > mix(key, best.seat.hash)
+	}
+	price := crowding(p.offers)
+	var best offer
+	for _, o := range p.offers {
+		o.cost = o.took + time.Duration(price*float64(o.extra))
+		better := best.seat == nil || o.cost < best.cost || o.cost == best.cost && mix(key, o.seat.hash) > mix(key, best.seat.hash)
 		if better {
 			best = o
 		}
@@ -57,6 +72,19 @@
 	return best
 }
 
+// crowding returns the price of a slot's time by how many slots are in use.
+func crowding(offers []offer) float64 {
+	busy, slots := 0.0, 0.0
+	for _, o := range offers {
+		busy += o.busy
+		slots += float64(o.seat.Slots)
+	}
+	if slots == 0 {
+		return 0
+	}
+	return crowdedPrice * max(0, busy/slots-crowdedFrom) / (1 - crowdedFrom)
+}
+
 // home returns the first server of the object's order in a region. Where answers
 // are long, the servers of the entry's own failure domain come first.
 func (c *Core) home(p *pool, region string, ask yuccapick.Ask, key uint64) *seat {
@@ -76,8 +104,10 @@
 
 // price estimates what a request takes at a server.
 func (c *Core) price(p *pool, s *seat, ask yuccapick.Ask, home bool) offer {
-	o := offer{seat: s, wait: s.wait(ask.Now, p.work.mean()), first: home}
-	work := float64(p.work.ofWarm()) * s.speed(p.work.warm)
+	load := s.load(ask.Now)
+	o := offer{seat: s, wait: s.wait(load, p.work.mean()), busy: min(load, float64(s.Slots)), first: home}
+	warm := float64(p.work.ofWarm()) * s.speed(p.work.warm)
+	work := warm
 	if ask.Object != 0 && !home && !s.recent.has(ask.Now, ask.Object) {
 		work *= p.work.ratio()
 	}
@@ -87,11 +117,11 @@
 	if s.doubtful(ask.Now) {
 		work *= doubtFactor
 	}
-	o.cost = o.wait + time.Duration(work)
+	o.took, o.extra = o.wait+time.Duration(work), time.Duration(work-warm)
 	if s.Domain != c.place.Domain {
-		o.cost += domainWay
+		o.took += domainWay
 		if p.bulk() {
-			o.cost += bulkWay
+			o.took += bulkWay
 		}
 	}
 	return o
--- a/core/yuccaplace/pool.go
+++ b/core/yuccaplace/pool.go
@@ -35,6 +35,8 @@
 	changed  time.Time
 	chosen   map[Reason]int
 	late     map[Cause]int
+	// offers is room for those of one choice.
+	offers []offer
 	// used is set from the first choice on; until then shares cost nothing to
 	// change.
 	used bool
--- a/core/yuccaplace/seat.go
+++ b/core/yuccaplace/seat.go
@@ -67,9 +67,9 @@
 	return float64(s.busy) + s.usual + (s.others-s.usual)*fresh
 }
 
-// wait estimates how long a further request waits for a slot.
-func (s *seat) wait(now time.Time, pace time.Duration) time.Duration {
-	over := s.load(now) + 1 - float64(s.Slots)
+// wait estimates how long a further request waits for a slot at a load.
+func (s *seat) wait(load float64, pace time.Duration) time.Duration {
+	over := load + 1 - float64(s.Slots)
 	return time.Duration(max(0, over) / float64(max(1, s.Slots)) * float64(pace))
 }
 
