A request that would wait longer than its goal is refused at once

Change: a request whose wait for a slot alone is longer than its goal is refused, with that wait as its time to return. One that finds a slot free is always tried. Tests: TestQueuesAreShorterThanTheGoal, failing before.

--- a/core/yuccaplace/core.go
+++ b/core/yuccaplace/core.go
@@ -174,7 +174,7 @@
 			}
 		}
 	}
-	if tooLate(best, ask) {
+	if best.tooLate(ask) {
 		return Choice{Reason: Refused, Kind: yuccafault.Shed, After: min(maxReturn, max(minReturn, best.wait))}
 	}
 	if reason == ByOverflow {
--- a/core/yuccaplace/core_test.go
+++ b/core/yuccaplace/core_test.go
@@ -280,6 +280,7 @@
 				}
 				return &test.others
 			})
+			a.Goal = time.Second
 			qt.Assert(t, core.Ask(a).Server() != choice.Server(), qt.Equals, test.spills)
 		})
 	}
@@ -293,6 +294,7 @@
 func serve(core *yuccaplace.Core, at, took time.Duration, load func(server string) *yuccapick.Load) {
 	for object := range uint64(60) {
 		a := ask(at, firstObject+object)
+		a.Goal = time.Second
 		choice := core.Ask(a)
 		r := yuccapick.Result{Now: a.Now, Answered: true, Took: took}
 		if load != nil {
@@ -301,3 +303,35 @@
 		core.Done(choice, r)
 	}
 }
+
+// TestQueuesAreShorterThanTheGoal asks a server in whose queue a request would
+// wait for about its whole goal, or longer: only the longer wait is refused, at
+// once and with a time to return, though there would be time to wait.
+func TestQueuesAreShorterThanTheGoal(t *testing.T) {
+	const slots = 4
+	tests := []struct {
+		name    string
+		waiting int
+		kind    yuccafault.Kind
+	}{
+		{"wait of 25 ms", 0, yuccafault.None},
+		{"wait of 175 ms", 6, yuccafault.None},
+		{"wait of 300 ms", 11, yuccafault.Shed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			core := newCore(world(1, slots, "a"))
+			serve(core, 0, 100*time.Millisecond, nil)
+			load := yuccapick.Load{Running: slots, Waiting: test.waiting, Slots: slots}
+			serve(core, time.Second, 100*time.Millisecond, func(string) *yuccapick.Load { return &load })
+			a := ask(time.Second, firstObject)
+			a.Deadline = a.Now.Add(time.Minute)
+			choice := core.Ask(a)
+			c.Assert(choice.Kind, qt.Equals, test.kind)
+			if choice.Kind != yuccafault.None {
+				c.Assert(choice.After, qt.Equals, 300*time.Millisecond)
+			}
+		})
+	}
+}
--- a/core/yuccaplace/offer.go
+++ b/core/yuccaplace/offer.go
@@ -41,12 +41,16 @@
 	first bool
 }
 
-// tooLate reports whether a request that has to wait for a slot would take too
-// much of the time that it has. One that finds a slot free is always tried.
-func tooLate(o offer, ask yuccapick.Ask) bool {
+// tooLate reports whether a request would wait for a slot longer than its goal, so
+// that all that follow would be late too, or take too much of the time that it
+// has. One that finds a slot free is always tried.
+func (o offer) tooLate(ask yuccapick.Ask) bool {
 	if ask.Deadline.IsZero() || o.wait == 0 {
 		return false
 	}
+	if ask.Goal > 0 && o.wait > ask.Goal {
+		return true
+	}
 	return float64(o.took) > patience*float64(ask.Deadline.Sub(ask.Now))
 }
 
@@ -64,14 +68,21 @@
 	var best offer
 	for _, o := range p.offers {
 		o.cost = o.took + time.Duration(price*float64(o.extra))
-		better := best.seat == nil || o.cost < best.cost || o.cost == best.cost && mix(key, o.seat.hash) > mix(key, best.seat.hash)
-		if better {
+		if best.seat == nil || o.before(best, key) {
 			best = o
 		}
 	}
 	return best
 }
 
+// before reports whether an offer is better than another for an object.
+func (o offer) before(other offer, key uint64) bool {
+	if o.cost != other.cost {
+		return o.cost < other.cost
+	}
+	return mix(key, o.seat.hash) > mix(key, other.seat.hash)
+}
+
 // crowding returns the price of a slot's time by how many slots are in use.
 func crowding(offers []offer) float64 {
 	busy, slots := 0.0, 0.0
