--- a/core/yuccafollow/follow.go
+++ b/core/yuccafollow/follow.go
@@ -31,6 +31,9 @@
 	Prefix string
 	// Wait is how long one watch waits for a change.
 	Wait time.Duration
+	// Gather is the pause after a change in which further ones may come. The
+	// longer it is, the fewer calls many changes cost.
+	Gather time.Duration
 	// Refresh is how often everything is read anew without a reason.
 	Refresh time.Duration
 	// Gate is shared by the followers of one platform; nil means one of its own.
@@ -40,8 +43,7 @@
 const (
 	defaultWait    = 5 * time.Second
 	defaultRefresh = 15 * time.Second
-	// gather is the pause after a change in which further ones may come.
-	gather = 400 * time.Millisecond
+	defaultGather  = 400 * time.Millisecond
 	// largeList is the number of objects at which everything is read half as
 	// often.
 	largeList = 100
@@ -111,6 +113,9 @@
 	if set.Wait == 0 {
 		set.Wait = defaultWait
 	}
+	if set.Gather == 0 {
+		set.Gather = defaultGather
+	}
 	if set.Gate == nil {
 		set.Gate = NewGate()
 	}
@@ -220,7 +225,7 @@
 	f.seq = page.Seq
 	if len(page.Objects) > 0 {
 		f.tell(Changed{time.Now(), quiet, page})
-		yuccapause.For(ctx, gather)
+		yuccapause.For(ctx, f.set.Gather)
 	}
 	return nil
 }
--- a/core/yuccafollow/follow_test.go
+++ b/core/yuccafollow/follow_test.go
@@ -75,11 +75,13 @@
 func (p *platform) List(ctx context.Context, _ string, after uint64, wait time.Duration) (yuccastore.Page, error) {
 	time.Sleep(4 * time.Millisecond)
 	end := time.After(wait)
+	p.mu.Lock()
+	p.calls++
+	p.mu.Unlock()
 	for {
 		p.mu.Lock()
 		wake := p.wake
 		if p.down {
-			p.calls++
 			p.mu.Unlock()
 			return yuccastore.Page{}, yuccafault.Wrap(yuccafault.Platform, errDown)
 		}
@@ -229,6 +231,31 @@
 	})
 }
 
+// TestManyChangesCostFewCalls makes many changes: the pause to gather them bounds
+// the calls, and the last change is known at its end.
+func TestManyChangesCostFewCalls(t *testing.T) {
+	const pause = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p, w := newPlatform(), &witness{known: map[string]bool{}}
+		f := yuccafollow.New(yuccafollow.Settings{Prefix: "k/", Gather: pause}, p, w.tell, zerolog.Nop())
+		group := &errgroup.Group{}
+		c.Assert(f.Start(t.Context(), group), qt.IsNil)
+		time.Sleep(100 * time.Millisecond)
+		before := p.made()
+		for i := range 100 {
+			p.put(fmt.Sprint("n", i))
+			time.Sleep(100 * time.Millisecond)
+		}
+		c.Assert(p.made()-before <= int(10*time.Second/pause)+1, qt.IsTrue, qt.Commentf("%d calls", p.made()-before))
+		time.Sleep(pause)
+		c.Assert(w.knows("n99"), qt.IsTrue)
+		c.Assert(f.Stop(t.Context()), qt.IsNil)
+		<-f.Done()
+		c.Assert(group.Wait(), qt.IsNil)
+	})
+}
+
 // TestForgottenHistory drops the history while a change is made that no watch
 // tells.
 func TestForgottenHistory(t *testing.T) {
