--- a/core/yuccabeat/service.go
+++ b/core/yuccabeat/service.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccakernel"
 	"yuccawell.example/core/yuccapeer"
 	"yuccawell.example/core/yuccaplace"
 )
@@ -38,15 +38,15 @@
 
 // Service sends and takes beats. Make one with New.
 type Service struct {
+	*yuccakernel.Loop
+
 	bus    Bus
 	placer Placer
 	log    zerolog.Logger
 
-	mu     sync.Mutex
-	state  *State
-	mean   map[string]float64
-	cancel context.CancelFunc
-	done   chan struct{}
+	mu    sync.Mutex
+	state *State
+	mean  map[string]float64
 }
 
 // New returns a service for the entry self.
@@ -57,32 +57,12 @@
 		log:    log,
 		state:  NewState(self, time.Now()),
 		mean:   map[string]float64{},
-		done:   make(chan struct{}),
 	}
+	s.Loop = yuccakernel.NewLoop(s.run)
 	bus.Handle(Topic, s.hear)
 	return s
 }
 
-// Start implements yuccakernel.Service.
-func (s *Service) Start(ctx context.Context, group *errgroup.Group) error {
-	ctx, s.cancel = context.WithCancel(ctx)
-	group.Go(func() error {
-		defer close(s.done)
-		s.run(ctx)
-		return nil
-	})
-	return nil
-}
-
-// Stop implements yuccakernel.Service.
-func (s *Service) Stop(context.Context) error {
-	s.cancel()
-	return nil
-}
-
-// Done implements yuccakernel.Service.
-func (s *Service) Done() <-chan struct{} { return s.done }
-
 // List takes the platform's list of entries.
 func (s *Service) List(entries []Entry) {
 	s.mu.Lock()
--- a/core/yuccademand/service.go
+++ b/core/yuccademand/service.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccakernel"
 	"yuccawell.example/core/yuccapeer"
 	"yuccawell.example/core/yuccaplan"
 	"yuccawell.example/core/yuccarelay"
@@ -40,6 +41,8 @@
 
 // Service measures and gathers. Make one with New.
 type Service struct {
+	*yuccakernel.Loop
+
 	self    string
 	bus     Asker
 	members func() []string
@@ -50,8 +53,6 @@
 	mu     sync.Mutex
 	tally  Tally
 	latest map[string]report
-	cancel context.CancelFunc
-	done   chan struct{}
 }
 
 // report is one entry's measurement and when it ended.
@@ -63,7 +64,7 @@
 // New returns a service for the entry with the given name. The function members
 // names the entries that are believed alive, busy counts requests in flight.
 func New(self string, bus Asker, members func() []string, holder Holder, busy func(service, region string) int, log zerolog.Logger) *Service {
-	return &Service{
+	s := &Service{
 		self:    self,
 		bus:     bus,
 		members: members,
@@ -71,8 +72,10 @@
 		busy:    busy,
 		log:     log,
 		latest:  map[string]report{},
-		done:    make(chan struct{}),
 	}
+	s.Loop = yuccakernel.NewLoop(s.run)
+	bus.Handle(Topic, s.answer)
+	return s
 }
 
 // Observe implements yuccarelay.Observer.
@@ -100,27 +103,6 @@
 	return all
 }
 
-// Start implements yuccakernel.Service.
-func (s *Service) Start(ctx context.Context, group *errgroup.Group) error {
-	ctx, s.cancel = context.WithCancel(ctx)
-	s.bus.Handle(Topic, s.answer)
-	group.Go(func() error {
-		defer close(s.done)
-		s.run(ctx)
-		return nil
-	})
-	return nil
-}
-
-// Stop implements yuccakernel.Service.
-func (s *Service) Stop(context.Context) error {
-	s.cancel()
-	return nil
-}
-
-// Done implements yuccakernel.Service.
-func (s *Service) Done() <-chan struct{} { return s.done }
-
 func (s *Service) run(ctx context.Context) {
 	tick := time.NewTicker(Interval)
 	defer tick.Stop()
--- a/core/yuccafeed/planner.go
+++ b/core/yuccafeed/planner.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
 
 	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccakernel"
 	"yuccawell.example/core/yuccapeer"
 	"yuccawell.example/core/yuccaplan"
 	"yuccawell.example/core/yuccastore"
@@ -36,6 +36,8 @@
 // Planner publishes plans while the entry holds the lease. Make one with
 // NewPlanner.
 type Planner struct {
+	*yuccakernel.Loop
+
 	feed   *Feed
 	store  yuccastore.Store
 	holder Holder
@@ -47,15 +49,14 @@
 	last  yuccaplan.Plan
 	tag   string
 
-	wake   chan struct{}
-	cancel context.CancelFunc
-	done   chan struct{}
+	wake chan struct{}
 }
 
 // NewPlanner returns a planner that makes its plans with a function. Call it
 // before the feed starts.
 func NewPlanner(feed *Feed, store yuccastore.Store, holder Holder, mk Make, log zerolog.Logger) *Planner {
-	p := &Planner{feed: feed, store: store, holder: holder, make: mk, log: log, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	p := &Planner{feed: feed, store: store, holder: holder, make: mk, log: log, wake: make(chan struct{}, 1)}
+	p.Loop = yuccakernel.NewLoop(p.run)
 	feed.Subscribe(func(Snapshot) {
 		select {
 		case p.wake <- struct{}{}:
@@ -65,26 +66,6 @@
 	return p
 }
 
-// Start implements yuccakernel.Service.
-func (p *Planner) Start(ctx context.Context, group *errgroup.Group) error {
-	ctx, p.cancel = context.WithCancel(ctx)
-	group.Go(func() error {
-		defer close(p.done)
-		p.run(ctx)
-		return nil
-	})
-	return nil
-}
-
-// Stop implements yuccakernel.Service.
-func (p *Planner) Stop(context.Context) error {
-	p.cancel()
-	return nil
-}
-
-// Done implements yuccakernel.Service.
-func (p *Planner) Done() <-chan struct{} { return p.done }
-
 func (p *Planner) run(ctx context.Context) {
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
--- a/core/yuccafleet/keeper.go
+++ b/core/yuccafleet/keeper.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
 
 	"yuccawell.example/core/yuccafollow"
+	"yuccawell.example/core/yuccakernel"
 	"yuccawell.example/core/yuccaplace"
 	"yuccawell.example/core/yuccaroute"
 )
@@ -21,6 +21,8 @@
 // Keeper holds what choices rest on and hands it on when it changes. Make one
 // with NewKeeper.
 type Keeper struct {
+	*yuccakernel.Loop
+
 	fleet *Fleet
 	// names returns the entries that may be sending requests.
 	names func() []string
@@ -34,13 +36,13 @@
 	applied   uint64
 	dirty     bool
 	heard     time.Time
-	cancel    context.CancelFunc
-	done      chan struct{}
 }
 
 // NewKeeper returns a keeper that hands each new world to place.
 func NewKeeper(fleet *Fleet, names func() []string, place func(yuccaplace.World), log zerolog.Logger) *Keeper {
-	return &Keeper{fleet: fleet, names: names, place: place, log: log, done: make(chan struct{})}
+	k := &Keeper{fleet: fleet, names: names, place: place, log: log}
+	k.Loop = yuccakernel.NewLoop(k.run)
+	return k
 }
 
 // Table returns the routes in force, nil before any are known.
@@ -144,17 +146,6 @@
 	k.place(yuccaplace.World{Servers: servers, Evacuated: k.evacuated, ColdRates: rates, Entries: names})
 }
 
-// Start implements yuccakernel.Service.
-func (k *Keeper) Start(ctx context.Context, group *errgroup.Group) error {
-	ctx, k.cancel = context.WithCancel(ctx)
-	group.Go(func() error {
-		defer close(k.done)
-		k.run(ctx)
-		return nil
-	})
-	return nil
-}
-
 func (k *Keeper) run(ctx context.Context) {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
@@ -170,12 +161,3 @@
 		}
 	}
 }
-
-// Stop implements yuccakernel.Service.
-func (k *Keeper) Stop(context.Context) error {
-	k.cancel()
-	return nil
-}
-
-// Done implements yuccakernel.Service.
-func (k *Keeper) Done() <-chan struct{} { return k.done }
--- a/core/yuccafollow/follow.go
+++ b/core/yuccafollow/follow.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
 
 	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccakernel"
 	"yuccawell.example/core/yuccapause"
 	"yuccawell.example/core/yuccastore"
 )
@@ -93,6 +93,8 @@
 
 // Follower follows one prefix. Make one with New.
 type Follower struct {
+	*yuccakernel.Loop
+
 	set    Settings
 	store  Lister
 	tell   func(Message)
@@ -103,8 +105,6 @@
 	size   int
 	away   bool
 	fails  int
-	cancel context.CancelFunc
-	done   chan struct{}
 }
 
 // New returns a follower that hands what it learns to tell, one message at a
@@ -122,29 +122,11 @@
 	if set.Refresh == 0 {
 		set.Refresh = defaultRefresh
 	}
-	return &Follower{set: set, store: store, tell: tell, log: log.With().Str("prefix", set.Prefix).Logger(), done: make(chan struct{})}
-}
-
-// Start implements yuccakernel.Service.
-func (f *Follower) Start(ctx context.Context, group *errgroup.Group) error {
-	ctx, f.cancel = context.WithCancel(ctx)
-	group.Go(func() error {
-		defer close(f.done)
-		f.run(ctx)
-		return nil
-	})
-	return nil
+	f := &Follower{set: set, store: store, tell: tell, log: log.With().Str("prefix", set.Prefix).Logger()}
+	f.Loop = yuccakernel.NewLoop(f.run)
+	return f
 }
 
-// Stop implements yuccakernel.Service.
-func (f *Follower) Stop(context.Context) error {
-	f.cancel()
-	return nil
-}
-
-// Done implements yuccakernel.Service.
-func (f *Follower) Done() <-chan struct{} { return f.done }
-
 func (f *Follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.call(ctx)
--- /dev/null
+++ b/core/yuccakernel/loop.go
@@ -0,0 +1,41 @@
+package yuccakernel
+
+import (
+	"context"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Loop is a service that runs one function in the background until it is stopped.
+// Embed one in a part that has nothing else to start. Make one with NewLoop.
+type Loop struct {
+	run    func(ctx context.Context)
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// NewLoop returns a service that runs a function, which returns when its context
+// ends.
+func NewLoop(run func(ctx context.Context)) *Loop {
+	return &Loop{run: run, done: make(chan struct{})}
+}
+
+// Start implements Service.
+func (l *Loop) Start(ctx context.Context, group *errgroup.Group) error {
+	ctx, l.cancel = context.WithCancel(ctx)
+	group.Go(func() error {
+		defer close(l.done)
+		l.run(ctx)
+		return nil
+	})
+	return nil
+}
+
+// Stop implements Service.
+func (l *Loop) Stop(context.Context) error {
+	l.cancel()
+	return nil
+}
+
+// Done implements Service.
+func (l *Loop) Done() <-chan struct{} { return l.done }
--- a/core/yuccalease/keeper.go
+++ b/core/yuccalease/keeper.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
 
 	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccakernel"
 	"yuccawell.example/core/yuccastore"
 )
 
@@ -32,19 +32,21 @@
 
 // Keeper takes and renews the lease. Make one with New.
 type Keeper struct {
+	*yuccakernel.Loop
+
 	store      yuccastore.Store
 	candidates Candidates
 	log        zerolog.Logger
 
-	mu     sync.Mutex
-	state  State
-	cancel context.CancelFunc
-	done   chan struct{}
+	mu    sync.Mutex
+	state State
 }
 
 // New returns a keeper for a run of an entry.
 func New(self string, start uint64, store yuccastore.Store, candidates Candidates, log zerolog.Logger) *Keeper {
-	return &Keeper{store: store, candidates: candidates, log: log, state: NewState(self, start), done: make(chan struct{})}
+	k := &Keeper{store: store, candidates: candidates, log: log, state: NewState(self, start)}
+	k.Loop = yuccakernel.NewLoop(k.keep)
+	return k
 }
 
 // Held returns the epoch and reports whether this entry holds the lease now.
@@ -54,22 +56,13 @@
 	return k.state.Held(time.Now())
 }
 
-// Start implements yuccakernel.Service.
-func (k *Keeper) Start(ctx context.Context, group *errgroup.Group) error {
-	ctx, k.cancel = context.WithCancel(ctx)
-	group.Go(func() error {
-		defer close(k.done)
-		k.keep(ctx)
-		return nil
-	})
-	return nil
-}
-
 // Stop implements yuccakernel.Service. It gives the lease back, so that another
 // entry need not wait for it to lapse.
 func (k *Keeper) Stop(ctx context.Context) error {
-	k.cancel()
-	<-k.done
+	if err := k.Loop.Stop(ctx); err != nil {
+		return err
+	}
+	<-k.Done()
 	epoch, held := k.Held()
 	if !held {
 		return nil
@@ -85,9 +78,6 @@
 	return nil
 }
 
-// Done implements yuccakernel.Service.
-func (k *Keeper) Done() <-chan struct{} { return k.done }
-
 func (k *Keeper) keep(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/core/yuccalog/bound.go
+++ b/core/yuccalog/bound.go
@@ -9,6 +9,8 @@
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccakernel"
 )
 
 // reportInterval is how often lines that were left out are counted in the log.
@@ -129,38 +131,34 @@
 // Counter tells in the log how many lines were left out. It is a service of the
 // kernel. Make one with NewCounter.
 type Counter struct {
+	*yuccakernel.Loop
+
 	quotas map[string]*Quota
 	writer *Writer
 	log    zerolog.Logger
 	told   map[string]uint64
-	cancel context.CancelFunc
-	done   chan struct{}
 }
 
 // NewCounter returns a counter of what a writer dropped and of what the quotas
 // left out, by the event that each bounds.
 func NewCounter(w *Writer, quotas map[string]*Quota, log zerolog.Logger) *Counter {
-	return &Counter{quotas: quotas, writer: w, log: log, told: map[string]uint64{}, done: make(chan struct{})}
+	c := &Counter{quotas: quotas, writer: w, log: log, told: map[string]uint64{}}
+	c.Loop = yuccakernel.NewLoop(c.run)
+	return c
 }
 
-// Start implements yuccakernel.Service.
-func (c *Counter) Start(ctx context.Context, group *errgroup.Group) error {
-	ctx, c.cancel = context.WithCancel(ctx)
-	group.Go(func() error {
-		defer close(c.done)
-		tick := time.NewTicker(reportInterval)
-		defer tick.Stop()
-		for {
-			select {
-			case <-tick.C:
-				c.tell()
-			case <-ctx.Done():
-				c.tell()
-				return nil
-			}
+func (c *Counter) run(ctx context.Context) {
+	tick := time.NewTicker(reportInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			c.tell()
+		case <-ctx.Done():
+			c.tell()
+			return
 		}
-	})
-	return nil
+	}
 }
 
 func (c *Counter) tell() {
@@ -176,12 +174,3 @@
 		c.log.Warn().Str("of", what).Uint64("count", n).Msg("lines_left_out")
 	}
 }
-
-// Stop implements yuccakernel.Service.
-func (c *Counter) Stop(context.Context) error {
-	c.cancel()
-	return nil
-}
-
-// Done implements yuccakernel.Service.
-func (c *Counter) Done() <-chan struct{} { return c.done }
--- a/core/yuccapick/share.go
+++ b/core/yuccapick/share.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccakernel"
 	"yuccawell.example/core/yuccapeer"
 )
 
@@ -23,41 +24,22 @@
 // Sharer is the service that keeps a Picker's time and exchanges slots with the
 // other entries. Make one with NewSharer.
 type Sharer struct {
+	*yuccakernel.Loop
+
 	picker *Picker
 	bus    yuccapeer.Bus
-	cancel context.CancelFunc
-	done   chan struct{}
 }
 
 // NewSharer returns a sharer. Call it before the bus starts.
 func NewSharer(picker *Picker, bus yuccapeer.Bus) *Sharer {
-	s := &Sharer{picker: picker, bus: bus, done: make(chan struct{})}
+	s := &Sharer{picker: picker, bus: bus}
+	s.Loop = yuccakernel.NewLoop(s.work)
 	bus.Handle(busyTopic, s.heard)
 	bus.Handle(lendTopic, s.lend)
 	bus.Handle(offerTopic, s.offered)
 	return s
 }
 
-// Start implements yuccakernel.Service.
-func (s *Sharer) Start(ctx context.Context, group *errgroup.Group) error {
-	ctx, s.cancel = context.WithCancel(ctx)
-	group.Go(func() error {
-		defer close(s.done)
-		s.work(ctx)
-		return nil
-	})
-	return nil
-}
-
-// Stop implements yuccakernel.Service.
-func (s *Sharer) Stop(context.Context) error {
-	s.cancel()
-	return nil
-}
-
-// Done implements yuccakernel.Service.
-func (s *Sharer) Done() <-chan struct{} { return s.done }
-
 func (s *Sharer) work(ctx context.Context) {
 	tick := time.NewTicker(TickInterval)
 	defer tick.Stop()
