--- a/core/yuccaexplain/explain.go
+++ b/core/yuccaexplain/explain.go
@@ -80,8 +80,7 @@
 	if f["after"] != "" && f["after"] != "0" {
 		fmt.Fprintf(&b, "  The caller was told to come back after %s ms.\n", f["after"])
 	}
-	fmt.Fprintf(&b, "  Route %s of version %s, service %s; %s ms after its arrival, of %s ms allowed, for a goal of %s ms.\n",
-		f["route"], f["routes"], f["service"], f["took"], f["limit"], f["goal"])
+	b.WriteString(describeRoute(f))
 	if f["tries"] == "" {
 		b.WriteString("  It was given to no server.\n")
 	}
@@ -101,6 +100,15 @@
 	return "see the table of kinds"
 }
 
+// describeRoute tells by which route a request went and how long it took.
+func describeRoute(f map[string]string) string {
+	if f["route"] == "" {
+		return fmt.Sprintf("  No route was known or fitted; %s ms after its arrival.\n", f["took"])
+	}
+	return fmt.Sprintf("  Route %s of version %s, service %s; %s ms after its arrival, of %s ms allowed, for a goal of %s ms.\n",
+		f["route"], f["routes"], f["service"], f["took"], f["limit"], f["goal"])
+}
+
 // describe puts a try into words: SERVER/DOMAIN:REASON:ENDING:TIME.
 func describe(try string) string {
 	parts := strings.Split(try, ":")
--- a/core/yuccaexplain/explain_test.go
+++ b/core/yuccaexplain/explain_test.go
@@ -44,3 +44,15 @@
 	c.Assert(strings.Index(text, "e1: overdue") < strings.Index(text, "e2: shed"), qt.IsTrue)
 	c.Assert(yuccaexplain.Explain(events, "other"), qt.Contains, "No line names request other")
 }
+
+// TestExplainBeforeAnyRoutes explains a request that came before the entry knew
+// any route: its line has neither route nor limit.
+func TestExplainBeforeAnyRoutes(t *testing.T) {
+	c := qt.New(t)
+	const line = `time=2026-05-01T17:19:53Z level=info event=request_failed after=0 entry=e1 error="unready: no routes yet" kind=unready request=early run=no status=503 took=0.06 tries=`
+	events, err := yuccaexplain.Read(strings.NewReader(line))
+	c.Assert(err, qt.IsNil)
+	text := yuccaexplain.Explain(events, "early")
+	c.Assert(text, qt.Contains, "No route was known or fitted; 0.06 ms after its arrival.")
+	c.Assert(text, qt.Not(qt.Contains), "of version ,")
+}
