--- /dev/null
+++ b/core/yuccaplace/offer_test.go
@@ -0,0 +1,97 @@
+package yuccaplace_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccawell.example/core/yuccafault"
+	"yuccawell.example/core/yuccapick"
+	"yuccawell.example/core/yuccaplace"
+)
+
+// TestFullServerSpillsByCrowding has requests wait at the first server of an
+// object's order. With the others free, a further one goes to one of them; with
+// half of their slots in use it waits too, since a cold object would hold a slot
+// that others want.
+func TestFullServerSpillsByCrowding(t *testing.T) {
+	const slots = 4
+	full := yuccapick.Load{Running: slots, Waiting: 6, Slots: slots}
+	tests := []struct {
+		name   string
+		others yuccapick.Load
+		spills bool
+	}{
+		{"others free", yuccapick.Load{Slots: slots}, true},
+		{"others half full", yuccapick.Load{Running: slots / 2, Slots: slots}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			core := newCore(world(4, slots, "a"))
+			serve(core, 0, 300*time.Millisecond, nil)
+			serve(core, time.Second, 100*time.Millisecond, nil)
+			a := ask(3*time.Second, firstObject)
+			choice := core.Ask(a)
+			core.Done(choice, yuccapick.Result{Now: a.Now})
+			serve(core, 3*time.Second, 100*time.Millisecond, func(server string) *yuccapick.Load {
+				if server == choice.Server() {
+					return &full
+				}
+				return &test.others
+			})
+			a.Goal = time.Second
+			qt.Assert(t, core.Ask(a).Server() != choice.Server(), qt.Equals, test.spills)
+		})
+	}
+}
+
+// firstObject is the first of those that serve asks for.
+const firstObject = 100
+
+// serve asks for many objects at one time. Each is answered after took, by a
+// server that tells the load that it is given.
+func serve(core *yuccaplace.Core, at, took time.Duration, load func(server string) *yuccapick.Load) {
+	for object := range uint64(60) {
+		a := ask(at, firstObject+object)
+		a.Goal = time.Second
+		choice := core.Ask(a)
+		r := yuccapick.Result{Now: a.Now, Answered: true, Took: took}
+		if load != nil {
+			r.Load = load(choice.Server())
+		}
+		core.Done(choice, r)
+	}
+}
+
+// TestQueuesAreShorterThanTheGoal asks a server in whose queue a request would
+// wait for about its whole goal, or longer: only the longer wait is refused, at
+// once and with a time to return, though there would be time to wait.
+func TestQueuesAreShorterThanTheGoal(t *testing.T) {
+	const slots = 4
+	tests := []struct {
+		name    string
+		waiting int
+		kind    yuccafault.Kind
+	}{
+		{"wait of 25 ms", 0, yuccafault.None},
+		{"wait of 175 ms", 6, yuccafault.None},
+		{"wait of 300 ms", 11, yuccafault.Shed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			core := newCore(world(1, slots, "a"))
+			serve(core, 0, 100*time.Millisecond, nil)
+			load := yuccapick.Load{Running: slots, Waiting: test.waiting, Slots: slots}
+			serve(core, time.Second, 100*time.Millisecond, func(string) *yuccapick.Load { return &load })
+			a := ask(time.Second, firstObject)
+			a.Deadline = a.Now.Add(time.Minute)
+			choice := core.Ask(a)
+			c.Assert(choice.Kind, qt.Equals, test.kind)
+			if choice.Kind != yuccafault.None {
+				c.Assert(choice.After, qt.Equals, 300*time.Millisecond)
+			}
+		})
+	}
+}
