--- a/ctl/plan.go
+++ b/ctl/plan.go
@@ -38,13 +38,10 @@
 }
 
 func (a *app) plan(ctx context.Context, path string, horizon time.Duration) error {
-	_, rules, faults, err := readRules(path)
+	_, rules, err := soundRules(path)
 	if err != nil {
 		return err
 	}
-	if err := yuccarule.Refuse(faults); err != nil {
-		return err
-	}
 	store, err := a.store()
 	if err != nil {
 		return err
--- a/ctl/rules.go
+++ b/ctl/rules.go
@@ -75,13 +75,10 @@
 		Example: "  yuccactl diff rules.txt",
 		Args:    exactly(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			_, rules, faults, err := readRules(args[0])
+			_, rules, err := soundRules(args[0])
 			if err != nil {
 				return err
 			}
-			if err := yuccarule.Refuse(faults); err != nil {
-				return err
-			}
 			store, err := a.store()
 			if err != nil {
 				return err
@@ -133,13 +130,10 @@
 }
 
 func (a *app) apply(ctx context.Context, path string, wait bool) error {
-	text, rules, faults, err := readRules(path)
+	text, rules, err := soundRules(path)
 	if err != nil {
 		return err
 	}
-	if err := yuccarule.Refuse(faults); err != nil {
-		return err
-	}
 	store, err := a.store()
 	if err != nil {
 		return err
@@ -206,6 +200,7 @@
 	return d, rules, o.Tag, err
 }
 
+// readRules reads a rules file with its faults.
 func readRules(path string) (string, yuccarule.Rules, []yuccarule.Fault, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -215,6 +210,15 @@
 	return string(text), rules, faults, nil
 }
 
+// soundRules reads a rules file and refuses one with faults.
+func soundRules(path string) (string, yuccarule.Rules, error) {
+	text, rules, faults, err := readRules(path)
+	if err != nil {
+		return "", yuccarule.Rules{}, err
+	}
+	return text, rules, yuccarule.Refuse(faults)
+}
+
 // baseVersion reads the version that show printed on the first line.
 func baseVersion(text string) (uint64, bool) {
 	first, _, _ := strings.Cut(text, "\n")
