--- a/core/yuccabench/run_test.go
+++ b/core/yuccabench/run_test.go
@@ -79,15 +79,32 @@
 // with cold objects, and waves to 200%, on servers that keep few of them:
 // placement answers more requests within the goal than every other policy.
 func TestCrowdedServersKeepTheirObjects(t *testing.T) {
-	c := qt.New(t)
 	o := yuccabench.PlaceOptions(1, 5000, 10*time.Second)
 	o.Shapes = slices.DeleteFunc(o.Shapes, func(s yuccabench.Shape) bool { return s.Name != "few kept" })
 	o.Loads = slices.DeleteFunc(o.Loads, func(l yuccabench.Load) bool { return l.Name == "80%" })
-	policies := yuccabench.PlacePolicies()
-	results := yuccabench.Run(o)
-	for i := 0; i+len(policies) <= len(results); i += len(policies) {
-		row := results[i : i+len(policies)]
+	placedIsBest(t, yuccabench.Run(o))
+}
+
+// TestPlacedOutlivesLosses loses an entry and a region, and has a server lie about
+// its load, under steady loads and waves: placement answers more requests within
+// the goal than every other policy.
+func TestPlacedOutlivesLosses(t *testing.T) {
+	o := yuccabench.PlaceOptions(1, 4000, 8*time.Second)
+	o.Shapes = slices.DeleteFunc(o.Shapes, func(s yuccabench.Shape) bool { return s.Name != "half kept" })
+	o.Cases = []yuccabench.Case{yuccabench.EntryGone, yuccabench.RegionLost, yuccabench.Lying}
+	placedIsBest(t, yuccabench.Run(o))
+}
+
+// placedIsBest checks that in each setting placement, the last policy of a row,
+// answers at least as many requests within the goal as every other one.
+func placedIsBest(t *testing.T, results []yuccabench.Result) {
+	t.Helper()
+	c := qt.New(t)
+	policies := len(yuccabench.PlacePolicies())
+	c.Assert(len(results) >= policies, qt.IsTrue)
+	for row := range slices.Chunk(results, policies) {
 		placed := row[len(row)-1]
+		c.Assert(placed.Setup.Policy, qt.Equals, yuccabench.Placed)
 		for _, r := range row {
 			c.Assert(placed.InGoal >= r.InGoal, qt.IsTrue, qt.Commentf("%v %v: %s %v, placed %v", r.Setup.Case, r.Setup.Load.Name, r.Setup.Policy, r.InGoal, placed.InGoal))
 		}
