--- a/core/yuccafleet/belief.go
+++ b/core/yuccafleet/belief.go
@@ -29,9 +29,9 @@
 }
 
 // Belief returns what the keeper holds at the given time. Whoever asks adds the
-// rest.
+// rest, readiness included, which does not rest on the keeper alone.
 func (k *Keeper) Belief(now time.Time) Belief {
-	b := Belief{Ready: k.Ready(), Servers: k.Count(), Age: k.Age(now)}
+	b := Belief{Servers: k.Count(), Age: k.Age(now)}
 	if table := k.table.Load(); table != nil {
 		b.Routes = table.Version()
 	}
