The answered request no longer counts as load of its server

Cause: servers count the request that they answer as running in the load report of its answer, and the entry has already taken it from its own in-flight count, so each report made a server look one request fuller than it was.

--- a/core/yuccaadmission/request.go
+++ b/core/yuccaadmission/request.go
@@ -108,7 +108,8 @@
 	Load *Load
 }
 
-// Load is a load report of a server.
+// Load is the load that a server reports in a response. The request that the
+// response belongs to does not count.
 type Load struct {
 	// Running is the number of requests that the server is running.
 	Running int
