Answers for objects that other entries cached no longer count as cold

Cause: every answer for an object that this entry had not recently sent to the server counted as a cold one, also at the object's affinity server, where the other entries keep it cached. The more entries, the more of these answers were warm, so that cold objects looked cheap: a queue that was shorter than a cold run was left for a server without the object, which pushed another object out there. Change: such answers count in the mean only; warm and cold are those where the entry knows. TestSharedObjectsDoNotCheapenColdOnes replays it and failed first.

--- a/core/yuccabalancer/candidate_test.go
+++ b/core/yuccabalancer/candidate_test.go
@@ -96,3 +96,28 @@
 		})
 	}
 }
+
+// TestSharedObjectsDoNotCheapenColdOnes is the load of many entries: the first
+// request of this entry for an object finds it cached on its affinity server,
+// where other entries have sent it. The fast answers say nothing about cold
+// servers, so that a short queue at the affinity server is still worth waiting
+// for.
+func TestSharedObjectsDoNotCheapenColdOnes(t *testing.T) {
+	const slots = 4
+	c := qt.New(t)
+	core := newCore(topology(4, slots, "a"))
+	serve(core, 0, 100*time.Millisecond, nil)
+	serve(core, time.Second, 100*time.Millisecond, nil)
+	full := yuccaadmission.Load{Running: slots, Waiting: 2, Slots: slots}
+	free := yuccaadmission.Load{Slots: slots}
+	a := request(2*time.Second, firstObject)
+	choice := core.Choose(a)
+	core.Done(choice, yuccaadmission.Result{Now: a.Now})
+	serve(core, 2*time.Second, 100*time.Millisecond, func(server string) *yuccaadmission.Load {
+		if server == choice.Server() {
+			return &full
+		}
+		return &free
+	})
+	c.Assert(core.Choose(a).Server(), qt.Equals, choice.Server())
+}
--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -61,6 +61,17 @@
 	latencyBudget time.Duration
 }
 
+// cacheState returns what was known about the object on the chosen server.
+func (c Choice) cacheState() cacheState {
+	switch {
+	case c.Warm:
+		return cacheWarm
+	case c.Reason == ByObject:
+		return cacheShared
+	}
+	return cacheCold
+}
+
 // Server returns the name of the chosen server. It must not be called on the
 // choice of a rejected request.
 func (c Choice) Server() string { return c.server.Name }
@@ -176,8 +187,9 @@
 
 // choose returns the best server of the object's region. When the latency
 // budget would be exceeded there and a spillover token is available, it
-// returns a server of another region if that costs less. When the request
-// would be too late on the best server, it is rejected.
+// returns a server of another region if that costs less; a rejection counts as
+// another latency budget, which is about how long a rejected caller waits.
+// When the request would be too late on the best server, it is rejected.
 func (c *Core) choose(p *pool, req yuccaadmission.Request) Choice {
 	key := req.Object
 	if key == 0 {
--- a/core/yuccabalancer/latency_stats.go
+++ b/core/yuccabalancer/latency_stats.go
@@ -24,14 +24,34 @@
 	// minSamples is how many warm and how many cold samples the measured
 	// ratio needs.
 	minSamples = 20
-	// maxSamples is the number of samples at which the earlier ones lose
-	// half of their weight in the mean.
-	maxSamples = 400
+	// maxMeanSamples is the number of samples after which the mean latency
+	// becomes a moving average.
+	maxMeanSamples = 100
 )
 
-// latencyStats holds a service's latency without queueing, separately for
-// warm objects, which the server has recently handled, and for cold ones.
+// cacheState is what this entry knows about an object on a server.
+type cacheState int
+
+const (
+	// cacheCold is an object that this entry has not recently sent to the
+	// server.
+	cacheCold cacheState = iota
+	// cacheWarm is an object that this entry has recently sent to the server.
+	cacheWarm
+	// cacheShared is an object that this entry has not recently sent to its
+	// affinity server. Other entries probably have.
+	cacheShared
+)
+
+// latencyStats holds a service's latency without queueing: the mean, and
+// separately for warm and for cold objects. Shared objects count in the mean
+// only. They are warm if another entry has sent them, and would make cold
+// objects look cheaper than they are, the more so the more entries there are.
 type latencyStats struct {
+	// mean is the mean of all samples; zero means no sample.
+	mean time.Duration
+	// meanCount is the number of samples in mean, up to maxMeanSamples.
+	meanCount int
 	// warm is the moving average for warm objects; zero means no sample.
 	warm time.Duration
 	// cold is the moving average for cold objects; zero means no sample.
@@ -43,26 +63,17 @@
 }
 
 // observe adds a sample.
-func (w *latencyStats) observe(took time.Duration, warm bool) {
-	if warm {
+func (w *latencyStats) observe(took time.Duration, state cacheState) {
+	w.meanCount = min(w.meanCount+1, maxMeanSamples)
+	w.mean += (took - w.mean) / time.Duration(w.meanCount)
+	switch state {
+	case cacheWarm:
 		w.warm = ewma(w.warm, took, objectLatencyWeight)
 		w.warmCount++
-	} else {
+	case cacheCold:
 		w.cold = ewma(w.cold, took, objectLatencyWeight)
 		w.coldCount++
 	}
-	if w.warmCount+w.coldCount > maxSamples {
-		w.warmCount, w.coldCount = (w.warmCount+1)/2, (w.coldCount+1)/2
-	}
-}
-
-// mean returns the mean latency of all requests, zero without samples.
-func (w *latencyStats) mean() time.Duration {
-	n := time.Duration(w.warmCount + w.coldCount)
-	if n == 0 {
-		return 0
-	}
-	return (w.warm*time.Duration(w.warmCount) + w.cold*time.Duration(w.coldCount)) / n
 }
 
 // coldRatio returns the ratio of cold to warm latency, at least
--- a/core/yuccabalancer/pool.go
+++ b/core/yuccabalancer/pool.go
@@ -122,7 +122,7 @@
 	}
 	p.meanLatency = ewma(p.meanLatency, r.TimeToHeader, latencyWeight)
 	if !choice.Queued {
-		p.latency.observe(r.TimeToHeader, choice.Warm)
+		p.latency.observe(r.TimeToHeader, choice.cacheState())
 	}
 	if r.Bytes > 0 {
 		p.meanBytes += (float64(r.Bytes) - p.meanBytes) * bytesWeight
