An object is not taken for cached at a server of another region

Cause: when a request's own region would answer late, the best server of the other regions was estimated with the object cached on its first server by hash there, as at home. Change: elsewhere only objects that this entry has recently sent there count as warm. A request that would be refused at home counts that as one more latency budget, so that it still finds a free server elsewhere. TestObjectsAreColdInOtherRegions failed first; TestPlacementOnSmallServers replays the load (servers of three slots that keep a fifth of the objects, one region that needs the others, 80%, 130% and a wave to 200%) against the other policies.

--- a/core/yuccabalancer/candidate.go
+++ b/core/yuccabalancer/candidate.go
@@ -71,9 +71,8 @@
 }
 
 // bestServer returns the eligible server of a region with the lowest cost.
-// The object is assumed to be warm on its affinity server.
-func (c *Core) bestServer(p *pool, region string, req yuccaadmission.Request, key uint64) candidate {
-	preferred := c.affinityServer(p, region, req, key)
+// The object is assumed to be warm on preferred, if that is not nil.
+func (c *Core) bestServer(p *pool, region string, req yuccaadmission.Request, key uint64, preferred *serverState) candidate {
 	p.candidates = p.candidates[:0]
 	for _, s := range p.regions[region] {
 		if c.eligible(s, req) {
@@ -91,6 +90,20 @@
 	return best
 }
 
+// bestServerElsewhere returns the best server of all the given regions, none of
+// them the object's own. Only objects that this entry has recently sent there
+// count as warm, since the object's other callers use its own region.
+func (c *Core) bestServerElsewhere(p *pool, regions []string, req yuccaadmission.Request, key uint64) candidate {
+	var best candidate
+	for _, region := range regions {
+		o := c.bestServer(p, region, req, key, nil)
+		if best.server == nil || o.cost < best.cost {
+			best = o
+		}
+	}
+	return best
+}
+
 // betterThan reports whether the candidate has the lower cost; the object's
 // rendezvous score breaks ties.
 func (o candidate) betterThan(other candidate, key uint64) bool {
--- a/core/yuccabalancer/candidate_test.go
+++ b/core/yuccabalancer/candidate_test.go
@@ -121,3 +121,40 @@
 	})
 	c.Assert(core.Choose(a).Server(), qt.Equals, choice.Server())
 }
+
+// TestObjectsAreColdInOtherRegions fills the object's region until a request
+// would wait for a little longer than its latency budget allows. A server of
+// another region is free but would have to fetch the object, which takes
+// longer than the wait, so that the request stays. When it would be rejected,
+// it goes there.
+func TestObjectsAreColdInOtherRegions(t *testing.T) {
+	const slots = 4
+	tests := []struct {
+		name    string
+		waiting int
+		region  string
+	}{
+		{"wait of 125 ms", 4, "a"},
+		{"wait of 225 ms", 8, "b"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := topology(1, slots, "a", "b")
+			core := newCore(w)
+			serve(core, 0, 100*time.Millisecond, nil)
+			serve(core, time.Second, 100*time.Millisecond, nil)
+			load := yuccaadmission.Load{Running: slots, Waiting: test.waiting, Slots: slots}
+			serve(core, 2*time.Second, 100*time.Millisecond, func(server string) *yuccaadmission.Load {
+				if server == "a0" {
+					return &load
+				}
+				return &yuccaadmission.Load{Slots: slots}
+			})
+			a := request(2*time.Second, firstObject)
+			choice := core.Choose(a)
+			c.Assert(choice.Kind, qt.Equals, yuccaerror.None)
+			c.Assert(choice.Server()[:1], qt.Equals, test.region)
+		})
+	}
+}
--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -201,16 +201,18 @@
 		return Choice{Reason: Refused, Kind: yuccaerror.NoServer, RetryAfter: maxRetryAfter}
 	}
 	p.spilloverTokens = min(spilloverBurst, p.spilloverTokens+spilloverRatio)
-	best := c.bestServer(p, regions[0], req, key)
+	best := c.bestServer(p, regions[0], req, key, c.affinityServer(p, regions[0], req, key))
 	reason := ByObject
 	if !best.preferred {
 		reason = ByLoad
 	}
 	if p.spilloverTokens >= 1 && req.LatencyBudget > 0 && best.latency > req.LatencyBudget {
-		for _, region := range regions[1:] {
-			if o := c.bestServer(p, region, req, key); o.cost+crossRegionDelay < best.cost {
-				best, reason = o, BySpillover
-			}
+		limit := best.cost
+		if best.tooLate(req) {
+			limit += req.LatencyBudget
+		}
+		if o := c.bestServerElsewhere(p, regions[1:], req, key); o.server != nil && o.cost+crossRegionDelay < limit {
+			best, reason = o, BySpillover
 		}
 	}
 	if best.tooLate(req) {
--- a/core/yuccasim/objects.go
+++ b/core/yuccasim/objects.go
@@ -27,6 +27,23 @@
 	}
 }
 
+// SmallServerOptions returns the options for servers with few slots that cache a
+// fifth of the objects, where the first request for an object misses the latency
+// target. One region has an eighth of the servers and a third of the callers, so
+// that it needs the others at every load.
+func SmallServerOptions(seed uint64, requests int, length time.Duration) Options {
+	return Options{
+		Seed:        seed,
+		Deployments: []Deployment{{"small servers", []Service{{"calls", 16, 3, 640 * time.Millisecond}}}},
+		Scenarios:   []Scenario{NoFault, ColdServers, RegionLost},
+		Loads:       []Load{{"80%", 0.8, 0}, {"130%", 1.3, 0}, {"wave", 0.8, 2}},
+		Policies:    ObjectPolicies(),
+		Workloads:   []Workload{{Name: "a fifth kept", Objects: 72, CacheSize: 14, CacheSaving: 0.7, LatencyTarget: 400 * time.Millisecond, UnevenRegions: true}},
+		Requests:    requests,
+		Length:      length,
+	}
+}
+
 // PrintOnTimeRatios writes a Markdown table with one row for each combination of
 // workload, load and scenario: the fraction of requests that each policy answers
 // within the latency target. The results must be those of ObjectOptions. A load is
--- a/core/yuccasim/run_test.go
+++ b/core/yuccasim/run_test.go
@@ -88,6 +88,16 @@
 	assertPlacementBest(t, yuccasim.Run(o))
 }
 
+// TestPlacementOnSmallServers simulates servers of three slots that cache a fifth of
+// the objects, under steady load, overload and peaks, with a region that needs the
+// others. In each combination ObjectPlacement must answer at least as many requests
+// on time as every other policy.
+func TestPlacementOnSmallServers(t *testing.T) {
+	o := yuccasim.SmallServerOptions(1, 3000, 10*time.Second)
+	o.Scenarios = []yuccasim.Scenario{yuccasim.NoFault, yuccasim.ColdServers}
+	assertPlacementBest(t, yuccasim.Run(o))
+}
+
 // TestPlacementWithFailures simulates the loss of an entry, the loss of a region and
 // a server that reports false loads, under steady load and peaks. In each
 // combination ObjectPlacement must answer at least as many requests on time as every
