Requests about no object no longer count as samples of cold objects

Cause: requests without an affinity key, which also test routes and are answered in a millisecond or two, were counted as answers for cold objects when they went to a server that was not first by hash. The more entries, the fewer samples each has to correct it. Change: such requests count only until the first sample of an object. TestRequestsWithoutObjectDoNotCheapenColdOnes failed first.

--- a/core/yuccabalancer/candidate_test.go
+++ b/core/yuccabalancer/candidate_test.go
@@ -158,3 +158,36 @@
 		})
 	}
 }
+
+// TestRequestsWithoutObjectDoNotCheapenColdOnes mixes requests about no object,
+// which are answered in a millisecond, with requests for objects. A short queue at
+// the affinity server is still worth waiting for. Half of the servers are in another
+// failure domain, so that requests about no object often go to a server that is not
+// the first by hash.
+func TestRequestsWithoutObjectDoNotCheapenColdOnes(t *testing.T) {
+	const slots = 4
+	c := qt.New(t)
+	w := topology(40, slots, "a")
+	for i := range w.Servers {
+		w.Servers[i].Domain = []string{"a1", "a2"}[i%2]
+	}
+	core := newCore(w)
+	serve(core, 0, 100*time.Millisecond, nil)
+	for i := range uint64(100) {
+		a := request(time.Second, 0)
+		a.Random = i
+		core.Done(core.Choose(a), yuccaadmission.Result{Now: a.Now, Succeeded: true, TimeToHeader: time.Millisecond})
+	}
+	serve(core, time.Second, 100*time.Millisecond, nil)
+	full := yuccaadmission.Load{Running: slots, Waiting: 2, Slots: slots}
+	a := request(2*time.Second, firstObject)
+	choice := core.Choose(a)
+	core.Done(choice, yuccaadmission.Result{Now: a.Now})
+	serve(core, 2*time.Second, 100*time.Millisecond, func(server string) *yuccaadmission.Load {
+		if server == choice.Server() {
+			return &full
+		}
+		return &yuccaadmission.Load{Slots: slots}
+	})
+	c.Assert(core.Choose(a).Server(), qt.Equals, choice.Server())
+}
--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -59,11 +59,15 @@
 	Queued bool
 	// latencyBudget is the request's latency budget; zero means unknown.
 	latencyBudget time.Duration
+	// hasObject is set if the request was about an object.
+	hasObject bool
 }
 
 // cacheState returns what was known about the object on the chosen server.
 func (c Choice) cacheState() cacheState {
 	switch {
+	case !c.hasObject:
+		return cacheUnused
 	case c.Warm:
 		return cacheWarm
 	case c.Reason == ByObject:
@@ -221,7 +225,7 @@
 	if reason == BySpillover {
 		p.spilloverTokens--
 	}
-	return Choice{server: best.server, Reason: reason, Queued: best.queueWait > 0, latencyBudget: req.LatencyBudget}
+	return Choice{server: best.server, Reason: reason, Queued: best.queueWait > 0, latencyBudget: req.LatencyBudget, hasObject: req.Object != 0}
 }
 
 // eligible reports whether the server may get this request.
@@ -237,7 +241,7 @@
 func (c *Core) Done(choice Choice, r yuccaadmission.Result) {
 	s := choice.server
 	s.finish(r)
-	if r.Succeeded && choice.Warm && !choice.Queued {
+	if r.Succeeded && choice.cacheState() == cacheWarm && !choice.Queued {
 		s.warmLatency = ewma(s.warmLatency, r.TimeToHeader, latencyWeight)
 	}
 	if p := c.pools[s.Service]; p != nil {
--- a/core/yuccabalancer/latency_stats.go
+++ b/core/yuccabalancer/latency_stats.go
@@ -41,13 +41,19 @@
 	// cacheShared is an object that this entry has not recently sent to its
 	// affinity server. Other entries probably have.
 	cacheShared
+	// cacheUnused means that the request was about no object.
+	cacheUnused
 )
 
 // latencyStats holds a service's latency without queueing: the mean, and
 // separately for warm and for cold objects. Shared objects count in the mean
 // only. They are warm if another entry has sent them, and would make cold
 // objects look cheaper than they are, the more so the more entries there are.
+// Requests about no object count only until the first sample of an object, since
+// their work may be of another kind.
 type latencyStats struct {
+	// hasObjects is set by the first sample of an object.
+	hasObjects bool
 	// mean is the mean of all samples; zero means no sample.
 	mean time.Duration
 	// meanCount is the number of samples in mean, up to maxMeanSamples.
@@ -64,6 +70,12 @@
 
 // observe adds a sample.
 func (w *latencyStats) observe(took time.Duration, state cacheState) {
+	switch {
+	case state == cacheUnused && w.hasObjects:
+		return
+	case state != cacheUnused && !w.hasObjects:
+		*w = latencyStats{hasObjects: true}
+	}
 	w.meanCount = min(w.meanCount+1, maxMeanSamples)
 	w.mean += (took - w.mean) / time.Duration(w.meanCount)
 	switch state {
@@ -86,13 +98,16 @@
 }
 
 // warmLatency returns the warm latency. Without warm samples it is derived
-// from the cold latency, and without any it is defaultWarmLatency.
+// from the cold latency, without those it is the mean, and without any sample it
+// is defaultWarmLatency.
 func (w *latencyStats) warmLatency() time.Duration {
 	switch {
 	case w.warm > 0:
 		return w.warm
 	case w.cold > 0:
 		return w.cold / defaultColdRatio
+	case w.mean > 0:
+		return w.mean
 	}
 	return defaultWarmLatency
 }
