One entry of a failure domain reads the store for the others, and changes reach entries that cannot

Cause, two faults with one root. Ways weighed: a cold rate that holds under any two lists of entries does not help an entry that takes the server for warm; asking the other entries only when the store fails leaves the calls; polling two readers in turn costs a message a second and entry; pushing changes costs messages only when something changes. Change: yuccareplica. One reader a failure domain calls the store and passes changes on to its domain; heartbeats announce the last change known under each prefix, and an entry that misses one for 250 ms fetches it from one that has it, also when it cannot reach the store. An entry reads for itself until another announces three seconds of contact, when none does, or when it has been missing changes for a second. What a reader saw in the three seconds after an outage is not passed on. A list tells nothing of objects that came and went unseen, so a copy does not answer for such times: the property test of two copies found that. A watch that keeps answering from the past is no longer repeated without a pause (2,499 calls in ten seconds in TestStaleResponsesCostFewCalls, which failed first). Tests: TestCopiesAgree, TestListHidesObjects, TestWhoCallsThePlatform, TestWhomToAsk, TestOneEntryOfADomainCalls, TestChangesArriveThroughFaults, TestOutageIsNotPassedOn, TestRestartedReader, TestGateDelaysCalls. Conclusion: calls now grow with the failure domains; the rule holds while any entry reaches the store.

--- a/core/yuccaliveness/monitor.go
+++ b/core/yuccaliveness/monitor.go
@@ -12,6 +12,7 @@
 	"yuccawell.example/core/yuccaerror"
 	"yuccawell.example/core/yuccakernel"
 	"yuccawell.example/core/yuccapeer"
+	"yuccawell.example/core/yuccareplica"
 )
 
 // Topic is the bus topic that heartbeats are published on.
@@ -46,6 +47,15 @@
 	StatusAndReset() []yuccabalancer.Status
 }
 
+// Replica shares the platform's objects among the entries. Heartbeats carry its
+// announcements.
+type Replica interface {
+	// Announcement returns what the next heartbeat announces.
+	Announcement() yuccareplica.Announcement
+	// Observe records the announcement of another entry.
+	Observe(from string, a yuccareplica.Announcement)
+}
+
 // Monitor is the service that publishes this entry's heartbeats and tracks those
 // of the other entries. Create one with New.
 type Monitor struct {
@@ -53,6 +63,7 @@
 
 	bus      Bus
 	balancer Balancer
+	replica  Replica
 	log      zerolog.Logger
 
 	// mu guards state and meanInFlight.
@@ -65,10 +76,11 @@
 
 // New returns the monitor of the entry self and registers its heartbeat handler on
 // the bus.
-func New(self Entry, bus Bus, balancer Balancer, log zerolog.Logger) *Monitor {
+func New(self Entry, bus Bus, balancer Balancer, replica Replica, log zerolog.Logger) *Monitor {
 	s := &Monitor{
 		bus:          bus,
 		balancer:     balancer,
+		replica:      replica,
 		log:          log,
 		state:        NewState(self, time.Now()),
 		meanInFlight: map[string]float64{},
@@ -93,6 +105,14 @@
 	return s.state.Alive(time.Now())
 }
 
+// DomainPeers returns the names of the other alive entries of this entry's failure
+// domain, sorted.
+func (s *Monitor) DomainPeers() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.DomainPeers(time.Now())
+}
+
 // Names returns the sorted names of all entries that may be sending requests to
 // backend servers, this one included.
 func (s *Monitor) Names() []string {
@@ -172,6 +192,7 @@
 }
 
 func (s *Monitor) publishHeartbeat() {
+	announcement := s.replica.Announcement()
 	s.mu.Lock()
 	self := s.state.Self()
 	heartbeat := &Heartbeat{
@@ -181,6 +202,8 @@
 		Leaving:     self.Leaving,
 		Incarnation: self.Incarnation,
 		InFlight:    map[string]float32{},
+		Changed:     announcement.Changed,
+		ContactMs:   uint32(announcement.Contact.Milliseconds()),
 	}
 	for service, v := range s.meanInFlight {
 		heartbeat.InFlight[service] = float32(v)
@@ -206,6 +229,10 @@
 		inFlight[service] = float64(v)
 	}
 	e := Entry{Name: from, Region: heartbeat.GetRegion(), Domain: heartbeat.GetDomain(), ClientAddr: heartbeat.GetClientAddr(), Incarnation: heartbeat.GetIncarnation(), Leaving: heartbeat.GetLeaving()}
+	s.replica.Observe(from, yuccareplica.Announcement{
+		Changed: heartbeat.GetChanged(),
+		Contact: time.Duration(heartbeat.GetContactMs()) * time.Millisecond,
+	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.RecordHeartbeat(time.Now(), e, inFlight)
--- a/core/yuccaliveness/state.go
+++ b/core/yuccaliveness/state.go
@@ -8,7 +8,7 @@
 // publishes the entry's own heartbeats, records those of the others and reports
 // the demand of all regions to the load balancer.
 //
-//	monitor := yuccaliveness.New(self, peers, picker, log)
+//	monitor := yuccaliveness.New(self, peers, picker, replica, log)
 //	monitor.UpdateList(entries) // whenever the platform's list changes
 //	nearby := yuccaliveness.InRegion(monitor.Alive(), region, domain)
 package yuccaliveness
@@ -165,6 +165,18 @@
 	return all
 }
 
+// DomainPeers returns the sorted names of the other alive entries of this entry's
+// failure domain.
+func (s *State) DomainPeers(now time.Time) []string {
+	var names []string
+	for _, e := range s.Alive(now) {
+		if e.Domain == s.self.Domain && e.Name != s.self.Name {
+			names = append(names, e.Name)
+		}
+	}
+	return names
+}
+
 // ToDeregister returns the sorted names of the silent entries that this entry has
 // to remove from the platform's list. Rendezvous hashing assigns each silent
 // entry to one of the live ones, so that only one removes it. An entry that
--- /dev/null
+++ b/core/yuccareplica/announce.go
@@ -0,0 +1,185 @@
+package yuccareplica
+
+import (
+	"slices"
+	"time"
+
+	"yuccawell.example/core/yuccapeer"
+)
+
+const (
+	// contactTimeout is how long an entry counts as in contact with the platform
+	// after its last response. It covers a watch that waits for a change.
+	contactTimeout = 6500 * time.Millisecond
+	// settleTime is how long an entry must have been in contact with the platform
+	// before it passes on what it reads. After an outage, objects that have expired
+	// meanwhile need some seconds to come back, and the entry keeps them until then.
+	settleTime = 3 * time.Second
+	// announcementTTL is how long an announcement counts. Heartbeats carry one every
+	// half second.
+	announcementTTL = 1500 * time.Millisecond
+	// fetchDelay is how long an entry waits for announced changes before it asks
+	// for them. Changes are usually passed on sooner than they are announced.
+	fetchDelay = 250 * time.Millisecond
+	// stuckTimeout is how long an entry misses changes before it calls the platform
+	// itself. It leaves time to ask several others.
+	stuckTimeout = time.Second
+	// fetchRetryDelay is how long an entry that had no answer is not asked again.
+	fetchRetryDelay = 2 * time.Second
+	// readerFetchDelay is fetchDelay for an entry that calls the platform itself. It
+	// covers the pause after a change of its watchers.
+	readerFetchDelay = time.Second
+)
+
+// Announcement is what an entry tells all others about its copies in each
+// heartbeat.
+type Announcement struct {
+	// Changed holds the sequence number of the last change in each copy, in the
+	// order of the prefixes.
+	Changed []uint64
+	// Contact is how long the entry has been in contact with the platform. Zero
+	// means that it is not, or that it leaves the calls to others.
+	Contact time.Duration
+}
+
+// settled reports whether the entry passes on what it reads.
+func (a Announcement) settled() bool { return a.Contact >= settleTime }
+
+// contact tracks whether this entry is in contact with the platform.
+type contact struct {
+	// since is when the contact began; zero means that there is none.
+	since time.Time
+	// lastResponse is when the platform last responded.
+	lastResponse time.Time
+}
+
+// responded records a response of the platform.
+func (c *contact) responded(now time.Time) {
+	if c.duration(now) == 0 {
+		c.since = now
+	}
+	c.lastResponse = now
+}
+
+// lost records a failed call or the end of an outage that no call noticed.
+func (c *contact) lost() { c.since = time.Time{} }
+
+// duration returns how long the contact has lasted, zero if there is none.
+func (c *contact) duration(now time.Time) time.Duration {
+	if c.since.IsZero() || now.Sub(c.lastResponse) > contactTimeout {
+		return 0
+	}
+	return max(1, now.Sub(c.since))
+}
+
+// receivedAnnouncement is the last announcement of another entry.
+type receivedAnnouncement struct {
+	Announcement
+	at time.Time
+}
+
+// fleet holds the announcements of the other entries. It decides whether this entry
+// calls the platform and from whom it fetches changes.
+type fleet struct {
+	// self is the name of this entry.
+	self string
+	// domain is its failure domain.
+	domain string
+	// received holds the last announcement of each entry by name.
+	received map[string]receivedAnnouncement
+	// failures holds when a fetch from an entry last failed, by name.
+	failures map[string]time.Time
+	// behindSince is since when changes are known to be missing, by prefix index.
+	behindSince map[int]time.Time
+}
+
+func newFleet(self, domain string) *fleet {
+	return &fleet{self: self, domain: domain, received: map[string]receivedAnnouncement{}, failures: map[string]time.Time{}, behindSince: map[int]time.Time{}}
+}
+
+// observe records an announcement.
+func (f *fleet) observe(now time.Time, from string, a Announcement) {
+	f.received[from] = receivedAnnouncement{a, now}
+}
+
+// forget drops the announcements that no longer count.
+func (f *fleet) forget(now time.Time) {
+	for name, a := range f.received {
+		if now.Sub(a.at) > announcementTTL {
+			delete(f.received, name)
+		}
+	}
+}
+
+// recordFailure records that an entry had no answer to a fetch.
+func (f *fleet) recordFailure(now time.Time, name string) { f.failures[name] = now }
+
+// calls reports whether this entry calls the platform itself: if it is the reader
+// of its failure domain, chosen among its live entries, if no other entry announces
+// settled contact, or if it has been missing changes for too long.
+func (f *fleet) calls(now time.Time, live []string) bool {
+	members := append([]string{f.self}, live...)
+	if slices.Contains(yuccapeer.RendezvousTop("reader "+f.domain, members, 1), f.self) {
+		return true
+	}
+	for _, since := range f.behindSince {
+		if now.Sub(since) >= stuckTimeout {
+			return true
+		}
+	}
+	for _, a := range f.received {
+		if a.settled() {
+			return false
+		}
+	}
+	return true
+}
+
+// behind returns the entry to ask for changes that this one has been missing for
+// at least delay. The argument known holds the sequence numbers up to which the
+// copies are complete, in the order of the prefixes. It returns an empty name when
+// nothing is missing or nobody can be asked.
+func (f *fleet) behind(now time.Time, known []uint64, delay time.Duration) string {
+	var name string
+	for i, seq := range known {
+		announcers := f.announcers(i, seq)
+		if len(announcers) == 0 {
+			delete(f.behindSince, i)
+			continue
+		}
+		since, ok := f.behindSince[i]
+		if !ok {
+			since = now
+			f.behindSince[i] = now
+		}
+		if name == "" && now.Sub(since) >= delay {
+			name = f.firstUsable(now, announcers)
+		}
+	}
+	return name
+}
+
+// announcers returns the sorted names of the settled entries that announce a change
+// under a prefix after a sequence number.
+func (f *fleet) announcers(prefix int, seq uint64) []string {
+	var names []string
+	for name, a := range f.received {
+		if a.settled() && prefix < len(a.Changed) && a.Changed[prefix] > seq {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// firstUsable returns the first of the entries that has not failed to answer
+// recently, in an order that differs from entry to entry so that they do not all
+// ask the same one.
+func (f *fleet) firstUsable(now time.Time, names []string) string {
+	for _, name := range yuccapeer.RendezvousTop("fetch "+f.self, names, len(names)) {
+		if now.Sub(f.failures[name]) >= fetchRetryDelay {
+			return name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/core/yuccareplica/replica.go
@@ -0,0 +1,344 @@
+// Package yuccareplica lets a few entries read the platform's objects for all of
+// them. An entry is a proxy instance of the system.
+//
+// In each failure domain one entry, the reader, calls the platform and passes the
+// changes on to the others of the domain. Every heartbeat of an entry announces the
+// sequence number of the last change that it knows under each prefix, so that an
+// entry that misses a change notices within a heartbeat and fetches it from one
+// that has it. This also serves entries that cannot reach the platform. An entry
+// calls the platform itself until another one is in settled contact with it, and
+// again as soon as none is.
+//
+// Replica is the service around the decisions, which have no clock and do no I/O:
+// replicaCopy holds the objects under a prefix, contact tracks whether the platform
+// responds, and fleet decides who calls and who fetches. Sequence numbers never go
+// back in one run of an entry, whichever way changes arrive.
+//
+//	replica := yuccareplica.New(name, domain, peers, liveNames, log)
+//	watcher := replica.Watch(yuccawatch.Settings{Prefix: "servers/"}, store, handle)
+package yuccareplica
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"yuccawell.example/core/yuccaerror"
+	"yuccawell.example/core/yuccakernel"
+	"yuccawell.example/core/yuccapeer"
+	"yuccawell.example/core/yuccastore"
+	"yuccawell.example/core/yuccawatch"
+)
+
+const (
+	// topicChanges is the topic on which readers pass on changes.
+	topicChanges = "replica.changes"
+	// topicFetch is the topic of calls for missing changes.
+	topicFetch = "replica.fetch"
+	// fetchTimeout bounds a call for missing changes.
+	fetchTimeout = 500 * time.Millisecond
+	// tickInterval is the time between two decisions.
+	tickInterval = 100 * time.Millisecond
+)
+
+// Bus is the part of the message bus between entries that a Replica needs.
+type Bus interface {
+	// Handle registers the handler of the messages on a topic.
+	Handle(topic string, h yuccapeer.Handler)
+	// PublishToDomain sends a message to the entries of the same failure domain.
+	PublishToDomain(topic string, body []byte)
+	// Call sends a message to one entry and waits for its reply.
+	Call(ctx context.Context, to, topic string, body []byte) ([]byte, error)
+}
+
+// Replica shares the platform's objects among the entries. It is a service and the
+// gate of its watchers. Create one with New.
+type Replica struct {
+	*yuccakernel.Worker
+
+	bus Bus
+	// live returns the names of the other live entries of the failure domain.
+	live func() []string
+	log  zerolog.Logger
+	// watched holds the prefixes, sorted. It does not change after Start.
+	watched []*watched
+
+	// mu guards the fields below and the copies.
+	mu      sync.Mutex
+	fleet   *fleet
+	contact contact
+	// calling is set while this entry calls the platform itself.
+	calling bool
+	// open is closed while calling is set.
+	open chan struct{}
+}
+
+// watched is a prefix with its watcher and its copy.
+type watched struct {
+	prefix  string
+	watcher *yuccawatch.Watcher
+	copy    *replicaCopy
+}
+
+// New returns the replica of the named entry. The function live returns the names
+// of the other live entries of the same failure domain.
+func New(name, domain string, bus Bus, live func() []string, log zerolog.Logger) *Replica {
+	r := &Replica{bus: bus, live: live, log: log, fleet: newFleet(name, domain), calling: true, open: make(chan struct{})}
+	close(r.open)
+	r.Worker = yuccakernel.NewWorker(r.run)
+	bus.Handle(topicChanges, r.handleChanges)
+	bus.Handle(topicFetch, r.handleFetch)
+	return r
+}
+
+// Watch returns a watcher that reports its events to handle and takes part in the
+// sharing. All entries watch the same prefixes. Call it before Start.
+func (r *Replica) Watch(settings yuccawatch.Settings, store yuccawatch.Lister, handle func(yuccawatch.Event)) *yuccawatch.Watcher {
+	w := &watched{prefix: settings.Prefix, copy: newCopy()}
+	settings.Gate = r
+	w.watcher = yuccawatch.New(settings, store, func(event yuccawatch.Event) {
+		r.record(w, event)
+		handle(event)
+	}, r.log)
+	r.watched = append(r.watched, w)
+	slices.SortFunc(r.watched, func(a, b *watched) int { return strings.Compare(a.prefix, b.prefix) })
+	return w.watcher
+}
+
+// Wait implements yuccawatch.Gate. It returns when this entry calls the platform
+// itself.
+func (r *Replica) Wait(ctx context.Context) {
+	r.mu.Lock()
+	open := r.open
+	r.mu.Unlock()
+	select {
+	case <-open:
+	case <-ctx.Done():
+	}
+}
+
+// Announcement returns what this entry tells the others in its next heartbeat.
+func (r *Replica) Announcement() Announcement {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := Announcement{Contact: r.contact.duration(time.Now())}
+	for _, w := range r.watched {
+		a.Changed = append(a.Changed, w.copy.changed)
+	}
+	return a
+}
+
+// Observe records the announcement in a heartbeat of another entry.
+func (r *Replica) Observe(from string, a Announcement) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.observe(time.Now(), from, a)
+}
+
+// record applies an event of a watcher to its copy. A settled reader passes changes
+// on to its failure domain.
+func (r *Replica) record(w *watched, event yuccawatch.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	after := w.copy.vouchedFrom()
+	switch event := event.(type) {
+	case yuccawatch.Listed:
+		w.copy.replace(event.Page)
+		r.contact.responded(now)
+	case yuccawatch.Changed:
+		w.copy.merge(event.Page)
+		if event.Offered {
+			return
+		}
+		r.contact.responded(now)
+	case yuccawatch.Unchanged:
+		w.copy.advance(event.Seq)
+		r.contact.responded(now)
+	case yuccawatch.Unreachable, yuccawatch.Recovered:
+		r.contact.lost()
+	}
+	r.passOn(w, after, now)
+}
+
+// passOn publishes the changes after a sequence number to the failure domain, if
+// this entry is in settled contact with the platform. Long changes are left to be
+// fetched.
+func (r *Replica) passOn(w *watched, after uint64, now time.Time) {
+	if after == 0 || r.contact.duration(now) < settleTime {
+		return
+	}
+	page, ok := w.copy.since(after)
+	if !ok || page.Seq < w.copy.seq {
+		return
+	}
+	body, err := proto.Marshal(encodeChanges(w.prefix, after, page))
+	if err != nil {
+		r.log.Error().Err(err).Str("prefix", w.prefix).Msg("changes_not_encoded")
+		return
+	}
+	r.bus.PublishToDomain(topicChanges, body)
+}
+
+// handleChanges applies changes that the reader of the failure domain passed on.
+func (r *Replica) handleChanges(_ context.Context, from string, body []byte) ([]byte, error) {
+	var changes Changes
+	if err := proto.Unmarshal(body, &changes); err != nil {
+		return nil, yuccaerror.New(yuccaerror.Protocol, "decode changes from entry %s: %w", from, err)
+	}
+	r.offer(&changes)
+	return nil, nil
+}
+
+// offer passes changes to the watcher of their prefix.
+func (r *Replica) offer(changes *Changes) {
+	for _, w := range r.watched {
+		if w.prefix == changes.GetPrefix() {
+			w.watcher.Offer(changes.GetAfter(), decodePage(changes))
+		}
+	}
+}
+
+// handleFetch answers another entry's request for missing changes. It answers only
+// while this entry is in settled contact with the platform.
+func (r *Replica) handleFetch(_ context.Context, from string, body []byte) ([]byte, error) {
+	var request FetchRequest
+	if err := proto.Unmarshal(body, &request); err != nil {
+		return nil, yuccaerror.New(yuccaerror.Protocol, "decode request for changes from entry %s: %w", from, err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.contact.duration(time.Now()) < settleTime {
+		return nil, yuccaerror.New(yuccaerror.PlatformUnavailable, "entry %s is not in settled contact with the platform", r.fleet.self)
+	}
+	var reply FetchReply
+	for _, w := range r.watched {
+		after, asked := request.GetAfter()[w.prefix]
+		if page, ok := w.copy.since(after); ok && asked {
+			reply.Changes = append(reply.Changes, encodeChanges(w.prefix, after, page))
+		}
+	}
+	return proto.Marshal(&reply)
+}
+
+func (r *Replica) run(ctx context.Context) {
+	var group errgroup.Group
+	// One fetch at a time.
+	group.SetLimit(1)
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			r.decide(now)
+			if from := r.fetchFrom(now); from != "" {
+				group.TryGo(func() error {
+					r.fetch(ctx, from)
+					return nil
+				})
+			}
+		case <-ctx.Done():
+			_ = group.Wait()
+			return
+		}
+	}
+}
+
+// decide updates whether this entry calls the platform itself.
+func (r *Replica) decide(now time.Time) {
+	live := r.live()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.forget(now)
+	calling := r.fleet.calls(now, live)
+	if calling == r.calling {
+		return
+	}
+	r.calling = calling
+	if calling {
+		close(r.open)
+	} else {
+		r.open = make(chan struct{})
+	}
+	r.log.Info().Bool("calling", calling).Int("live", len(live)).Int("announced", len(r.fleet.received)).Msg("reader_changed")
+}
+
+// fetchFrom returns the entry to ask for missing changes, or an empty name.
+func (r *Replica) fetchFrom(now time.Time) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delay := fetchDelay
+	if r.contact.duration(now) > 0 {
+		delay = readerFetchDelay
+	}
+	known := make([]uint64, len(r.watched))
+	for i, w := range r.watched {
+		known[i] = w.copy.seq
+		if w.copy.seq == 0 {
+			return ""
+		}
+	}
+	return r.fleet.behind(now, known, delay)
+}
+
+// fetch asks another entry for the changes that this one misses.
+func (r *Replica) fetch(ctx context.Context, from string) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	request := &FetchRequest{After: map[string]uint64{}}
+	r.mu.Lock()
+	for _, w := range r.watched {
+		request.After[w.prefix] = w.copy.seq
+	}
+	r.mu.Unlock()
+	reply, err := r.callFetch(ctx, from, request)
+	if err != nil || len(reply.GetChanges()) == 0 {
+		r.log.Warn().Err(err).Str("from", from).Msg("changes_not_fetched")
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.fleet.recordFailure(time.Now(), from)
+		return
+	}
+	for _, changes := range reply.GetChanges() {
+		r.log.Info().Str("from", from).Str("prefix", changes.GetPrefix()).Uint64("after", changes.GetAfter()).Uint64("seq", changes.GetSeq()).Int("objects", len(changes.GetObjects())).Msg("changes_fetched")
+		r.offer(changes)
+	}
+}
+
+func (r *Replica) callFetch(ctx context.Context, from string, request *FetchRequest) (*FetchReply, error) {
+	body, err := proto.Marshal(request)
+	if err != nil {
+		return nil, yuccaerror.Wrap(yuccaerror.Internal, err)
+	}
+	body, err = r.bus.Call(ctx, from, topicFetch, body)
+	if err != nil {
+		return nil, err
+	}
+	var reply FetchReply
+	if err := proto.Unmarshal(body, &reply); err != nil {
+		return nil, yuccaerror.New(yuccaerror.Protocol, "decode changes from entry %s: %w", from, err)
+	}
+	return &reply, nil
+}
+
+func encodeChanges(prefix string, after uint64, page yuccastore.Page) *Changes {
+	changes := &Changes{Prefix: prefix, After: after, Seq: page.Seq}
+	for _, o := range page.Objects {
+		changes.Objects = append(changes.Objects, &Object{Key: o.Key, Value: o.Value, Seq: o.Seq, Deleted: o.Deleted})
+	}
+	return changes
+}
+
+func decodePage(changes *Changes) yuccastore.Page {
+	page := yuccastore.Page{Seq: changes.GetSeq()}
+	for _, o := range changes.GetObjects() {
+		page.Objects = append(page.Objects, yuccastore.Object{Key: o.GetKey(), Value: o.GetValue(), Seq: o.GetSeq(), Deleted: o.GetDeleted()})
+	}
+	return page
+}
--- a/core/yuccawatch/watcher.go
+++ b/core/yuccawatch/watcher.go
@@ -7,7 +7,8 @@
 // from the sequence number of the last response. It lists all objects again at
 // regular intervals and after every error. It reports what it learns as events,
 // one at a time. A Breaker that several watchers share bounds their calls to a
-// platform that does not respond.
+// platform that does not respond. A Gate lets an entry leave the calls to other
+// entries; what they have read is passed to Watcher.Offer.
 //
 //	breaker := yuccawatch.NewBreaker()
 //	settings := yuccawatch.Settings{Prefix: "servers/", Breaker: breaker}
@@ -17,6 +18,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -51,6 +53,14 @@
 	RelistInterval time.Duration
 	// Breaker is shared by the watchers of one platform. Nil means a separate one.
 	Breaker *Breaker
+	// Gate delays the calls after the first list. Nil means no delay.
+	Gate Gate
+}
+
+// Gate decides whether an entry calls the platform itself.
+type Gate interface {
+	// Wait returns when the entry has to call the platform or ctx ends.
+	Wait(ctx context.Context)
 }
 
 const (
@@ -77,7 +87,8 @@
 	retryDelay = 250 * time.Millisecond
 )
 
-// Event is what a Watcher reports: Listed, Changed, Unreachable or Recovered.
+// Event is what a Watcher reports: Listed, Changed, Unchanged, Unreachable or
+// Recovered.
 type Event interface{ isEvent() }
 
 type (
@@ -101,6 +112,15 @@
 		SilentFor time.Duration
 		// Page holds the changed and the deleted objects.
 		Page yuccastore.Page
+		// Offered is set if the changes were passed to Offer.
+		Offered bool
+	}
+	// Unchanged reports a response without changes.
+	Unchanged struct {
+		// At is when the response arrived.
+		At time.Time
+		// Seq is the sequence number of the response.
+		Seq uint64
 	}
 	// Unreachable reports the first failed call of an outage of the platform.
 	Unreachable struct {
@@ -119,6 +139,7 @@
 
 func (Listed) isEvent()      {}
 func (Changed) isEvent()     {}
+func (Unchanged) isEvent()   {}
 func (Unreachable) isEvent() {}
 func (Recovered) isEvent()   {}
 
@@ -131,6 +152,9 @@
 	store       Lister
 	handleEvent func(Event)
 	log         zerolog.Logger
+
+	// mu guards the fields below. It is held while an event is reported.
+	mu sync.Mutex
 	// seq is the highest sequence number of the responses so far.
 	seq uint64
 	// lastListed is when all objects were last listed. If it is zero, the next call
@@ -167,10 +191,42 @@
 
 func (f *Watcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if f.settings.Gate != nil && f.Seq() > 0 {
+			f.settings.Gate.Wait(ctx)
+		}
 		f.call(ctx)
 	}
 }
 
+// Seq returns the sequence number up to which all changes are known, zero before
+// the first list.
+func (f *Watcher) Seq() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.seq
+}
+
+// Offer reports changes that another entry has read from the platform, as a Changed
+// event. The page must hold all changes after the sequence number after. Offer
+// returns false and reports nothing if the page is not newer than what is known, if
+// it leaves a gap, or before the first list.
+func (f *Watcher) Offer(after uint64, page yuccastore.Page) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.seq == 0 || after > f.seq || page.Seq <= f.seq {
+		return false
+	}
+	news := yuccastore.Page{Seq: page.Seq}
+	for _, o := range page.Objects {
+		if o.Seq > f.seq {
+			news.Objects = append(news.Objects, o)
+		}
+	}
+	f.seq = page.Seq
+	f.handleEvent(Changed{At: time.Now(), Page: news, Offered: true})
+	return true
+}
+
 // call makes one call to the platform and handles its error. While the platform
 // is unreachable, the breaker admits one watcher at a time.
 func (f *Watcher) call(ctx context.Context) {
@@ -188,9 +244,9 @@
 		f.settings.Breaker.reset()
 		return
 	}
-	f.lastListed = time.Time{}
+	f.forgetList()
 	if yuccaerror.Is(err, yuccaerror.HistoryExpired) {
-		f.log.Info().Uint64("seq", f.seq).Msg("history_forgotten")
+		f.log.Info().Uint64("seq", f.Seq()).Msg("history_forgotten")
 		return
 	}
 	f.recordFailure(err)
@@ -198,14 +254,27 @@
 	yuccasleep.For(ctx, jitteredRetryDelay())
 }
 
+// forgetList makes the next call list all objects.
+func (f *Watcher) forgetList() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lastListed = time.Time{}
+}
+
 // step lists all objects if that is due, and watches for a change otherwise.
 func (f *Watcher) step(ctx context.Context) error {
-	if f.lastListed.IsZero() || time.Since(f.lastListed) > f.refreshInterval() {
+	if f.listDue() {
 		return f.list(ctx)
 	}
 	return f.watch(ctx)
 }
 
+func (f *Watcher) listDue() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastListed.IsZero() || time.Since(f.lastListed) > f.refreshInterval()
+}
+
 // refreshInterval returns the time between two lists of all objects. It grows with
 // the number of objects, since a long list takes several calls.
 func (f *Watcher) refreshInterval() time.Duration {
@@ -217,12 +286,19 @@
 func (f *Watcher) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	asked := f.Seq()
 	page, err := f.store.List(ctx, f.settings.Prefix, 0, 0)
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if page.Seq < asked {
+		return yuccaerror.New(yuccaerror.PlatformUnavailable, "list has sequence number %d, but %d was seen before", page.Seq, asked)
+	}
 	if page.Seq < f.seq {
-		return yuccaerror.New(yuccaerror.PlatformUnavailable, "list has sequence number %d, but %d was seen before", page.Seq, f.seq)
+		// Newer changes were offered during the call, so the list is read again.
+		return nil
 	}
 	silentFor := f.recordResponse(false)
 	f.seq, f.lastListed, f.listSize = page.Seq, time.Now(), len(page.Objects)
@@ -230,31 +306,50 @@
 	return nil
 }
 
-// watch waits for changes and reports them.
+// watch waits for changes and reports them. A pause follows a change, and a stale
+// response so that a platform that keeps giving them is not called in a loop.
 func (f *Watcher) watch(ctx context.Context) error {
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, f.settings.WatchTimeout+watchTimeoutMargin)
 	defer cancel()
-	page, err := f.store.List(ctx, f.settings.Prefix, f.seq, f.settings.WatchTimeout)
+	asked := f.Seq()
+	page, err := f.store.List(ctx, f.settings.Prefix, asked, f.settings.WatchTimeout)
 	if err != nil {
 		return err
 	}
-	if page.Seq < f.seq {
+	late := time.Since(start) > f.settings.WatchTimeout+lateResponseMargin
+	if f.applyWatch(asked, page, late) {
+		yuccasleep.For(ctx, f.settings.BatchDelay)
+	}
+	return nil
+}
+
+// applyWatch reports the response to a watch call for changes after the sequence
+// number asked. It returns true if a pause has to follow.
+func (f *Watcher) applyWatch(asked uint64, page yuccastore.Page, late bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if page.Seq < asked {
 		// The response is stale. A list shows the present state.
 		f.lastListed = time.Time{}
-		return nil
+		return true
 	}
-	silentFor := f.recordResponse(time.Since(start) > f.settings.WatchTimeout+lateResponseMargin)
-	f.seq = page.Seq
-	if len(page.Objects) > 0 {
-		f.handleEvent(Changed{time.Now(), silentFor, page})
-		yuccasleep.For(ctx, f.settings.BatchDelay)
+	silentFor := f.recordResponse(late)
+	if len(page.Objects) == 0 || page.Seq < f.seq {
+		// An older page holds nothing that was not offered during the call.
+		f.seq = max(f.seq, page.Seq)
+		f.handleEvent(Unchanged{time.Now(), f.seq})
+		return false
 	}
-	return nil
+	f.seq = page.Seq
+	f.handleEvent(Changed{At: time.Now(), SilentFor: silentFor, Page: page})
+	return true
 }
 
 // recordFailure reports the first failure of an outage and counts every one.
 func (f *Watcher) recordFailure(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.failures++
 	if f.unreachable {
 		return
@@ -267,7 +362,7 @@
 // recordResponse records a response of the platform and reports the end of an
 // outage. The parameter late says that the response showed an outage without a
 // failed call. It returns the time since the previous response, or zero for the
-// first.
+// first. The caller holds mu.
 func (f *Watcher) recordResponse(late bool) time.Duration {
 	if f.unreachable || late {
 		f.log.Info().Int("failures", f.failures).Uint64("seq", f.seq).Msg("platform_back")
--- a/core/yuccawatch/watcher_test.go
+++ b/core/yuccawatch/watcher_test.go
@@ -336,3 +336,69 @@
 		})
 	}
 }
+
+// TestStaleResponsesCostFewCalls has the platform answer every watch at once with an
+// old sequence number. The watcher pauses before it calls again.
+func TestStaleResponsesCostFewCalls(t *testing.T) {
+	// maxCallRate is in calls per second: a list and a watch for each pause.
+	const maxCallRate = 5
+	const length = 10 * time.Second
+	runWatchers(t, 1, func(c *qt.C, p *platform, w *recorder) {
+		p.put("a")
+		time.Sleep(500 * time.Millisecond)
+		p.update(func() { p.staleSeq = 1 })
+		before := p.callCount()
+		time.Sleep(length)
+		c.Assert(p.callCount()-before <= maxCallRate*int(length/time.Second), qt.IsTrue, qt.Commentf("%d calls", p.callCount()-before))
+	})
+}
+
+// closedGate is a gate that a test opens.
+type closedGate struct{ open chan struct{} }
+
+// Wait implements yuccawatch.Gate.
+func (g closedGate) Wait(ctx context.Context) {
+	select {
+	case <-g.open:
+	case <-ctx.Done():
+	}
+}
+
+// TestGateDelaysCalls keeps a watcher from calling the platform after its first
+// list. It learns of changes that are offered, if they follow what it knows, and
+// calls again when the gate opens.
+func TestGateDelaysCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p, w, gate := newPlatform(), &recorder{known: map[string]bool{}}, closedGate{make(chan struct{})}
+		p.put("first")
+		f := yuccawatch.New(yuccawatch.Settings{Prefix: "k/", Gate: gate}, p, w.handle, zerolog.Nop())
+		c.Assert(f.Offer(1, yuccastore.Page{Seq: 9}), qt.IsFalse)
+		group := &errgroup.Group{}
+		c.Assert(f.Start(t.Context(), group), qt.IsNil)
+		time.Sleep(10 * time.Second)
+		c.Assert(p.callCount(), qt.Equals, 1)
+		known := f.Seq()
+		offer := func(after, seq uint64, names ...string) bool {
+			page := yuccastore.Page{Seq: seq}
+			for _, name := range names {
+				page.Objects = append(page.Objects, yuccastore.Object{Key: "k/" + name, Seq: seq})
+			}
+			return f.Offer(after, page)
+		}
+		c.Assert(offer(known+1, known+2, "gap"), qt.IsFalse)
+		c.Assert(offer(known-1, known, "old"), qt.IsFalse)
+		c.Assert(offer(known-1, known+1, "new"), qt.IsTrue)
+		c.Assert(f.Seq(), qt.Equals, known+1)
+		c.Assert(w.knows("gap") || w.knows("old"), qt.IsFalse)
+		c.Assert(w.knows("new"), qt.IsTrue)
+		p.put("second")
+		p.put("third")
+		close(gate.open)
+		time.Sleep(time.Second)
+		c.Assert(w.knows("third"), qt.IsTrue)
+		c.Assert(f.Stop(t.Context()), qt.IsNil)
+		<-f.Done()
+		c.Assert(group.Wait(), qt.IsNil)
+	})
+}
