A few answers for cold objects already count against the assumed ratio

The servers of the test answer a known object in 0.3 to 1 ms and an unknown one in 60 ms. Until 20 answers for cold objects had been seen, an unknown object was taken for three times as long as a known one, 1 to 3 ms, less than the 3 ms to another failure domain or one stall of a server, so that objects moved. Since answers of affinity servers no longer count as cold, 20 are seen late or never. Change: the assumed ratio of 3 counts for five samples against those that were measured. TestFewColdSamplesCount replays it in virtual time and failed first.

--- a/core/yuccabalancer/candidate_test.go
+++ b/core/yuccabalancer/candidate_test.go
@@ -1,6 +1,7 @@
 package yuccabalancer_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -191,3 +192,44 @@
 	})
 	c.Assert(core.Choose(a).Server(), qt.Equals, choice.Server())
 }
+
+// TestFewColdSamplesCount has objects answered in 0.3 ms by a server that has had
+// them and in 60 ms by any other, with one of three servers in another failure
+// domain, 3 ms away. Once, a server takes 50 ms for an object that it has; the
+// others go on answering fast. Each object stays with its server all the same,
+// although few cold answers were seen.
+func TestFewColdSamplesCount(t *testing.T) {
+	const objects = 12
+	c := qt.New(t)
+	w := topology(3, 4, "a")
+	w.Servers[1].Domain = "a2"
+	core := newCore(w)
+	cached := map[string]bool{}
+	call := func(object uint64, stall time.Duration) string {
+		a := request(time.Second, firstObject+object)
+		choice := core.Choose(a)
+		took := 300*time.Microsecond + stall
+		if key := fmt.Sprint(choice.Server(), object); !cached[key] {
+			cached[key], took = true, 60*time.Millisecond
+		}
+		core.Done(choice, yuccaadmission.Result{Now: a.Now, Succeeded: true, TimeToHeader: took})
+		return choice.Server()
+	}
+	used := map[uint64]string{}
+	for range 2 {
+		for object := range uint64(objects) {
+			used[object] = call(object, 0)
+		}
+	}
+	call(0, 50*time.Millisecond)
+	for range 10 {
+		for object, server := range used {
+			if server != used[0] {
+				call(object, 0)
+			}
+		}
+	}
+	for object, server := range used {
+		c.Check(call(object, 0), qt.Equals, server, qt.Commentf("object %d", object))
+	}
+}
--- a/core/yuccabalancer/latency_stats.go
+++ b/core/yuccabalancer/latency_stats.go
@@ -10,9 +10,12 @@
 	warmTTL = 5 * time.Second
 	// maxRecentObjects is how many objects are remembered for one server.
 	maxRecentObjects = 512
-	// defaultColdRatio is the assumed ratio of cold to warm latency while
-	// there are too few samples.
+	// defaultColdRatio is the assumed ratio of cold to warm latency before any
+	// sample.
 	defaultColdRatio = 3
+	// defaultColdWeight is how many samples of cold objects defaultColdRatio
+	// counts for. Few samples may all be of objects that another entry cached.
+	defaultColdWeight = 5
 	// minColdRatio is the lower bound of that ratio, so that servers with a
 	// warm object keep some preference.
 	minColdRatio = 1.05
@@ -21,9 +24,6 @@
 	objectLatencyWeight = 0.05
 	// defaultWarmLatency is the assumed warm latency before any response.
 	defaultWarmLatency = 50 * time.Millisecond
-	// minSamples is how many warm and how many cold samples the measured
-	// ratio needs.
-	minSamples = 20
 	// maxMeanSamples is the number of samples after which the mean latency
 	// becomes a moving average.
 	maxMeanSamples = 100
@@ -62,8 +62,6 @@
 	warm time.Duration
 	// cold is the moving average for cold objects; zero means no sample.
 	cold time.Duration
-	// warmCount is the number of samples for warm objects.
-	warmCount int
 	// coldCount is the number of samples for cold objects.
 	coldCount int
 }
@@ -81,7 +79,6 @@
 	switch state {
 	case cacheWarm:
 		w.warm = ewma(w.warm, took, objectLatencyWeight)
-		w.warmCount++
 	case cacheCold:
 		w.cold = ewma(w.cold, took, objectLatencyWeight)
 		w.coldCount++
@@ -89,12 +86,14 @@
 }
 
 // coldRatio returns the ratio of cold to warm latency, at least
-// minColdRatio.
+// minColdRatio. The fewer samples there are, the more defaultColdRatio counts.
 func (w *latencyStats) coldRatio() float64 {
-	if w.warmCount < minSamples || w.coldCount < minSamples || w.warm <= 0 {
+	if w.warm <= 0 || w.coldCount == 0 {
 		return defaultColdRatio
 	}
-	return math.Max(minColdRatio, float64(w.cold)/float64(w.warm))
+	n := float64(w.coldCount)
+	measured := float64(w.cold) / float64(w.warm)
+	return math.Max(minColdRatio, (defaultColdRatio*defaultColdWeight+measured*n)/(defaultColdWeight+n))
 }
 
 // warmLatency returns the warm latency. Without warm samples it is derived
--- a/core/yuccareplica/replica.go
+++ b/core/yuccareplica/replica.go
@@ -127,7 +127,7 @@
 func (r *Replica) Announcement() Announcement {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	a := Announcement{Contact: r.contact.duration(time.Now())}
+	a := Announcement{Contact: r.contactDuration(time.Now())}
 	for _, w := range r.watched {
 		a.Changed = append(a.Changed, w.copy.changed)
 	}
@@ -141,6 +141,15 @@
 	r.fleet.observe(time.Now(), from, a)
 }
 
+// contactDuration returns how long this entry has been in contact with the platform,
+// zero while it leaves the calls to others. The caller holds mu.
+func (r *Replica) contactDuration(now time.Time) time.Duration {
+	if !r.calling {
+		return 0
+	}
+	return r.contact.duration(now)
+}
+
 // record applies an event of a watcher to its copy. A settled reader passes changes
 // on to its failure domain.
 func (r *Replica) record(w *watched, event yuccawatch.Event) {
@@ -171,7 +180,7 @@
 // this entry is in settled contact with the platform. Long changes are left to be
 // fetched.
 func (r *Replica) passOn(w *watched, after uint64, now time.Time) {
-	if after == 0 || r.contact.duration(now) < settleTime {
+	if after == 0 || r.contactDuration(now) < settleTime {
 		return
 	}
 	page, ok := w.copy.since(after)
@@ -214,7 +223,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.contact.duration(time.Now()) < settleTime {
+	if r.contactDuration(time.Now()) < settleTime {
 		return nil, yuccaerror.New(yuccaerror.PlatformUnavailable, "entry %s is not in settled contact with the platform", r.fleet.self)
 	}
 	var reply FetchReply
@@ -261,6 +270,8 @@
 		return
 	}
 	r.calling = calling
+	// Responses to calls from before the change say nothing of the time since.
+	r.contact.lost()
 	if calling {
 		close(r.open)
 	} else {
@@ -274,7 +285,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delay := fetchDelay
-	if r.contact.duration(now) > 0 {
+	if r.contactDuration(now) > 0 {
 		delay = readerFetchDelay
 	}
 	known := make([]uint64, len(r.watched))
--- a/core/yuccareplica/replica_test.go
+++ b/core/yuccareplica/replica_test.go
@@ -122,16 +122,21 @@
 	group    errgroup.Group
 }
 
-// runFleet runs a scenario with entries in three failure domains, after their roles
-// have settled.
+// runFleet runs a scenario with entries in three failure domains, long after their
+// roles have settled.
 func runFleet(t *testing.T, perDomain int, scenario func(f *fleet)) {
+	runFleetAfter(t, perDomain, 15*time.Second, scenario)
+}
+
+// runFleetAfter runs a scenario a while after the entries have started.
+func runFleetAfter(t *testing.T, perDomain int, age time.Duration, scenario func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{c: qt.New(t), platform: yuccafake.NewPlatform(), net: yuccafake.NewNet()}
 		for i := range 3 * perDomain {
 			f.add(t.Context(), fmt.Sprintf("d%d-%d", i%3, i/3))
 		}
 		f.put("k/first")
-		time.Sleep(15 * time.Second)
+		time.Sleep(age)
 		scenario(f)
 		for _, e := range f.members {
 			e.stop()
@@ -318,6 +323,27 @@
 	}
 }
 
+// TestNewFollowersAreNotReaders cuts all readers silently from the platform, soon
+// after the start, when every entry has called it recently. The others do not rely
+// on one another, and call it again once the readers no longer announce contact.
+func TestNewFollowersAreNotReaders(t *testing.T) {
+	runFleetAfter(t, 3, 7*time.Second, func(f *fleet) {
+		var readers []*member
+		for _, e := range f.members {
+			if e.replica.Announcement().Contact > 0 {
+				readers = append(readers, e)
+				e.link.set(func(l *link) { l.silent = true })
+			}
+		}
+		f.c.Assert(readers, qt.HasLen, 3)
+		// The watches of the readers have to time out first.
+		time.Sleep(9 * time.Second)
+		for i := range 5 {
+			f.assertChangeArrives(fmt.Sprint("k/", i), f.without(readers...))
+		}
+	})
+}
+
 // TestOutageIsNotPassedOn has objects expire while the platform is down. Readers do
 // not pass on a list that lacks them, since they come back within two seconds.
 func TestOutageIsNotPassedOn(t *testing.T) {
--- a/core/yuccawatch/watcher.go
+++ b/core/yuccawatch/watcher.go
@@ -191,13 +191,24 @@
 
 func (f *Watcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if f.settings.Gate != nil && f.Seq() > 0 {
-			f.settings.Gate.Wait(ctx)
-		}
+		f.waitForGate(ctx)
 		f.call(ctx)
 	}
 }
 
+// waitForGate waits until the gate lets this entry call the platform. The wait is no
+// silence of the platform.
+func (f *Watcher) waitForGate(ctx context.Context) {
+	if f.settings.Gate == nil || f.Seq() == 0 {
+		return
+	}
+	start := time.Now()
+	f.settings.Gate.Wait(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lastResponse = f.lastResponse.Add(time.Since(start))
+}
+
 // Seq returns the sequence number up to which all changes are known, zero before
 // the first list.
 func (f *Watcher) Seq() uint64 {
--- a/core/yuccawatch/watcher_test.go
+++ b/core/yuccawatch/watcher_test.go
@@ -397,6 +397,7 @@
 		close(gate.open)
 		time.Sleep(time.Second)
 		c.Assert(w.knows("third"), qt.IsTrue)
+		c.Assert(w.silences[len(w.silences)-1] < time.Second, qt.IsTrue, qt.Commentf("%v", w.silences))
 		c.Assert(f.Stop(t.Context()), qt.IsNil)
 		<-f.Done()
 		c.Assert(group.Wait(), qt.IsNil)
