--- a/core/yuccareplica/replica_test.go
+++ b/core/yuccareplica/replica_test.go
@@ -344,6 +344,33 @@
 	})
 }
 
+// TestContactBeginsAnew kills a reader soon after the start. The entry that takes its
+// place called the platform when it started, and its contact does not count from
+// then.
+func TestContactBeginsAnew(t *testing.T) {
+	runFleetAfter(t, 3, 7*time.Second, func(f *fleet) {
+		for _, e := range f.members {
+			if e.replica.Announcement().Contact > 0 && strings.HasPrefix(e.name, "d0-") {
+				e.stop()
+				f.net.SetDisconnected(e.name, true)
+				f.members = f.without(e)
+				break
+			}
+		}
+		const step = 50 * time.Millisecond
+		var contact time.Duration
+		for range 40 {
+			time.Sleep(step)
+			for _, e := range f.members {
+				if strings.HasPrefix(e.name, "d0-") && contact == 0 {
+					contact = e.replica.Announcement().Contact
+				}
+			}
+		}
+		f.c.Assert(contact > 0 && contact <= step, qt.IsTrue, qt.Commentf("%v", contact))
+	})
+}
+
 // TestOutageIsNotPassedOn has objects expire while the platform is down. Readers do
 // not pass on a list that lacks them, since they come back within two seconds.
 func TestOutageIsNotPassedOn(t *testing.T) {
--- a/core/yuccawatch/watcher.go
+++ b/core/yuccawatch/watcher.go
@@ -73,6 +73,9 @@
 	// largeListSize is the number of objects per step of the relist interval. The
 	// interval grows by Settings.RelistInterval with every full largeListSize objects.
 	largeListSize = 100
+	// resumeWatchTimeout is how long the first watch call after a wait for the gate
+	// waits for a change. Its response shows that the platform can be reached.
+	resumeWatchTimeout = 100 * time.Millisecond
 	// watchTimeoutMargin is how much longer than Settings.WatchTimeout a watch call may
 	// take before it fails.
 	watchTimeoutMargin = time.Second
@@ -164,6 +167,8 @@
 	lastResponse time.Time
 	// listSize is the number of objects in the last list.
 	listSize int
+	// resumed is set for the first call after a wait for the gate.
+	resumed bool
 	// unreachable is set from the first failed call until the next response.
 	unreachable bool
 	// failures is the number of failed calls since the last response.
@@ -204,9 +209,11 @@
 	}
 	start := time.Now()
 	f.settings.Gate.Wait(ctx)
+	waited := time.Since(start)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lastResponse = f.lastResponse.Add(time.Since(start))
+	f.lastResponse = f.lastResponse.Add(waited)
+	f.resumed = waited > 0
 }
 
 // Seq returns the sequence number up to which all changes are known, zero before
@@ -321,20 +328,31 @@
 // response so that a platform that keeps giving them is not called in a loop.
 func (f *Watcher) watch(ctx context.Context) error {
 	start := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, f.settings.WatchTimeout+watchTimeoutMargin)
+	wait := f.watchTimeout()
+	ctx, cancel := context.WithTimeout(ctx, wait+watchTimeoutMargin)
 	defer cancel()
 	asked := f.Seq()
-	page, err := f.store.List(ctx, f.settings.Prefix, asked, f.settings.WatchTimeout)
+	page, err := f.store.List(ctx, f.settings.Prefix, asked, wait)
 	if err != nil {
 		return err
 	}
-	late := time.Since(start) > f.settings.WatchTimeout+lateResponseMargin
+	late := time.Since(start) > wait+lateResponseMargin
 	if f.applyWatch(asked, page, late) {
 		yuccasleep.For(ctx, f.settings.BatchDelay)
 	}
 	return nil
 }
 
+// watchTimeout returns how long the next watch call waits for a change.
+func (f *Watcher) watchTimeout() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.resumed {
+		return min(resumeWatchTimeout, f.settings.WatchTimeout)
+	}
+	return f.settings.WatchTimeout
+}
+
 // applyWatch reports the response to a watch call for changes after the sequence
 // number asked. It returns true if a pause has to follow.
 func (f *Watcher) applyWatch(asked uint64, page yuccastore.Page, late bool) bool {
