A server in slow start keeps its rate while entries hold different lists

Cause: five entries, chosen by hash from the list that each holds, shared the whole rate of a server in slow start, each with one request at once. While a change of the list spreads, two sets of five may send, and an entry that was not in the list yet counted itself in. The property test, widened to two lists, failed at once on the old code (7 requests in one second at a rate of 1, 6.5 allowed). Change: three senders, each a fifth of the rate; an entry is one only when it is listed. TestSlowStartRate holds for any two lists; TestSlowStartServerGetsRequests keeps that the server gets some.

--- a/core/yuccabalancer/core_test.go
+++ b/core/yuccabalancer/core_test.go
@@ -167,9 +167,10 @@
 	c.Assert(core.Choose(request(6*time.Second, 7)).Server(), qt.Equals, first.Server())
 }
 
-// TestSlowStartRate lets up to 40 entries send as many requests as they can
-// to a server in slow start. In no second may the server get more than 1.5
-// times the rate plus 5 requests.
+// TestSlowStartRate lets up to 40 entries send as many requests as they can to a
+// server in slow start. Half a list of the entries differs from the other half's, as
+// after a change that only some have learned of. In no second may the server get
+// more than 1.5 times the rate plus 5 requests, and it gets some.
 func TestSlowStartRate(t *testing.T) {
 	const (
 		maxRateFactor = 1.5
@@ -179,29 +180,25 @@
 		entries := rapid.IntRange(1, 40).Draw(t, "entries")
 		rate := rapid.Float64Range(1, 30).Draw(t, "rate")
 		step := time.Duration(rapid.IntRange(1, 50).Draw(t, "ms")) * time.Millisecond
-		w := topology(1, 1000, "a")
-		w.Servers[0].SlowStartUntil = start.Add(time.Hour)
-		w.SlowStartRates = map[string]float64{"s": rate}
-		w.Entries = nil
-		for i := range entries {
-			w.Entries = append(w.Entries, fmt.Sprint("e", i))
-		}
+		var lists [2][]string
 		var cores []*yuccabalancer.Core
-		for _, name := range w.Entries {
-			c := yuccabalancer.NewCore(yuccabalancer.Location{Entry: name, Region: "a", Domain: "a1"})
-			c.Update(w)
-			cores = append(cores, c)
-		}
-		var sent []time.Duration
-		for at := time.Duration(0); at < 3*time.Second; at += step {
-			for i, c := range cores {
-				choice := c.Choose(request(at, uint64(i+1)))
-				if choice.Kind == yuccaerror.None {
-					sent = append(sent, at)
-					c.Done(choice, yuccaadmission.Result{Now: start.Add(at), Succeeded: true, TimeToHeader: time.Millisecond})
+		for i := range entries {
+			name := fmt.Sprint("e", i)
+			cores = append(cores, yuccabalancer.NewCore(yuccabalancer.Location{Entry: name, Region: "a", Domain: "a1"}))
+			for l := range lists {
+				if rapid.Bool().Draw(t, fmt.Sprint(name, " in list ", l)) {
+					lists[l] = append(lists[l], name)
 				}
 			}
 		}
+		for i, c := range cores {
+			w := topology(1, 1000, "a")
+			w.Servers[0].SlowStartUntil = start.Add(time.Hour)
+			w.SlowStartRates = map[string]float64{"s": rate}
+			w.Entries = lists[rapid.IntRange(0, 1).Draw(t, fmt.Sprint("list of e", i))]
+			c.Update(w)
+		}
+		sent := sendAll(cores, step)
 		for i := range sent {
 			n := 0
 			for _, other := range sent[i:] {
@@ -213,8 +210,44 @@
 				t.Fatalf("%d requests in one second at a rate of %v", n, rate)
 			}
 		}
-		if len(sent) == 0 {
-			t.Fatalf("the server in slow start got no request, want at least one")
+	})
+}
+
+// sendAll has each entry send a request at every step of three seconds, and returns
+// when those were that a server took.
+func sendAll(cores []*yuccabalancer.Core, step time.Duration) []time.Duration {
+	var sent []time.Duration
+	for at := time.Duration(0); at < 3*time.Second; at += step {
+		for i, c := range cores {
+			choice := c.Choose(request(at, uint64(i+1)))
+			if choice.Kind != yuccaerror.None {
+				continue
+			}
+			sent = append(sent, at)
+			c.Done(choice, yuccaadmission.Result{Now: start.Add(at), Succeeded: true, TimeToHeader: time.Millisecond})
+		}
+	}
+	return sent
+}
+
+// TestSlowStartServerGetsRequests has up to 40 entries that agree on their list send
+// requests to a server in slow start. It gets at least one.
+func TestSlowStartServerGetsRequests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := topology(1, 1000, "a")
+		w.Servers[0].SlowStartUntil = start.Add(time.Hour)
+		w.SlowStartRates = map[string]float64{"s": rapid.Float64Range(1, 30).Draw(t, "rate")}
+		w.Entries = nil
+		var cores []*yuccabalancer.Core
+		for i := range rapid.IntRange(1, 40).Draw(t, "entries") {
+			w.Entries = append(w.Entries, fmt.Sprint("e", i))
+			cores = append(cores, yuccabalancer.NewCore(yuccabalancer.Location{Entry: fmt.Sprint("e", i), Region: "a", Domain: "a1"}))
+		}
+		for _, c := range cores {
+			c.Update(w)
+		}
+		if len(sendAll(cores, 50*time.Millisecond)) == 0 {
+			t.Fatalf("the server in slow start got no request")
 		}
 	})
 }
--- a/core/yuccabalancer/slow_start.go
+++ b/core/yuccabalancer/slow_start.go
@@ -1,23 +1,30 @@
 package yuccabalancer
 
-import "yuccawell.example/core/yuccapeer"
+import (
+	"slices"
 
-// slowStartSenders is how many entries may send to one server in slow start.
-// The number is bounded because each of them may send one request at once,
-// whatever its rate.
-const slowStartSenders = 5
+	"yuccawell.example/core/yuccapeer"
+)
+
+const (
+	// slowStartSenders is how many entries may send to one server in slow start.
+	// The number is bounded because each of them may send one request at once,
+	// whatever its rate.
+	slowStartSenders = 3
+	// slowStartShare is each sender's part of the rate. The parts add up to less
+	// than the whole, since for a while after an entry joins or leaves, the entries
+	// choose their senders from two lists.
+	slowStartShare = 0.2
+)
 
 // slowStartRate returns this entry's part of the request rate that a server
 // receives during slow start, in requests a second. It is zero when this entry
 // is not among the senders, which every entry computes with the same
-// rendezvous hash.
+// rendezvous hash, or not among the listed entries.
 func (c *Core) slowStartRate(s Server) float64 {
-	rate := c.topology.SlowStartRates[s.Service]
 	senders := yuccapeer.RendezvousTop("cold "+s.Name, c.topology.Entries, slowStartSenders)
-	for _, name := range senders {
-		if name == c.location.Entry {
-			return rate / float64(len(senders))
-		}
+	if !slices.Contains(senders, c.location.Entry) {
+		return 0
 	}
-	return 0
+	return slowStartShare * c.topology.SlowStartRates[s.Service]
 }
--- a/core/yuccabalancer/topology.go
+++ b/core/yuccabalancer/topology.go
@@ -66,6 +66,6 @@
 	// SlowStartRates holds, for each service, how many requests a second all
 	// entries together may send to one server in slow start.
 	SlowStartRates map[string]float64
-	// Entries are the names of all entries that may send requests.
+	// Entries are the names of the listed entries, which may send requests.
 	Entries []string
 }
--- a/core/yuccaliveness/monitor.go
+++ b/core/yuccaliveness/monitor.go
@@ -113,8 +113,7 @@
 	return s.state.DomainPeers(time.Now())
 }
 
-// Names returns the sorted names of all entries that may be sending requests to
-// backend servers, this one included.
+// Names returns the sorted names of the listed entries. State.Names has the rules.
 func (s *Monitor) Names() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/core/yuccaliveness/state.go
+++ b/core/yuccaliveness/state.go
@@ -130,15 +130,9 @@
 	return all
 }
 
-// Names returns the sorted names of all entries that may be sending requests to
-// backend servers, this one included.
-func (s *State) Names() []string {
-	names := map[string]bool{s.self.Name: true}
-	for name := range s.listed {
-		names[name] = true
-	}
-	return slices.Sorted(maps.Keys(names))
-}
+// Names returns the sorted names of the listed entries, which may be sending
+// requests to backend servers. This one is missing until it is listed.
+func (s *State) Names() []string { return slices.Sorted(maps.Keys(s.listed)) }
 
 // Alive returns the entries that accept new clients, sorted by name. A listed
 // entry without a heartbeat of its present incarnation counts as alive until
--- a/core/yuccareplica/replica.go
+++ b/core/yuccareplica/replica.go
@@ -113,14 +113,18 @@
 
 // Wait implements yuccawatch.Gate. It returns when this entry calls the platform
 // itself.
-func (r *Replica) Wait(ctx context.Context) {
+func (r *Replica) Wait(ctx context.Context) bool {
 	r.mu.Lock()
-	open := r.open
+	open, calling := r.open, r.calling
 	r.mu.Unlock()
+	if calling {
+		return false
+	}
 	select {
 	case <-open:
 	case <-ctx.Done():
 	}
+	return true
 }
 
 // Announcement returns what this entry tells the others in its next heartbeat.
--- a/core/yuccareplica/replica_test.go
+++ b/core/yuccareplica/replica_test.go
@@ -256,10 +256,19 @@
 	return false
 }
 
-// TestOneEntryOfADomainCalls counts who calls the platform while nothing fails.
+// TestOneEntryOfADomainCalls counts who calls the platform while nothing fails, and
+// how often.
 func TestOneEntryOfADomainCalls(t *testing.T) {
+	// maxCalls is the most calls of one reader in 30 seconds: a watch each 5 s and a
+	// list each 15 s.
+	const maxCalls = 8
 	runFleet(t, 5, func(f *fleet) {
-		f.c.Assert(f.callers(), qt.HasLen, 3)
+		readers := f.callers()
+		f.c.Assert(readers, qt.HasLen, 3)
+		before := readers[0].link.callCount()
+		time.Sleep(30 * time.Second)
+		calls := readers[0].link.callCount() - before
+		f.c.Assert(calls <= maxCalls, qt.IsTrue, qt.Commentf("%d calls", calls))
 		f.assertChangeArrives("k/a", f.members)
 	})
 }
--- a/core/yuccawatch/watcher.go
+++ b/core/yuccawatch/watcher.go
@@ -59,8 +59,9 @@
 
 // Gate decides whether an entry calls the platform itself.
 type Gate interface {
-	// Wait returns when the entry has to call the platform or ctx ends.
-	Wait(ctx context.Context)
+	// Wait returns when the entry has to call the platform or ctx ends. It reports
+	// whether it had to wait.
+	Wait(ctx context.Context) bool
 }
 
 const (
@@ -208,12 +209,13 @@
 		return
 	}
 	start := time.Now()
-	f.settings.Gate.Wait(ctx)
-	waited := time.Since(start)
+	waited := f.settings.Gate.Wait(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lastResponse = f.lastResponse.Add(waited)
-	f.resumed = waited > 0
+	f.resumed = waited
+	if waited {
+		f.lastResponse = f.lastResponse.Add(time.Since(start))
+	}
 }
 
 // Seq returns the sequence number up to which all changes are known, zero before
--- a/core/yuccawatch/watcher_test.go
+++ b/core/yuccawatch/watcher_test.go
@@ -357,11 +357,17 @@
 type closedGate struct{ open chan struct{} }
 
 // Wait implements yuccawatch.Gate.
-func (g closedGate) Wait(ctx context.Context) {
+func (g closedGate) Wait(ctx context.Context) bool {
+	select {
+	case <-g.open:
+		return false
+	default:
+	}
 	select {
 	case <-g.open:
 	case <-ctx.Done():
 	}
+	return true
 }
 
 // TestGateDelaysCalls keeps a watcher from calling the platform after its first
