--- a/core/yuccareplica/announce.go
+++ b/core/yuccareplica/fleet.go
@@ -8,70 +8,22 @@
 )
 
 const (
-	// contactTimeout is how long an entry counts as in contact with the platform
-	// after its last response. It covers a watch that waits for a change.
-	contactTimeout = 6500 * time.Millisecond
-	// settleTime is how long an entry must have been in contact with the platform
-	// before it passes on what it reads. After an outage, objects that have expired
-	// meanwhile need some seconds to come back, and the entry keeps them until then.
-	settleTime = 3 * time.Second
 	// announcementTTL is how long an announcement counts. Heartbeats carry one every
 	// half second.
 	announcementTTL = 1500 * time.Millisecond
 	// fetchDelay is how long an entry waits for announced changes before it asks
 	// for them. Changes are usually passed on sooner than they are announced.
 	fetchDelay = 250 * time.Millisecond
-	// stuckTimeout is how long an entry misses changes before it calls the platform
-	// itself. It leaves time to ask several others.
-	stuckTimeout = time.Second
-	// fetchRetryDelay is how long an entry that had no answer is not asked again.
-	fetchRetryDelay = 2 * time.Second
 	// readerFetchDelay is fetchDelay for an entry that calls the platform itself. It
 	// covers the pause after a change of its watchers.
 	readerFetchDelay = time.Second
+	// fetchRetryDelay is how long an entry that had no answer is not asked again.
+	fetchRetryDelay = 2 * time.Second
+	// stuckTimeout is how long an entry misses changes before it calls the platform
+	// itself. It leaves time to ask several others.
+	stuckTimeout = time.Second
 )
 
-// Announcement is what an entry tells all others about its copies in each
-// heartbeat.
-type Announcement struct {
-	// Changed holds the sequence number of the last change in each copy, in the
-	// order of the prefixes.
-	Changed []uint64
-	// Contact is how long the entry has been in contact with the platform. Zero
-	// means that it is not, or that it leaves the calls to others.
-	Contact time.Duration
-}
-
-// settled reports whether the entry passes on what it reads.
-func (a Announcement) settled() bool { return a.Contact >= settleTime }
-
-// contact tracks whether this entry is in contact with the platform.
-type contact struct {
-	// since is when the contact began; zero means that there is none.
-	since time.Time
-	// lastResponse is when the platform last responded.
-	lastResponse time.Time
-}
-
-// responded records a response of the platform.
-func (c *contact) responded(now time.Time) {
-	if c.duration(now) == 0 {
-		c.since = now
-	}
-	c.lastResponse = now
-}
-
-// lost records a failed call or the end of an outage that no call noticed.
-func (c *contact) lost() { c.since = time.Time{} }
-
-// duration returns how long the contact has lasted, zero if there is none.
-func (c *contact) duration(now time.Time) time.Duration {
-	if c.since.IsZero() || now.Sub(c.lastResponse) > contactTimeout {
-		return 0
-	}
-	return max(1, now.Sub(c.since))
-}
-
 // receivedAnnouncement is the last announcement of another entry.
 type receivedAnnouncement struct {
 	Announcement
--- a/core/yuccareplica/replica.go
+++ b/core/yuccareplica/replica.go
@@ -127,6 +127,13 @@
 	return true
 }
 
+// Calling reports whether this entry calls the platform itself.
+func (r *Replica) Calling() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.calling
+}
+
 // Announcement returns what this entry tells the others in its next heartbeat.
 func (r *Replica) Announcement() Announcement {
 	r.mu.Lock()
