--- a/core/yuccaexplain/explain.go
+++ b/core/yuccaexplain/explain.go
@@ -17,18 +17,21 @@
 // contextEvents maps the events about an entry's own state to descriptions: its
 // start and stop, its routes, and its connections to the platform and to peers.
 var contextEvents = map[string]string{
-	"entry_starts":       "the entry started",
-	"entry_leaves":       "the entry was told to stop",
-	"routes_in_force":    "new routes took effect",
-	"routes_refused":     "new routes were rejected",
-	"evacuation_changed": "the evacuated failure domains changed",
-	"platform_lost":      "the platform stopped answering",
-	"platform_back":      "the platform answers again",
-	"history_forgotten":  "the platform's change history did not reach back far enough",
-	"peer_unreachable":   "another entry could not be reached",
-	"peer_lost":          "another entry was lost",
-	"request_struck":     "a server crashed while it ran a request",
-	"lines_left_out":     "log lines were left out",
+	"entry_starts":        "the entry started",
+	"entry_leaves":        "the entry was told to stop",
+	"routes_in_force":     "new routes took effect",
+	"routes_refused":      "new routes were rejected",
+	"evacuation_changed":  "the evacuated failure domains changed",
+	"platform_lost":       "the platform stopped answering",
+	"platform_back":       "the platform answers again",
+	"history_forgotten":   "the platform's change history did not reach back far enough",
+	"reader_changed":      "the entry began or ceased to call the platform for its failure domain",
+	"changes_fetched":     "changes came from another entry",
+	"changes_not_fetched": "another entry did not hand on its changes",
+	"peer_unreachable":    "another entry could not be reached",
+	"peer_lost":           "another entry was lost",
+	"request_struck":      "a server crashed while it ran a request",
+	"lines_left_out":      "log lines were left out",
 }
 
 // kindDescriptions maps the names of error kinds to descriptions.
--- a/core/yuccaexplain/explain_test.go
+++ b/core/yuccaexplain/explain_test.go
@@ -17,6 +17,7 @@
 time=2026-05-01T17:19:52.5Z level=warn event=platform_lost entry=e1 error="GET servers: timeout" prefix=servers/
 time=2026-05-01T17:19:53Z level=info event=request_failed after=0 entry=e1 error="read tcp 10.0.0.1:1->10.0.0.2:2: i/o timeout" goal=200 kind=overdue limit=1000 request=abc route=r1 routes=7 run=maybe service=svc status=504 took=1000.2 tries=i-1/z1:object:declined:3ms,i-2/z2:room:overdue:990ms
 time=2026-05-01T17:19:52.9Z level=warn event=platform_lost entry=e3 prefix=servers/
+time=2026-05-01T17:19:52.7Z level=info event=changes_fetched after=41 entry=e1 from=e2 objects=3 prefix=servers/ seq=44
 not a line
 `
 
@@ -26,7 +27,7 @@
 	c := qt.New(t)
 	events, err := yuccaexplain.Read(strings.NewReader(logText))
 	c.Assert(err, qt.IsNil)
-	c.Assert(events, qt.HasLen, 4)
+	c.Assert(events, qt.HasLen, 5)
 	text := yuccaexplain.Explain(events, "abc")
 	for _, want := range []string{
 		"17:19:53.000 e1: overdue, status 504",
@@ -35,6 +36,7 @@
 		"Given to i-2 in z2 (chosen since the first of the order was busier): overdue after 990ms.",
 		"Cause: read tcp 10.0.0.1:1->10.0.0.2:2: i/o timeout.",
 		"17:19:52.500 the platform stopped answering (prefix servers/, error GET servers: timeout)",
+		"17:19:52.700 changes came from another entry (prefix servers/",
 		"17:19:53.500 e2: shed, status 503",
 		"It did not run and will not.",
 		"come back after 120 ms",
