--- a/core/yuccawatch/watcher_test.go
+++ b/core/yuccawatch/watcher_test.go
@@ -343,7 +343,7 @@
 	// maxCallRate is in calls per second: a list and a watch for each pause.
 	const maxCallRate = 5
 	const length = 10 * time.Second
-	runWatchers(t, 1, func(c *qt.C, p *platform, w *recorder) {
+	runWatchers(t, 1, func(c *qt.C, p *platform, _ *recorder) {
 		p.put("a")
 		time.Sleep(500 * time.Millisecond)
 		p.update(func() { p.staleSeq = 1 })
