--- a/core/yuccaadmission/spillover_test.go
+++ b/core/yuccaadmission/spillover_test.go
@@ -89,19 +89,18 @@
 				a := core.Admit(yuccaadmission.Request{Now: now, Service: "s", From: "a", Random: rapid.Uint64().Draw(t, "random")})
 				if a.Kind == yuccaerror.None && !a.Waiting {
 					open = append(open, a.Ticket)
+					spilled += countOutsideRegion(open[len(open)-1:])
 				}
 			}
 			core.Tick(now)
 			for _, cmd := range core.Commands() {
 				if g, ok := cmd.(yuccaadmission.Grant); ok {
 					open = append(open, g.Ticket)
-					if g.Ticket.Region != "b" {
-						spilled++
-					}
+					spilled += countOutsideRegion(open[len(open)-1:])
 				}
 			}
-			if n := len(open); n > 0 && open[n-1].Region != "b" && open[n-1].Started.Equal(now) {
-				spilled = max(spilled, countOutsideRegion(open))
+			if float64(spilled) > part*float64(requests)+1 {
+				t.Fatalf("%d of %d requests ran outside region b, allowed is a fraction of %v", spilled, requests, part)
 			}
 			if outside := countOutsideRegion(open); float64(outside) > part*float64(requests)+1 {
 				t.Fatalf("%d of %d requests are in flight outside region b, allowed is a fraction of %v", outside, requests, part)
--- /dev/null
+++ b/core/yuccabalancer/bounds_test.go
@@ -0,0 +1,69 @@
+package yuccabalancer_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccawell.example/core/yuccaadmission"
+	"yuccawell.example/core/yuccabalancer"
+)
+
+// TestSpilloverIsBounded fills a region for long, while another one has room. Of its
+// requests no more than 3% leave it, and three at once.
+func TestSpilloverIsBounded(t *testing.T) {
+	const (
+		requests = 1000
+		ratio    = 0.03
+		burst    = 3
+		slots    = 4
+	)
+	c := qt.New(t)
+	core := newCore(topology(1, slots, "a", "b"))
+	serve(core, 0, 100*time.Millisecond, nil)
+	full := yuccaadmission.Load{Running: slots, Waiting: 20, Slots: slots}
+	serve(core, time.Second, 100*time.Millisecond, func(server string) *yuccaadmission.Load {
+		if server == "a0" {
+			return &full
+		}
+		return &yuccaadmission.Load{Slots: slots}
+	})
+	outside := 0
+	for range requests {
+		choice := core.Choose(request(time.Second, firstObject))
+		if choice.Reason == yuccabalancer.Refused {
+			continue
+		}
+		c.Assert(choice.Server(), qt.Equals, "b0")
+		outside++
+		core.Done(choice, yuccaadmission.Result{Now: start.Add(time.Second), Succeeded: true, TimeToHeader: 100 * time.Millisecond, Load: &yuccaadmission.Load{Slots: slots}})
+	}
+	c.Assert(outside > 0, qt.IsTrue)
+	c.Assert(float64(outside) <= ratio*requests+burst, qt.IsTrue, qt.Commentf("%d requests", outside))
+}
+
+// TestFailingServerIsAvoided has a server fail every request. After a few failures its
+// objects go to other servers, but for one request each half second.
+func TestFailingServerIsAvoided(t *testing.T) {
+	const (
+		interval = 10 * time.Millisecond
+		length   = 10 * time.Second
+		// maxProbes allows a request each half second, and the first failures.
+		maxProbes = int(length/(500*time.Millisecond)) + 5
+	)
+	c := qt.New(t)
+	core := newCore(topology(4, 4, "a"))
+	failed := 0
+	for at := time.Duration(0); at < length; at += interval {
+		a := request(at, firstObject+uint64(at/interval)%40)
+		choice := core.Choose(a)
+		result := yuccaadmission.Result{Now: a.Now, Succeeded: true, TimeToHeader: 50 * time.Millisecond}
+		if choice.Server() == "a0" {
+			failed++
+			result = yuccaadmission.Result{Now: a.Now, Failed: true, TimeToHeader: 50 * time.Millisecond}
+		}
+		core.Done(choice, result)
+	}
+	c.Assert(failed > 0 && failed <= maxProbes, qt.IsTrue, qt.Commentf("%d requests", failed))
+}
