--- a/core/yuccaexplain/explain.go
+++ b/core/yuccaexplain/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -49,6 +50,18 @@
 	"malformed":   "it is not valid HTTP",
 	"large":       "its headers are too long",
 	"leaving":     "the entry was stopping",
+	"running":     "an earlier request with the same idempotency key was still running",
+	"spent":       "its idempotency key was used before, and that response is not kept",
+	"conflict":    "its idempotency key was used for a different request",
+	"unclaimed":   "the entry had used up its rate of platform calls",
+	"unsettled":   "the platform could not tell whether its idempotency key was used before",
+	"platform":    "the platform did not answer or answered wrongly",
+	"raced":       "another write came first",
+	"missing":     "the object does not exist",
+	"forgotten":   "the platform's change history did not reach back far enough",
+	"refused":     "the rules or settings have errors",
+	"usage":       "the command line is invalid",
+	"protocol":    "another entry sent an invalid message",
 	"internal":    "a defect in the program",
 }
 
@@ -57,22 +70,25 @@
 // the same entry around that time. If no event has the ID, the text says that and
 // why it may be so.
 func Explain(events []Event, id string) string {
+	if !Mentions(events, id) {
+		return fmt.Sprintf("No line names request %s. A request that a server answered leaves no line. Lines may also have been dropped: look for the event lines_left_out.\n", id)
+	}
 	var b strings.Builder
-	found := 0
 	for i, e := range events {
 		if e.Fields["request"] != id {
 			continue
 		}
-		found++
 		b.WriteString(describeOutcome(e))
 		b.WriteString(describeContext(events, i))
 	}
-	if found == 0 {
-		return fmt.Sprintf("No line names request %s. A request that a server answered leaves no line. Lines may also have been dropped: look for the event lines_left_out.\n", id)
-	}
 	return b.String()
 }
 
+// Mentions reports whether any event has the request's ID.
+func Mentions(events []Event, id string) bool {
+	return slices.ContainsFunc(events, func(e Event) bool { return e.Fields["request"] == id })
+}
+
 // describeOutcome describes how a request ended at one entry, with all attempts
 // to send it to a server. A caller's retry is an event of its own.
 func describeOutcome(e Event) string {
--- a/core/yuccaexplain/explain_test.go
+++ b/core/yuccaexplain/explain_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"yuccawell.example/core/yuccaerror"
 	"yuccawell.example/core/yuccaexplain"
 	"yuccawell.example/core/yuccafake"
 )
@@ -60,3 +61,13 @@
 	c.Assert(text, qt.Contains, "No route was known or matched; 0.06 ms after its arrival.")
 	c.Assert(text, qt.Not(qt.Contains), "of version ,")
 }
+
+// TestEveryKindIsDescribed explains a request that ended with each kind of error.
+func TestEveryKindIsDescribed(t *testing.T) {
+	for _, kind := range yuccaerror.Kinds() {
+		t.Run(kind.String(), func(t *testing.T) {
+			events := []yuccaexplain.Event{{Entry: "e1", Fields: map[string]string{"request": "abc", "kind": kind.String()}}}
+			qt.Assert(t, yuccaexplain.Explain(events, "abc"), qt.Not(qt.Contains), "see the table")
+		})
+	}
+}
--- a/ctl/command_test.go
+++ b/ctl/command_test.go
@@ -52,6 +52,7 @@
 	env.write(t, "good.txt", validRules)
 	env.write(t, "more.txt", drainRules)
 	env.write(t, "bad.txt", invalidRules)
+	env.write(t, "entries.log", "time=2026-05-01T17:19:53Z level=info event=request_failed entry=e1 kind=shed request=abc status=503 run=no\n")
 	return env
 }
 
@@ -137,6 +138,8 @@
 		{"status of the plan", []string{"status"}, 0, "plan 7 of epoch 2, made "},
 		{"status of ramps", []string{"status"}, 0, "moving: search from a, 40% left, done about 2027-03-27T20:00:00Z"},
 		{"version", []string{"version"}, 0, "yuccactl"},
+		{"explain", []string{"explain", "abc", "@entries.log"}, 0, "e1: shed, status 503"},
+		{"explain what no line names", []string{"explain", "other", "@entries.log"}, 1, "No line names request other"},
 		{"diff without file", []string{"diff"}, 2, "accepts 1 arg"},
 	}
 	for _, test := range tests {
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -37,12 +37,15 @@
 }
 
 // explain prints the explanation of the request with the given ID from the log
-// lines that it reads.
+// lines that it reads. It fails with kind NotFound if no line names the request.
 func (a *app) explain(in io.Reader, id string) error {
 	events, err := yuccaexplain.Read(in)
 	if err != nil {
 		return yuccaerror.Wrap(yuccaerror.Invalid, err)
 	}
 	a.printf("%s", yuccaexplain.Explain(events, id))
+	if !yuccaexplain.Mentions(events, id) {
+		return yuccaerror.New(yuccaerror.NotFound, "no line names request %s", id)
+	}
 	return nil
 }
