--- a/core/yuccabalancer/candidate_test.go
+++ b/core/yuccabalancer/candidate_test.go
@@ -32,17 +32,10 @@
 			core := newCore(topology(4, slots, "a"))
 			serve(core, 0, 300*time.Millisecond, nil)
 			serve(core, time.Second, 100*time.Millisecond, nil)
+			affinity := fillAffinityServer(core, 3*time.Second, full, test.others)
 			a := request(3*time.Second, firstObject)
-			choice := core.Choose(a)
-			core.Done(choice, yuccaadmission.Result{Now: a.Now})
-			serve(core, 3*time.Second, 100*time.Millisecond, func(server string) *yuccaadmission.Load {
-				if server == choice.Server() {
-					return &full
-				}
-				return &test.others
-			})
 			a.LatencyBudget = time.Second
-			qt.Assert(t, core.Choose(a).Server() != choice.Server(), qt.Equals, test.spills)
+			qt.Assert(t, core.Choose(a).Server() != affinity, qt.Equals, test.spills)
 		})
 	}
 }
@@ -65,6 +58,21 @@
 	}
 }
 
+// fillAffinityServer has the affinity server of firstObject report one load and the
+// other servers another. It returns the name of the affinity server.
+func fillAffinityServer(core *yuccabalancer.Core, at time.Duration, full, others yuccaadmission.Load) string {
+	a := request(at, firstObject)
+	choice := core.Choose(a)
+	core.Done(choice, yuccaadmission.Result{Now: a.Now})
+	serve(core, at, 100*time.Millisecond, func(server string) *yuccaadmission.Load {
+		if server == choice.Server() {
+			return &full
+		}
+		return &others
+	})
+	return choice.Server()
+}
+
 // TestQueueWaitIsBoundedByLatencyBudget sends a request to a server whose
 // queue makes it wait for less or for longer than its latency budget of 200
 // ms. Only the longer wait is rejected, at once and with a time after which
@@ -110,17 +118,8 @@
 	serve(core, 0, 100*time.Millisecond, nil)
 	serve(core, time.Second, 100*time.Millisecond, nil)
 	full := yuccaadmission.Load{Running: slots, Waiting: 2, Slots: slots}
-	free := yuccaadmission.Load{Slots: slots}
-	a := request(2*time.Second, firstObject)
-	choice := core.Choose(a)
-	core.Done(choice, yuccaadmission.Result{Now: a.Now})
-	serve(core, 2*time.Second, 100*time.Millisecond, func(server string) *yuccaadmission.Load {
-		if server == choice.Server() {
-			return &full
-		}
-		return &free
-	})
-	c.Assert(core.Choose(a).Server(), qt.Equals, choice.Server())
+	affinity := fillAffinityServer(core, 2*time.Second, full, yuccaadmission.Load{Slots: slots})
+	c.Assert(core.Choose(request(2*time.Second, firstObject)).Server(), qt.Equals, affinity)
 }
 
 // TestObjectsAreColdInOtherRegions fills the object's region until a request
@@ -181,16 +180,8 @@
 	}
 	serve(core, time.Second, 100*time.Millisecond, nil)
 	full := yuccaadmission.Load{Running: slots, Waiting: 2, Slots: slots}
-	a := request(2*time.Second, firstObject)
-	choice := core.Choose(a)
-	core.Done(choice, yuccaadmission.Result{Now: a.Now})
-	serve(core, 2*time.Second, 100*time.Millisecond, func(server string) *yuccaadmission.Load {
-		if server == choice.Server() {
-			return &full
-		}
-		return &yuccaadmission.Load{Slots: slots}
-	})
-	c.Assert(core.Choose(a).Server(), qt.Equals, choice.Server())
+	affinity := fillAffinityServer(core, 2*time.Second, full, yuccaadmission.Load{Slots: slots})
+	c.Assert(core.Choose(request(2*time.Second, firstObject)).Server(), qt.Equals, affinity)
 }
 
 // TestFewColdSamplesCount has objects answered in 0.3 ms by a server that has had
