--- a/core/yuccabalancer/slow_start.go
+++ b/core/yuccabalancer/slow_start.go
@@ -11,10 +11,10 @@
 	// The number is bounded because each of them may send one request at once,
 	// whatever its rate.
 	slowStartSenders = 3
-	// slowStartShare is each sender's part of the rate. The parts add up to less
-	// than the whole, since for a while after an entry joins or leaves, the entries
-	// choose their senders from two lists.
-	slowStartShare = 0.2
+	// slowStartShare is the part of the rate that the senders share. The rest is for
+	// the time after an entry joins or leaves, when the entries choose their senders
+	// from two lists.
+	slowStartShare = 0.6
 )
 
 // slowStartRate returns this entry's part of the request rate that a server
@@ -26,5 +26,5 @@
 	if !slices.Contains(senders, c.location.Entry) {
 		return 0
 	}
-	return slowStartShare * c.topology.SlowStartRates[s.Service]
+	return slowStartShare * c.topology.SlowStartRates[s.Service] / float64(len(senders))
 }
