--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -189,11 +189,9 @@
 	return choice
 }
 
-// choose returns the best server of the object's region. When the latency
-// budget would be exceeded there and a spillover token is available, it
-// returns a server of another region if that costs less; a rejection counts as
-// another latency budget, which is about how long a rejected caller waits.
-// When the request would be too late on the best server, it is rejected.
+// choose returns the best server of the object's region, or one of another
+// region if spillover finds it. When the request would be too late on that
+// server, it is rejected.
 func (c *Core) choose(p *pool, req yuccaadmission.Request) Choice {
 	key := req.Object
 	if key == 0 {
@@ -210,14 +208,8 @@
 	if !best.preferred {
 		reason = ByLoad
 	}
-	if p.spilloverTokens >= 1 && req.LatencyBudget > 0 && best.latency > req.LatencyBudget {
-		limit := best.cost
-		if best.tooLate(req) {
-			limit += req.LatencyBudget
-		}
-		if o := c.bestServerElsewhere(p, regions[1:], req, key); o.server != nil && o.cost+crossRegionDelay < limit {
-			best, reason = o, BySpillover
-		}
+	if o, ok := c.spillover(p, regions[1:], req, key, best); ok {
+		best, reason = o, BySpillover
 	}
 	if best.tooLate(req) {
 		return Choice{Reason: Refused, Kind: yuccaerror.Shed, RetryAfter: min(maxRetryAfter, max(minRetryAfter, best.queueWait))}
@@ -228,6 +220,22 @@
 	return Choice{server: best.server, Reason: reason, Queued: best.queueWait > 0, latencyBudget: req.LatencyBudget, hasObject: req.Object != 0}
 }
 
+// spillover returns the best server of the other regions if the latency budget
+// would be exceeded on the best one of the object's region, a spillover token is
+// available, and the other server costs less. A rejection counts as another
+// latency budget, which is about how long a rejected caller waits.
+func (c *Core) spillover(p *pool, others []string, req yuccaadmission.Request, key uint64, best candidate) (candidate, bool) {
+	if p.spilloverTokens < 1 || req.LatencyBudget <= 0 || best.latency <= req.LatencyBudget {
+		return candidate{}, false
+	}
+	limit := best.cost
+	if best.tooLate(req) {
+		limit += req.LatencyBudget
+	}
+	o := c.bestServerElsewhere(p, others, req, key)
+	return o, o.server != nil && o.cost+crossRegionDelay < limit
+}
+
 // eligible reports whether the server may get this request.
 func (c *Core) eligible(s *serverState, req yuccaadmission.Request) bool {
 	if !c.acceptsRequests(s) || slices.Contains(req.AvoidServers, s.Name) || req.Now.Before(s.blockedUntil) {
--- a/core/yuccabalancer/core_test.go
+++ b/core/yuccabalancer/core_test.go
@@ -168,9 +168,9 @@
 }
 
 // TestSlowStartRate lets up to 40 entries send as many requests as they can to a
-// server in slow start. Half a list of the entries differs from the other half's, as
-// after a change that only some have learned of. In no second may the server get
-// more than 1.5 times the rate plus 5 requests, and it gets some.
+// server in slow start. Each holds one of two lists of the entries, as after a change
+// that only some have learned of. In no second may the server get more than 1.5
+// times the rate plus 5 requests.
 func TestSlowStartRate(t *testing.T) {
 	const (
 		maxRateFactor = 1.5
