A limit that a server names holds as a sum over all entries

Cause: no entry read the limit, and a limit that each entry keeps for itself would be exceeded by three of them. Now yuccaquota divides a rate among a few senders by hash and yuccanotice tells all entries what a server last said; yuccabalancer keeps to its part and rejects at once, with the time of its next token, what no server takes. Slow start and the retry budget divide their rates by the same package.

Refusals of kind empty now count why each server was left out, so that limited and unreachable servers are told apart.

--- a/core/yuccaadmission/request.go
+++ b/core/yuccaadmission/request.go
@@ -108,6 +108,20 @@
 	Load *Load
 }
 
+// Report is what a server says about itself in a response.
+type Report struct {
+	// Load is the server's load; nil if it reports none.
+	Load *Load
+	// Limited is set when the server names a limit for the requests of all entries
+	// together.
+	Limited bool
+	// RateLimit is that limit in requests a second.
+	RateLimit float64
+	// Invalid says which part of the report could not be read; empty if none. The
+	// other parts, except Load, are then to be ignored.
+	Invalid string
+}
+
 // Load is the load that a server reports in a response. The request that the
 // response belongs to does not count.
 type Load struct {
--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -1,11 +1,11 @@
 package yuccabalancer
 
 import (
-	"slices"
 	"time"
 
 	"yuccawell.example/core/yuccaadmission"
 	"yuccawell.example/core/yuccaerror"
+	"yuccawell.example/core/yuccaquota"
 )
 
 const (
@@ -32,11 +32,21 @@
 	servers map[string]*serverState
 	// pools holds the servers and statistics of each service, by name.
 	pools map[string]*pool
+	// division divides the rates that hold for all entries together.
+	division yuccaquota.Division
+	// limits holds the limits that servers name, by the name of the server.
+	limits map[string]RateLimit
 }
 
 // NewCore returns a Core that has no servers.
 func NewCore(p Location) *Core {
-	return &Core{location: p, servers: map[string]*serverState{}, pools: map[string]*pool{}}
+	return &Core{
+		location: p,
+		servers:  map[string]*serverState{},
+		pools:    map[string]*pool{},
+		division: yuccaquota.New(p.Entry, nil),
+		limits:   map[string]RateLimit{},
+	}
 }
 
 // Choice is the result of Core.Choose. Its server is set unless the request was
@@ -52,6 +62,8 @@
 	Kind yuccaerror.Kind
 	// RetryAfter is how long a rejected caller should wait before a retry.
 	RetryAfter time.Duration
+	// Excluded counts, if no server was eligible, why none was.
+	Excluded Exclusions
 	// Warm says that this entry has recently sent a request for the same
 	// object to the server.
 	Warm bool
@@ -101,6 +113,7 @@
 // keep their statistics and in-flight counts.
 func (c *Core) Update(w Topology) {
 	c.topology = w
+	c.division = c.division.WithEntries(w.Entries)
 	servers := map[string]*serverState{}
 	pools := map[string]*pool{}
 	for _, s := range w.Servers {
@@ -109,7 +122,8 @@
 			state = newServerState(s)
 		}
 		state.Server = s
-		state.slowStart = state.slowStart.withRate(c.slowStartRate(s))
+		state.slowStart = state.slowStart.WithRate(c.slowStartRate(s))
+		state.limiter = state.limiter.withLimit(c.limits[s.Name], s.Name, c.division)
 		servers[s.key()] = state
 		p := pools[s.Service]
 		if p == nil {
@@ -117,18 +131,25 @@
 			pools[s.Service] = p
 		}
 		p.regions[s.Region] = append(p.regions[s.Region], state)
-		if c.acceptsRequests(state) {
-			p.slots[s.Region] += float64(s.Slots)
-		}
 	}
 	c.servers, c.pools = servers, pools
 	for _, p := range pools {
+		c.updateSlots(p)
 		if !p.used {
 			p.shares = initialSplit(c.location.Region, p.slots)
 		}
 	}
 }
 
+// slowStartRate returns this entry's part of the request rate that a server receives
+// during slow start, in requests a second.
+func (c *Core) slowStartRate(s Server) float64 {
+	if s.SlowStartUntil.IsZero() {
+		return 0
+	}
+	return c.division.ToSenders("cold "+s.Name, c.topology.SlowStartRates[s.Service])
+}
+
 // key identifies the server of a service.
 func (s Server) key() string { return s.Service + "/" + s.Name }
 
@@ -154,6 +175,7 @@
 // time. The demand is given by service.
 func (c *Core) Rebalance(demand map[string]Demand, elapsed time.Duration) {
 	for service, p := range c.pools {
+		c.updateSlots(p)
 		goal := Spread(c.location.Region, demand[service], p.slots)
 		if len(goal) > 0 && p.used {
 			p.shares = p.shares.Toward(goal, maxShiftPerSecond*elapsed.Seconds())
@@ -200,7 +222,7 @@
 	usable := func(s *serverState) bool { return c.eligible(s, req) }
 	regions := p.regionOrder(req, key, usable)
 	if len(regions) == 0 {
-		return Choice{Reason: Refused, Kind: yuccaerror.NoServer, RetryAfter: maxRetryAfter}
+		return Choice{Reason: Refused, Kind: yuccaerror.NoServer, RetryAfter: c.retryAfter(p, req), Excluded: c.exclusions(p, req)}
 	}
 	p.spilloverTokens = min(spilloverBurst, p.spilloverTokens+spilloverRatio)
 	best := c.bestServer(p, regions[0], req, key, c.affinityServer(p, regions[0], req, key))
@@ -236,14 +258,6 @@
 	return o, o.server != nil && o.cost+crossRegionDelay < limit
 }
 
-// eligible reports whether the server may get this request.
-func (c *Core) eligible(s *serverState, req yuccaadmission.Request) bool {
-	if !c.acceptsRequests(s) || slices.Contains(req.AvoidServers, s.Name) || req.Now.Before(s.blockedUntil) {
-		return false
-	}
-	return !s.inSlowStart(req.Now) || s.slowStart.allows(req.Now)
-}
-
 // Done records the result of a request and removes it from the in-flight
 // count.
 func (c *Core) Done(choice Choice, r yuccaadmission.Result) {
--- a/core/yuccabalancer/picker.go
+++ b/core/yuccabalancer/picker.go
@@ -34,6 +34,13 @@
 	p.core.Rebalance(demand, elapsed)
 }
 
+// SetRateLimit records the limit that a server names. See Core.SetRateLimit.
+func (p *Picker) SetRateLimit(server string, limit RateLimit) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.SetRateLimit(server, limit)
+}
+
 // StatusAndReset returns the state of each service and sets its counts back
 // to zero.
 func (p *Picker) StatusAndReset() []Status {
@@ -81,7 +88,7 @@
 	defer p.mu.Unlock()
 	choice := p.core.Choose(req)
 	if choice.Kind != yuccaerror.None {
-		return yuccaadmission.Ticket{}, yuccaerror.NewRetryAfter(choice.RetryAfter, choice.Kind, "no server for %s", req.Service)
+		return yuccaadmission.Ticket{}, yuccaerror.NewRetryAfter(choice.RetryAfter, choice.Kind, "no server for %s%v", req.Service, choice.Excluded)
 	}
 	s := choice.server
 	return yuccaadmission.Ticket{
--- a/core/yuccabalancer/pool.go
+++ b/core/yuccabalancer/pool.go
@@ -100,7 +100,7 @@
 	}
 	var all []ranked
 	for name, servers := range p.regions {
-		if len(req.Regions) > 0 && !slices.Contains(req.Regions, name) || !slices.ContainsFunc(servers, usable) {
+		if !allowsRegion(req, name) || !slices.ContainsFunc(servers, usable) {
 			continue
 		}
 		all = append(all, ranked{name, p.shares.score(name, object)})
@@ -115,6 +115,11 @@
 	return names
 }
 
+// allowsRegion reports whether a request may run in a region.
+func allowsRegion(req yuccaadmission.Request, region string) bool {
+	return len(req.Regions) == 0 || slices.Contains(req.Regions, region)
+}
+
 // observe updates the statistics of the service with a result.
 func (p *pool) observe(r yuccaadmission.Result, choice Choice) {
 	if !r.Succeeded {
--- a/core/yuccabalancer/server_state.go
+++ b/core/yuccabalancer/server_state.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"yuccawell.example/core/yuccaadmission"
+	"yuccawell.example/core/yuccaquota"
 )
 
 const (
@@ -74,14 +75,16 @@
 	// blockedUntil is when the server may get requests again.
 	blockedUntil time.Time
 	// slowStart limits this entry's requests during slow start.
-	slowStart tokenBucket
+	slowStart yuccaquota.Bucket
+	// limiter limits this entry's requests while the server names a limit.
+	limiter rateLimiter
 	// recent holds the objects that this entry recently sent to the server.
 	recent recentObjects
 }
 
 // newServerState returns the state of a server without any statistics.
 func newServerState(s Server) *serverState {
-	return &serverState{Server: s, hash: xxhash.Sum64String(s.Name), recent: recentObjects{}}
+	return &serverState{Server: s, hash: xxhash.Sum64String(s.Name), slowStart: yuccaquota.Full(), recent: recentObjects{}}
 }
 
 // load estimates how many requests of all entries the server has in flight.
@@ -125,8 +128,9 @@
 	s.recent.add(now, object)
 	s.probeAt = now.Add(probeInterval)
 	if s.inSlowStart(now) {
-		s.slowStart.take(now)
+		s.slowStart.Take(now)
 	}
+	s.limiter.take(now)
 }
 
 // finish records the result of a request.
--- /dev/null
+++ b/core/yuccanotice/board_test.go
@@ -0,0 +1,82 @@
+package yuccanotice_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccawell.example/core/yuccaadmission"
+	"yuccawell.example/core/yuccanotice"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+var limited = yuccaadmission.Report{Limited: true, RateLimit: 3}
+
+// TestBoardKeepsNewestNotice merges notices of others in any order of arrival.
+func TestBoardKeepsNewestNotice(t *testing.T) {
+	tests := []struct {
+		name string
+		// own is the report of a response that the entry got at start; nil means none.
+		own   *yuccaadmission.Report
+		at    time.Duration
+		other yuccanotice.Notice
+		// newer and changed are the expected results of Merge.
+		newer, changed bool
+	}{
+		{"first notice", nil, 0, yuccanotice.Notice{Limited: true, Limit: 3}, true, true},
+		{"the same later", &limited, time.Second, yuccanotice.Notice{Limited: true, Limit: 3}, true, false},
+		{"another limit later", &limited, time.Second, yuccanotice.Notice{Limited: true, Limit: 4}, true, true},
+		{"lifted later", &limited, time.Second, yuccanotice.Notice{}, true, true},
+		{"lifted before", &limited, -time.Second, yuccanotice.Notice{}, false, false},
+		{"nothing to lift", nil, 0, yuccanotice.Notice{}, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := yuccanotice.NewBoard()
+			if test.own != nil {
+				b.Observe(start, "i-1", *test.own)
+			}
+			test.other.At = start.Add(test.at)
+			newer, changed := b.Merge("i-1", test.other)
+			c.Assert(newer, qt.Equals, test.newer)
+			c.Assert(changed, qt.Equals, test.changed)
+		})
+	}
+}
+
+// TestOnlyTheNewestObserverTells checks that an entry stops to tell the others of a
+// server when another one has newer news.
+func TestOnlyTheNewestObserverTells(t *testing.T) {
+	c := qt.New(t)
+	b := yuccanotice.NewBoard()
+	_, changed := b.Observe(start, "i-1", limited)
+	c.Assert(changed, qt.IsTrue)
+	_, changed = b.Observe(start.Add(time.Second), "i-1", limited)
+	c.Assert(changed, qt.IsFalse)
+	c.Assert(len(b.Own()), qt.Equals, 1)
+	b.Merge("i-1", yuccanotice.Notice{At: start.Add(2 * time.Second), Limited: true, Limit: 3})
+	c.Assert(len(b.Own()), qt.Equals, 0)
+}
+
+// TestBoardIsBounded fills a board, and prunes it.
+func TestBoardIsBounded(t *testing.T) {
+	const servers = 10_000
+	c := qt.New(t)
+	b := yuccanotice.NewBoard()
+	for i := range servers {
+		b.Observe(start, fmt.Sprint("i-", i), limited)
+	}
+	c.Assert(b.Len() < servers, qt.IsTrue)
+	gone := b.Prune(start.Add(time.Minute), func(server string) bool { return server == "i-1" })
+	c.Assert(b.Len(), qt.Equals, 1)
+	c.Assert(len(gone) > 0, qt.IsTrue)
+	b.Observe(start.Add(time.Minute), "i-1", yuccaadmission.Report{})
+	b.Prune(start.Add(time.Minute), func(string) bool { return true })
+	c.Assert(b.Len(), qt.Equals, 1, qt.Commentf("a lifted limit is remembered for a while"))
+	b.Prune(start.Add(2*time.Minute), func(string) bool { return true })
+	c.Assert(b.Len(), qt.Equals, 0)
+}
--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -43,6 +43,8 @@
 	// timeToHeader is the time to the header of the response, zero if there is
 	// none.
 	timeToHeader time.Duration
+	// report is what the server said about itself in the header of the response.
+	report yuccaadmission.Report
 	// readBefore is the number of bytes read from the connection before the
 	// attempt.
 	readBefore int64
@@ -110,9 +112,11 @@
 func (a *attempt) classifyResponse() yuccalifecycle.Event {
 	t := a.task
 	a.timeToHeader = time.Since(a.started)
-	switch v := t.relay.opt.Protocol.ClassifyResponse(t.id, &a.exchange.head); v {
+	class := t.relay.opt.Protocol.ClassifyResponse(t.id, &a.exchange.head)
+	a.receiveReport(class)
+	switch class {
 	case Declined, Misdirected:
-		a.declined, a.wrongServer = true, v == Misdirected
+		a.declined, a.wrongServer = true, class == Misdirected
 		a.handleDecline()
 		return yuccalifecycle.Declined{}
 	case Mismatched, Invalid:
@@ -124,6 +128,19 @@
 	return yuccalifecycle.ResponseStarted{}
 }
 
+// receiveReport reads what the server says about itself and passes it on, unless the
+// response comes from another server.
+func (a *attempt) receiveReport(class ResponseClass) {
+	if class != Genuine && class != Declined {
+		return
+	}
+	opt := a.task.relay.opt
+	a.report = opt.Protocol.Report(&a.exchange.head)
+	if opt.Reports != nil {
+		opt.Reports.ReceiveReport(a.ticket.Server, a.report)
+	}
+}
+
 // handleDecline returns the ticket after the server declined. The connection is
 // kept if the body is short enough to be read to its end.
 func (a *attempt) handleDecline() {
@@ -221,9 +238,7 @@
 	r.Declined = a.declined && !a.wrongServer
 	r.WrongServer = a.wrongServer
 	r.TimeToHeader = a.timeToHeader
-	if a.exchange != nil && a.timeToHeader > 0 {
-		r.Load = a.task.relay.opt.Protocol.Load(&a.exchange.head)
-	}
+	r.Load = a.report.Load
 	a.task.relay.opt.Picker.Done(a.ticket, r)
 	a.task.logAttempt(a.ticket, r)
 }
--- a/core/yuccarelay/protocol.go
+++ b/core/yuccarelay/protocol.go
@@ -27,8 +27,8 @@
 	// ClassifyResponse says what a response header means for the request with
 	// the given id.
 	ClassifyResponse(id string, h *fasthttp.ResponseHeader) ResponseClass
-	// Load returns the load that a server reports in its response, nil if none.
-	Load(h *fasthttp.ResponseHeader) *yuccaadmission.Load
+	// Report returns what a server says about itself in its response.
+	Report(h *fasthttp.ResponseHeader) yuccaadmission.Report
 	// WriteError replaces the response by an error response of the relay.
 	WriteError(ctx *fasthttp.RequestCtx, f ErrorResponse)
 }
@@ -104,8 +104,10 @@
 	return Genuine
 }
 
-// Load returns nil.
-func (DefaultProtocol) Load(*fasthttp.ResponseHeader) *yuccaadmission.Load { return nil }
+// Report returns an empty report.
+func (DefaultProtocol) Report(*fasthttp.ResponseHeader) yuccaadmission.Report {
+	return yuccaadmission.Report{}
+}
 
 // WriteError writes the error response as the function WriteError does.
 func (DefaultProtocol) WriteError(ctx *fasthttp.RequestCtx, f ErrorResponse) {
--- a/core/yuccarelay/protocol_test.go
+++ b/core/yuccarelay/protocol_test.go
@@ -31,7 +31,9 @@
 	return yuccarelay.Genuine
 }
 
-func (labelProtocol) Load(*fasthttp.ResponseHeader) *yuccaadmission.Load { return nil }
+func (labelProtocol) Report(*fasthttp.ResponseHeader) yuccaadmission.Report {
+	return yuccaadmission.Report{}
+}
 
 // serveResponses starts a server that responds to each request with the output
 // of write.
--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -53,6 +53,13 @@
 	Observe(Record)
 }
 
+// ReportReceiver receives what backend servers say about themselves.
+type ReportReceiver interface {
+	// ReceiveReport is called with each response of a server, as soon as its header
+	// has been read.
+	ReceiveReport(server string, report yuccaadmission.Report)
+}
+
 // Record describes a request that has ended.
 type Record struct {
 	// Service is the name of the service that was requested.
@@ -109,6 +116,8 @@
 	Router Router
 	// Observer receives the Record of each request; nil means none.
 	Observer Observer
+	// Reports receives what servers say about themselves; nil means nobody does.
+	Reports ReportReceiver
 	// Dial opens connections to backend servers; nil means plain TCP.
 	Dial Dialer
 	// Protocol holds the header fields of callers and servers; nil means
