A failing test: entries that lose their links to all servers refuse their callers

Servers of a fleet in tests stand behind links that can be cut for one entry, told by its address, from which the program now connects to servers.

--- a/core/yuccafake/tcpproxy.go
+++ b/core/yuccafake/tcpproxy.go
@@ -39,7 +39,11 @@
 	// limiters limit the rate in each direction: 0 is from the client to the target,
 	// 1 from the target to the client.
 	limiters [2]*rate.Limiter
-	conns    map[net.Conn]struct{}
+	// conns maps each open connection, of both sides, to the address that the client's
+	// one comes from.
+	conns map[net.Conn]string
+	// partitions holds the sources that are cut off.
+	partitions map[string]Partition
 	// blackholedAt is when BlackholeOpenConns was last called.
 	blackholedAt time.Time
 	listener     net.Listener
@@ -50,7 +54,7 @@
 // NewTCPProxy returns a proxy from addr to a target address. It listens only
 // after Start.
 func NewTCPProxy(addr, target string, conditions LinkConditions) *TCPProxy {
-	l := &TCPProxy{addr: addr, target: target, conns: map[net.Conn]struct{}{}}
+	l := &TCPProxy{addr: addr, target: target, conns: map[net.Conn]string{}, partitions: map[string]Partition{}}
 	l.SetConditions(conditions)
 	return l
 }
@@ -145,10 +149,15 @@
 // until both have ended.
 func (l *TCPProxy) relay(ctx context.Context, client net.Conn) {
 	defer l.closeConn(client)
-	if !l.register(client) {
+	source := sourceOf(client)
+	if !l.register(client, source) {
 		return
 	}
-	if !yuccasleep.For(ctx, l.currentConditions().Delay) {
+	if p := l.partition(source); p == PartitionReset || p == PartitionRefuse {
+		resetConn(client)
+		return
+	}
+	if !yuccasleep.For(ctx, l.currentConditions().Delay) || !l.awaitPath(ctx, source) {
 		return
 	}
 	upstream, err := net.Dial("tcp", l.target)
@@ -156,22 +165,22 @@
 		return
 	}
 	defer l.closeConn(upstream)
-	if !l.register(upstream) {
+	if !l.register(upstream, source) {
 		return
 	}
 	opened := time.Now()
 	directions := &errgroup.Group{}
-	directions.Go(func() error { return l.forward(ctx, client, upstream, 0, opened) })
-	directions.Go(func() error { return l.forward(ctx, upstream, client, 1, opened) })
+	directions.Go(func() error { return l.forward(ctx, source, client, upstream, 0, opened) })
+	directions.Go(func() error { return l.forward(ctx, source, upstream, client, 1, opened) })
 	_ = directions.Wait()
 }
 
 // register adds a connection to those that SetConditions and Close end. It returns false
 // while the link is cut.
-func (l *TCPProxy) register(c net.Conn) bool {
+func (l *TCPProxy) register(c net.Conn, source string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.conns[c] = struct{}{}
+	l.conns[c] = source
 	return !l.conditions.Cut
 }
 
@@ -199,10 +208,10 @@
 
 // forward reads from one side and writes to the other after the delay. When a
 // blackholed connection ends on one side, the other side stays open until ctx ends.
-func (l *TCPProxy) forward(ctx context.Context, from, to net.Conn, direction int, opened time.Time) error {
+func (l *TCPProxy) forward(ctx context.Context, source string, from, to net.Conn, direction int, opened time.Time) error {
 	queue := make(chan delayedChunk, queueCapacity)
 	writer := &errgroup.Group{}
-	writer.Go(func() error { return l.writeQueued(ctx, queue, from, to, direction) })
+	writer.Go(func() error { return l.writeQueued(ctx, queue, source, from, to, direction) })
 	for {
 		data := make([]byte, chunkSize)
 		n, err := from.Read(data)
@@ -217,7 +226,9 @@
 			if blackholed {
 				<-ctx.Done()
 			}
-			closeWrite(to)
+			if l.awaitPath(ctx, source) {
+				closeWrite(to)
+			}
 			return nil
 		}
 	}
@@ -231,10 +242,10 @@
 
 // writeQueued writes the queued chunks when they are due, within the rate. After
 // a failed write it discards the rest, so that the reader never blocks on the queue.
-func (l *TCPProxy) writeQueued(ctx context.Context, queue <-chan delayedChunk, from, to net.Conn, direction int) error {
+func (l *TCPProxy) writeQueued(ctx context.Context, queue <-chan delayedChunk, source string, from, to net.Conn, direction int) error {
 	failed := false
 	for p := range queue {
-		if failed || !yuccasleep.For(ctx, time.Until(p.due)) {
+		if failed || !yuccasleep.For(ctx, time.Until(p.due)) || !l.awaitPath(ctx, source) {
 			continue
 		}
 		l.mu.Lock()
