Entries that are cut off from all servers serve their callers through other entries

Cause: an entry had one way to a server, its own link, and took its failure for that of the server; in a second all servers were left out. Now an entry that fails to reach two servers in a row, and reaches the second through another entry, goes on through such tunnels (yuccatunnel) until a direct connection works again, looked for each half second. Only bytes go through the other entry; choice, attempts and answers are decided as before. Heartbeats say who carries tunnels and who is cut off itself. Whether a server died under a request is asked through others too.

--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -193,6 +193,14 @@
 	return all
 }
 
+// Unblock ends the exclusion of all servers that could not be reached. See
+// Picker.Unblock.
+func (c *Core) Unblock() {
+	for _, s := range c.servers {
+		s.connectFailures, s.blockedUntil = 0, time.Time{}
+	}
+}
+
 // Choose chooses a server for a request and counts the request as in flight
 // there. Each choice with a server must be passed to Done once.
 func (c *Core) Choose(req yuccaadmission.Request) Choice {
--- a/core/yuccabalancer/picker.go
+++ b/core/yuccabalancer/picker.go
@@ -41,6 +41,14 @@
 	p.core.SetRateLimit(server, limit)
 }
 
+// Unblock lets servers that could not be reached get requests at once. It is for the
+// time at which the way to all servers has changed.
+func (p *Picker) Unblock() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.Unblock()
+}
+
 // StatusAndReset returns the state of each service and sets its counts back
 // to zero.
 func (p *Picker) StatusAndReset() []Status {
@@ -59,14 +67,20 @@
 // Addr returns the address of a server, or an empty string for an unknown
 // server.
 func (p *Picker) Addr(server string) string {
+	s, _ := p.Server(server)
+	return s.Addr
+}
+
+// Server returns a server by its name and whether it is known.
+func (p *Picker) Server(name string) (Server, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.core.topology.Servers {
-		if s.Name == server {
-			return s.Addr
+		if s.Name == name {
+			return s, true
 		}
 	}
-	return ""
+	return Server{}, false
 }
 
 // MeanInFlight returns each service's mean number of in-flight requests
--- a/core/yuccaexplain/explain.go
+++ b/core/yuccaexplain/explain.go
@@ -18,21 +18,24 @@
 // contextEvents maps the events about an entry's own state to descriptions: its
 // start and stop, its routes, and its connections to the platform and to peers.
 var contextEvents = map[string]string{
-	"entry_starts":        "the entry started",
-	"entry_leaves":        "the entry was told to stop",
-	"routes_in_force":     "new routes took effect",
-	"routes_refused":      "new routes were rejected",
-	"evacuation_changed":  "the evacuated failure domains changed",
-	"platform_lost":       "the platform stopped answering",
-	"platform_back":       "the platform answers again",
-	"history_forgotten":   "the platform's change history did not reach back far enough",
-	"reader_changed":      "the entry began or ceased to call the platform for its failure domain",
-	"changes_fetched":     "changes came from another entry",
-	"changes_not_fetched": "another entry did not hand on its changes",
-	"peer_unreachable":    "another entry could not be reached",
-	"peer_lost":           "another entry was lost",
-	"request_struck":      "a server crashed while it ran a request",
-	"lines_left_out":      "log lines were left out",
+	"entry_starts":         "the entry started",
+	"entry_leaves":         "the entry was told to stop",
+	"routes_in_force":      "new routes took effect",
+	"routes_refused":       "new routes were rejected",
+	"evacuation_changed":   "the evacuated failure domains changed",
+	"platform_lost":        "the platform stopped answering",
+	"platform_back":        "the platform answers again",
+	"history_forgotten":    "the platform's change history did not reach back far enough",
+	"reader_changed":       "the entry began or ceased to call the platform for its failure domain",
+	"changes_fetched":      "changes came from another entry",
+	"changes_not_fetched":  "another entry did not hand on its changes",
+	"peer_unreachable":     "another entry could not be reached",
+	"peer_lost":            "another entry was lost",
+	"servers_unreachable":  "the entry lost its links to all servers and went on through other entries",
+	"servers_reachable":    "the entry reached the servers directly again",
+	"server_limit_changed": "a server named another limit, or none",
+	"request_struck":       "a server crashed while it ran a request",
+	"lines_left_out":       "log lines were left out",
 }
 
 // kindDescriptions maps the names of error kinds to descriptions.
@@ -139,9 +142,13 @@
 // SERVER/DOMAIN:REASON:ENDING:TIME. It returns "" for any other form.
 func describeAttempt(attempt string) string {
 	parts := strings.Split(attempt, ":")
-	if len(parts) != 4 {
+	if len(parts) < 4 || len(parts) > 5 {
 		return ""
 	}
+	via := ""
+	if len(parts) == 5 {
+		via = " through " + parts[4]
+	}
 	server, domain, _ := strings.Cut(parts[0], "/")
 	reasons := map[string]string{
 		"object":   "the first of the object's order",
@@ -152,7 +159,7 @@
 	if reason == "" {
 		reason = parts[1]
 	}
-	return fmt.Sprintf("  Given to %s in %s (%s): %s after %s.\n", server, domain, reason, parts[2], parts[3])
+	return fmt.Sprintf("  Given to %s in %s%s (%s): %s after %s.\n", server, domain, via, reason, parts[2], parts[3])
 }
 
 // describeContext lists the context events of the same entry shortly before and
--- a/core/yuccaliveness/monitor.go
+++ b/core/yuccaliveness/monitor.go
@@ -128,6 +128,23 @@
 	return s.state.ToDeregister(time.Now())
 }
 
+// TunnelPeers returns the other entries that may carry connections of this one to
+// backend servers. State.TunnelPeers has the rules.
+func (s *Monitor) TunnelPeers() []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.TunnelPeers(time.Now())
+}
+
+// SetCutOff marks whether this entry itself reaches no backend server, and announces it
+// with a heartbeat at once.
+func (s *Monitor) SetCutOff(cutOff bool) {
+	s.mu.Lock()
+	s.state.SetCutOff(cutOff)
+	s.mu.Unlock()
+	s.publishHeartbeat()
+}
+
 // Leave marks this entry as draining and announces it with a heartbeat at once.
 func (s *Monitor) Leave() {
 	s.mu.Lock()
@@ -203,6 +220,8 @@
 		InFlight:    map[string]float32{},
 		Changed:     announcement.Changed,
 		ContactMs:   uint32(announcement.Contact.Milliseconds()),
+		TunnelAddr:  self.TunnelAddr,
+		CutOff:      self.CutOff,
 	}
 	for service, v := range s.meanInFlight {
 		heartbeat.InFlight[service] = float32(v)
@@ -227,7 +246,16 @@
 	for service, v := range heartbeat.GetInFlight() {
 		inFlight[service] = float64(v)
 	}
-	e := Entry{Name: from, Region: heartbeat.GetRegion(), Domain: heartbeat.GetDomain(), ClientAddr: heartbeat.GetClientAddr(), Incarnation: heartbeat.GetIncarnation(), Leaving: heartbeat.GetLeaving()}
+	e := Entry{
+		Name:        from,
+		Region:      heartbeat.GetRegion(),
+		Domain:      heartbeat.GetDomain(),
+		ClientAddr:  heartbeat.GetClientAddr(),
+		TunnelAddr:  heartbeat.GetTunnelAddr(),
+		CutOff:      heartbeat.GetCutOff(),
+		Incarnation: heartbeat.GetIncarnation(),
+		Leaving:     heartbeat.GetLeaving(),
+	}
 	s.replica.Observe(from, yuccareplica.Announcement{
 		Changed: heartbeat.GetChanged(),
 		Contact: time.Duration(heartbeat.GetContactMs()) * time.Millisecond,
--- a/core/yuccaliveness/state.go
+++ b/core/yuccaliveness/state.go
@@ -48,6 +48,12 @@
 	// PeerAddr is the address that other entries connect to. It comes from the
 	// platform's list; heartbeats do not carry it.
 	PeerAddr string
+	// TunnelAddr is the address at which the entry carries connections of other entries
+	// to backend servers. It comes from heartbeats; the platform's list does not carry
+	// it.
+	TunnelAddr string
+	// CutOff marks an entry that itself reaches no backend server.
+	CutOff bool
 	// Incarnation increases with every run under the same name.
 	Incarnation uint64
 	// Leaving marks an entry that drains and accepts no new clients.
@@ -112,6 +118,23 @@
 	s.heartbeats[e.Name] = heartbeatRecord{e, now, inFlight}
 }
 
+// SetCutOff marks whether this entry itself reaches no backend server.
+func (s *State) SetCutOff(cutOff bool) { s.self.CutOff = cutOff }
+
+// TunnelPeers returns the other entries that may carry connections of this one to
+// backend servers, sorted by name: those with a recent heartbeat that neither leave nor
+// are cut off themselves.
+func (s *State) TunnelPeers(now time.Time) []Entry {
+	var all []Entry
+	for _, h := range s.heartbeats {
+		if now.Sub(h.receivedAt) < Timeout && !h.Leaving && !h.CutOff && h.TunnelAddr != "" {
+			all = append(all, h.Entry)
+		}
+	}
+	slices.SortFunc(all, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
 // Leave marks this entry as draining.
 func (s *State) Leave() { s.self.Leaving = true }
 
--- a/core/yuccaliveness/state_test.go
+++ b/core/yuccaliveness/state_test.go
@@ -130,3 +130,28 @@
 	relisted.UpdateList(at(99), []yuccaliveness.Entry{list[0], list[1], entry("c", "r", 2)})
 	c.Assert(relisted.ToDeregister(at(100)), qt.HasLen, 0)
 }
+
+// TestTunnelPeers checks which entries may carry connections of this one to servers.
+func TestTunnelPeers(t *testing.T) {
+	tests := []struct {
+		name   string
+		peer   yuccaliveness.Entry
+		age    time.Duration
+		usable bool
+	}{
+		{"recent heartbeat", yuccaliveness.Entry{TunnelAddr: "a"}, time.Second, true},
+		{"silent", yuccaliveness.Entry{TunnelAddr: "a"}, yuccaliveness.Timeout, false},
+		{"carries none", yuccaliveness.Entry{}, time.Second, false},
+		{"leaves", yuccaliveness.Entry{TunnelAddr: "a", Leaving: true}, time.Second, false},
+		{"cut off too", yuccaliveness.Entry{TunnelAddr: "a", CutOff: true}, time.Second, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1_800_000_000, 0)
+			s := yuccaliveness.NewState(yuccaliveness.Entry{Name: "self"}, now)
+			test.peer.Name = "peer"
+			s.RecordHeartbeat(now, test.peer, nil)
+			qt.Assert(t, len(s.TunnelPeers(now.Add(test.age))) == 1, qt.Equals, test.usable)
+		})
+	}
+}
--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -97,14 +97,15 @@
 // connect returns a pooled or new connection to the server.
 func (a *attempt) connect() (*conn, error) {
 	t := a.task
+	to := Server{Name: a.ticket.Server, Addr: a.ticket.Addr, Region: a.ticket.Region, Domain: a.ticket.Domain, Regions: t.route.Regions}
 	if a.forceNewConn {
-		return t.relay.pool.open(a.ctx, a.ticket.Addr, t.deadline)
+		return t.relay.pool.open(a.ctx, to, t.deadline)
 	}
 	maxIdle := t.relay.opt.NonIdempotentIdleTimeout
 	if t.idempotent {
 		maxIdle = 0
 	}
-	return t.relay.pool.get(a.ctx, a.ticket.Addr, t.deadline, maxIdle)
+	return t.relay.pool.get(a.ctx, to, t.deadline, maxIdle)
 }
 
 // classifyResponse decides what the response means for the request after its
@@ -112,6 +113,7 @@
 func (a *attempt) classifyResponse() yuccalifecycle.Event {
 	t := a.task
 	a.timeToHeader = time.Since(a.started)
+	t.relay.opt.Path.Responded(a.conn.Conn, a.conn.openedAt)
 	class := t.relay.opt.Protocol.ClassifyResponse(t.id, &a.exchange.head)
 	a.receiveReport(class)
 	switch class {
@@ -193,6 +195,9 @@
 	if a.ctx.Err() != nil {
 		k = yuccaerror.Canceled
 	}
+	if k != yuccaerror.Canceled && a.conn != nil && !a.reusedConn && isConnBroken(err) && a.noResponseBytes() {
+		a.task.relay.opt.Path.Broken(a.conn.Conn, a.ticket.Server)
+	}
 	a.abort(yuccaadmission.Result{Kind: k, NoResponse: k != yuccaerror.Canceled && a.serverUnreachable(err), Failed: k != yuccaerror.Canceled})
 	if !a.task.relay.opt.NoHedge && a.noResponseBytes() && (isTimeout(err) || a.superseded.Load()) {
 		a.task.relay.pool.discardSuspects(a.conn)
@@ -207,6 +212,18 @@
 	return a.conn == nil || !a.reusedConn && isConnBroken(err)
 }
 
+// via returns the name of the entry that the attempt goes through, empty for a direct
+// one.
+func (a *attempt) via() string {
+	if a.conn == nil {
+		return ""
+	}
+	if t, ok := a.conn.Conn.(Tunnel); ok {
+		return t.Via()
+	}
+	return ""
+}
+
 func isTimeout(err error) bool {
 	var e interface{ Timeout() bool }
 	return errors.As(err, &e) && e.Timeout()
@@ -240,7 +257,7 @@
 	r.TimeToHeader = a.timeToHeader
 	r.Load = a.report.Load
 	a.task.relay.opt.Picker.Done(a.ticket, r)
-	a.task.logAttempt(a.ticket, r)
+	a.task.logAttempt(a, r)
 }
 
 // bodyEnded is called when the response body has ended after n bytes. The error
--- a/core/yuccarelay/attemptlog.go
+++ b/core/yuccarelay/attemptlog.go
@@ -13,10 +13,15 @@
 // for the log line of a failed request.
 type attemptLog []string
 
-// add returns the log with one more attempt.
-func (s attemptLog) add(t yuccaadmission.Ticket, r yuccaadmission.Result) attemptLog {
+// add returns the log with one more attempt. The name of the entry that it went through
+// is empty for a direct one.
+func (s attemptLog) add(t yuccaadmission.Ticket, r yuccaadmission.Result, via string) attemptLog {
 	took := r.Now.Sub(t.Started).Round(time.Millisecond)
-	return append(s, fmt.Sprintf("%s/%s:%s:%s:%dms", t.Server, t.Domain, t.Reason, outcomeName(r), took.Milliseconds()))
+	line := fmt.Sprintf("%s/%s:%s:%s:%dms", t.Server, t.Domain, t.Reason, outcomeName(r), took.Milliseconds())
+	if via != "" {
+		line += ":" + via
+	}
+	return append(s, line)
 }
 
 // outcomeName returns the name of an attempt's result in the log.
--- a/core/yuccarelay/pool.go
+++ b/core/yuccarelay/pool.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// dialTimeout is the default timeout for opening a connection.
+	// dialTimeout is the timeout for opening a connection with tcpPath.
 	dialTimeout = 2 * time.Second
 	// maxIdleTime is the default limit on the time that a connection stays idle
 	// in the pool.
@@ -28,11 +28,24 @@
 	connBufferBytes = 4096
 )
 
-func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", addr)
+// tcpPath is the Path that opens plain TCP connections.
+type tcpPath struct{}
+
+// Dial implements Path.
+func (tcpPath) Dial(ctx context.Context, to Server) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, "tcp", to.Addr)
 }
 
+// Usable implements Path.
+func (tcpPath) Usable(net.Conn, time.Time) bool { return true }
+
+// Responded implements Path.
+func (tcpPath) Responded(net.Conn, time.Time) {}
+
+// Broken implements Path.
+func (tcpPath) Broken(net.Conn, string) {}
+
 // conn is a connection to a backend server.
 type conn struct {
 	net.Conn
@@ -77,8 +90,7 @@
 // pool keeps idle connections by address and hands out the most recently used
 // first.
 type pool struct {
-	dial        Dialer
-	dialTimeout time.Duration
+	path        Path
 	maxIdleTime time.Duration
 
 	mu   sync.Mutex
@@ -98,36 +110,35 @@
 	expires time.Time
 }
 
-func newPool(dial Dialer, timeout, maxIdle time.Duration) *pool {
-	return &pool{dial: dial, dialTimeout: cmp.Or(timeout, dialTimeout), maxIdleTime: cmp.Or(maxIdle, maxIdleTime), idle: map[string][]*conn{}, ageLimits: map[string]ageLimit{}}
+func newPool(path Path, maxIdle time.Duration) *pool {
+	return &pool{path: path, maxIdleTime: cmp.Or(maxIdle, maxIdleTime), idle: map[string][]*conn{}, ageLimits: map[string]ageLimit{}}
 }
 
 // get returns an idle connection, or a new one if there is none. It discards
 // connections that have been idle for maxIdle or longer. If maxIdle is zero, only
 // the pool's own limits apply.
-func (p *pool) get(ctx context.Context, addr string, deadline time.Time, maxIdle time.Duration) (*conn, error) {
-	for c := p.takeIdle(addr); c != nil; c = p.takeIdle(addr) {
-		if (maxIdle == 0 || time.Since(c.idleSince) < maxIdle) && isIdleAndOpen(c.Conn) {
+func (p *pool) get(ctx context.Context, to Server, deadline time.Time, maxIdle time.Duration) (*conn, error) {
+	for c := p.takeIdle(to.Addr); c != nil; c = p.takeIdle(to.Addr) {
+		if (maxIdle == 0 || time.Since(c.idleSince) < maxIdle) && p.path.Usable(c.Conn, c.openedAt) && isIdleAndOpen(c.Conn) {
 			return c, nil
 		}
 		_ = c.Close()
 	}
-	return p.open(ctx, addr, deadline)
+	return p.open(ctx, to, deadline)
 }
 
 // open returns a new connection.
-func (p *pool) open(ctx context.Context, addr string, deadline time.Time) (*conn, error) {
-	end := time.Now().Add(p.dialTimeout)
-	if !deadline.IsZero() && deadline.Before(end) {
-		end = deadline
+func (p *pool) open(ctx context.Context, to Server, deadline time.Time) (*conn, error) {
+	if !deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+		defer cancel()
 	}
-	ctx, cancel := context.WithDeadline(ctx, end)
-	defer cancel()
-	raw, err := p.dial(ctx, addr)
+	raw, err := p.path.Dial(ctx, to)
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw, addr), nil
+	return newConn(raw, to.Addr), nil
 }
 
 // takeIdle removes and returns an idle connection, nil if there is none.
--- a/core/yuccarelay/pool_test.go
+++ b/core/yuccarelay/pool_test.go
@@ -10,8 +10,11 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// dialPipe returns a connection to a closed peer.
-func dialPipe(context.Context, string) (net.Conn, error) {
+// pipePath opens connections to a closed peer.
+type pipePath struct{ tcpPath }
+
+// Dial implements Path.
+func (pipePath) Dial(context.Context, Server) (net.Conn, error) {
 	near, far := net.Pipe()
 	return near, far.Close()
 }
@@ -19,10 +22,10 @@
 func TestPoolDiscardsConnsAsOldAsSilentOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		p := newPool(dialPipe, 0, 0)
+		p := newPool(pipePath{}, 0)
 		defer p.close()
 		open := func(addr string) *conn {
-			v, err := p.open(t.Context(), addr, time.Time{})
+			v, err := p.open(t.Context(), Server{Addr: addr}, time.Time{})
 			c.Assert(err, qt.IsNil)
 			time.Sleep(time.Millisecond)
 			return v
@@ -43,9 +46,9 @@
 func TestPoolLearnsAgeLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		p := newPool(dialPipe, 0, 0)
+		p := newPool(pipePath{}, 0)
 		defer p.close()
-		silent, err := p.open(t.Context(), "a", time.Time{})
+		silent, err := p.open(t.Context(), Server{Addr: "a"}, time.Time{})
 		c.Assert(err, qt.IsNil)
 		time.Sleep(5 * time.Second)
 		silent.idleSince = time.Now()
@@ -54,7 +57,7 @@
 			age  time.Duration
 			used bool
 		}{{4 * time.Second, true}, {6 * time.Second, false}} {
-			v, err := p.open(t.Context(), "a", time.Time{})
+			v, err := p.open(t.Context(), Server{Addr: "a"}, time.Time{})
 			c.Assert(err, qt.IsNil)
 			time.Sleep(test.age)
 			p.put(v)
@@ -62,7 +65,7 @@
 			_ = v.Close()
 		}
 		time.Sleep(ageLimitTTL)
-		v, err := p.open(t.Context(), "a", time.Time{})
+		v, err := p.open(t.Context(), Server{Addr: "a"}, time.Time{})
 		c.Assert(err, qt.IsNil)
 		time.Sleep(6 * time.Second)
 		p.put(v)
--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -99,8 +99,41 @@
 	Cause error
 }
 
-// Dialer opens connections to backend servers.
-type Dialer func(ctx context.Context, addr string) (net.Conn, error)
+// Server is a backend server that a connection is opened to.
+type Server struct {
+	// Name is the name of the server.
+	Name string
+	// Addr is the address of the server.
+	Addr string
+	// Region is the region of the server.
+	Region string
+	// Domain is the failure domain of the server.
+	Domain string
+	// Regions lists the only regions in which the request may be handled; empty means
+	// any region.
+	Regions []string
+}
+
+// Path opens the connections to backend servers and learns how they do.
+type Path interface {
+	// Dial opens a connection.
+	Dial(ctx context.Context, to Server) (net.Conn, error)
+	// Usable reports whether a connection that was opened at a time may carry another
+	// request.
+	Usable(c net.Conn, openedAt time.Time) bool
+	// Responded records that a response header has arrived on a connection that was
+	// opened at a time.
+	Responded(c net.Conn, openedAt time.Time)
+	// Broken records that a new connection to a server broke before any byte of a
+	// response.
+	Broken(c net.Conn, server string)
+}
+
+// Tunnel is a connection that goes through another entry.
+type Tunnel interface {
+	// Via returns the name of the other entry.
+	Via() string
+}
 
 // Options are the dependencies and settings of a Relay.
 type Options struct {
@@ -118,8 +151,8 @@
 	Observer Observer
 	// Reports receives what servers say about themselves; nil means nobody does.
 	Reports ReportReceiver
-	// Dial opens connections to backend servers; nil means plain TCP.
-	Dial Dialer
+	// Path opens connections to backend servers; nil means plain TCP.
+	Path Path
 	// Protocol holds the header fields of callers and servers; nil means
 	// DefaultProtocol.
 	Protocol Protocol
@@ -130,9 +163,6 @@
 	// its end before the caller gets the response header, so that a truncated
 	// one can be retried. Zero means none.
 	MaxBufferedBytes int
-	// DialTimeout is the timeout for opening a connection to a server; zero means
-	// the default of 2 seconds.
-	DialTimeout time.Duration
 	// IdleTimeout is the longest time that a connection is kept idle; zero means the
 	// default of 30 seconds.
 	IdleTimeout time.Duration
@@ -179,8 +209,8 @@
 
 // New returns a relay with the given options.
 func New(opt Options) *Relay {
-	if opt.Dial == nil {
-		opt.Dial = dialTCP
+	if opt.Path == nil {
+		opt.Path = tcpPath{}
 	}
 	if opt.Quarantine == nil {
 		opt.Quarantine = noQuarantine{}
@@ -196,7 +226,7 @@
 	}
 	return &Relay{
 		opt:           opt,
-		pool:          newPool(opt.Dial, opt.DialTimeout, opt.IdleTimeout),
+		pool:          newPool(opt.Path, opt.IdleTimeout),
 		retries:       yuccaretry.NewTracker(opt.RetryLimits),
 		downloadTimes: yuccaretry.NewTracker(yuccaretry.Limits{}),
 		failures:      opt.Log.Sample(opt.FailureLogSampler),
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -193,10 +193,10 @@
 }
 
 // logAttempt adds an attempt to the attempt log.
-func (t *task) logAttempt(ticket yuccaadmission.Ticket, r yuccaadmission.Result) {
+func (t *task) logAttempt(a *attempt, r yuccaadmission.Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.attemptLog = t.attemptLog.add(ticket, r)
+	t.attemptLog = t.attemptLog.add(a.ticket, r, a.via())
 }
 
 // update applies an event to the request's state and returns the next command.
--- /dev/null
+++ b/core/yuccatunnel/dialer.go
@@ -0,0 +1,341 @@
+package yuccatunnel
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"yuccawell.example/core/yuccaerror"
+	"yuccawell.example/core/yuccakernel"
+	"yuccawell.example/core/yuccarelay"
+)
+
+const (
+	// tunnelTimeout bounds the wait for a tunnel: its connection, and that of the other
+	// entry to the server.
+	tunnelTimeout = 600 * time.Millisecond
+	// maxTunnelTries is how many other entries are asked for one connection.
+	maxTunnelTries = 2
+	// probeInterval is the time between two direct connections that look for the end of
+	// a partition.
+	probeInterval = 500 * time.Millisecond
+	// probeHold is how long a new connection is watched for the other side to break it,
+	// as middleboxes do that accept connections which they then do not forward.
+	probeHold = 50 * time.Millisecond
+	// maxRecentServers is how many servers are remembered for probes.
+	maxRecentServers = 16
+)
+
+// keepAlive detects the silent death of the other entry of a tunnel.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
+// errCutOff is the cause of a failed connection of an entry that is cut off while no
+// other entry can help.
+var errCutOff = errors.New("no server can be reached, and no other entry carries a tunnel")
+
+// errBrokenAtOnce is the cause of a connection that was accepted and broken at once, as
+// by a middlebox that does not reach the server.
+var errBrokenAtOnce = errors.New("the connection was accepted and broken at once")
+
+// DialerSettings configure a Dialer.
+type DialerSettings struct {
+	// Self is the name of this entry.
+	Self string
+	// Source is the address from which servers are connected to.
+	Source net.IP
+	// Timeout bounds the wait for a direct connection.
+	Timeout time.Duration
+}
+
+// Dialer opens connections to servers: directly, and through another entry when this
+// one is cut off from all servers. It is a service that looks for the end of a
+// partition. It implements yuccarelay.Path. Create one with NewDialer.
+type Dialer struct {
+	*yuccakernel.Worker
+
+	settings DialerSettings
+	direct   func(ctx context.Context, addr string) (net.Conn, error)
+	// peers returns the entries that may carry tunnels now.
+	peers func() []Peer
+	// onChange is called when the entry becomes cut off or reaches the servers again.
+	onChange func(cutOff bool)
+	log      zerolog.Logger
+	// failing lets responses pass without a lock while nothing has failed.
+	failing atomic.Bool
+	// tunnels counts the tunnels that were opened.
+	tunnels atomic.Uint64
+
+	// mu guards the fields below.
+	mu       sync.Mutex
+	detector Detector
+	// recent holds the addresses of servers that were lately connected to.
+	recent []string
+}
+
+// NewDialer returns a dialer that asks peers for the entries that may carry tunnels.
+func NewDialer(settings DialerSettings, peers func() []Peer, onChange func(cutOff bool), log zerolog.Logger) *Dialer {
+	direct := net.Dialer{Timeout: settings.Timeout, LocalAddr: &net.TCPAddr{IP: settings.Source}}
+	d := &Dialer{
+		settings: settings,
+		direct:   func(ctx context.Context, addr string) (net.Conn, error) { return direct.DialContext(ctx, "tcp", addr) },
+		peers:    peers,
+		onChange: onChange,
+		log:      log,
+	}
+	d.Worker = yuccakernel.NewWorker(d.run)
+	return d
+}
+
+// CutOff reports whether the entry is cut off from all servers.
+func (d *Dialer) CutOff() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.detector.CutOff()
+}
+
+// Tunnels returns how many tunnels were opened.
+func (d *Dialer) Tunnels() uint64 { return d.tunnels.Load() }
+
+// Dial implements yuccarelay.Path. While the entry is cut off, it opens a tunnel. When
+// a direct connection fails and the entry's own links are suspected, it tries one too.
+func (d *Dialer) Dial(ctx context.Context, to yuccarelay.Server) (net.Conn, error) {
+	d.remember(to.Addr)
+	if d.CutOff() {
+		if c, err := d.tunnel(ctx, to); !errors.Is(err, errCutOff) {
+			return c, err
+		}
+	}
+	c, err := d.dialDirect(ctx, to)
+	if err == nil || ctx.Err() != nil || !d.suspects() {
+		return c, err
+	}
+	t, tunnelErr := d.tunnel(ctx, to)
+	if tunnelErr != nil {
+		return nil, err
+	}
+	d.confirm()
+	return t, nil
+}
+
+// Usable implements yuccarelay.Path. Direct connections are used while the entry is not
+// cut off, tunnels while it is and their other entry does not leave.
+func (d *Dialer) Usable(c net.Conn, openedAt time.Time) bool {
+	d.mu.Lock()
+	cutOff, trusted := d.detector.CutOff(), d.detector.Trusts(openedAt)
+	d.mu.Unlock()
+	t, tunneled := c.(*tunnelConn)
+	if !tunneled {
+		return trusted
+	}
+	return cutOff && slices.ContainsFunc(d.peers(), func(p Peer) bool { return p.Name == t.peer })
+}
+
+// Responded implements yuccarelay.Path.
+func (d *Dialer) Responded(c net.Conn, openedAt time.Time) {
+	if _, tunneled := c.(*tunnelConn); tunneled || !d.failing.Load() {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.detector.Responded(openedAt)
+	d.failing.Store(d.detector.Failing())
+}
+
+// Broken implements yuccarelay.Path.
+func (d *Dialer) Broken(c net.Conn, server string) {
+	if _, tunneled := c.(*tunnelConn); !tunneled {
+		d.failed(server)
+	}
+}
+
+// Alive reports whether a server can be reached, directly or through another entry. It
+// returns true if nobody can tell.
+func (d *Dialer) Alive(ctx context.Context, to yuccarelay.Server) bool {
+	c, err := d.dialDirect(ctx, to)
+	if err != nil {
+		if c, err = d.tunnel(ctx, to); err != nil {
+			return d.CutOff()
+		}
+		d.confirm()
+	}
+	_ = c.Close()
+	return true
+}
+
+// dialDirect opens a direct connection and records a failure. While the entry's own
+// links are suspected, a connection that is broken at once counts as none.
+func (d *Dialer) dialDirect(ctx context.Context, to yuccarelay.Server) (net.Conn, error) {
+	c, err := d.direct(ctx, to.Addr)
+	if err == nil && d.suspects() && !staysOpen(c) {
+		_ = c.Close()
+		err = errBrokenAtOnce
+	}
+	if err == nil {
+		return c, nil
+	}
+	// The caller that gave up says nothing about the server.
+	if ctx.Err() == nil {
+		d.failed(to.Name)
+	}
+	return nil, err
+}
+
+// failed records that a server could not be reached directly.
+func (d *Dialer) failed(server string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.detector.Failed(time.Now(), server)
+	d.failing.Store(true)
+}
+
+func (d *Dialer) suspects() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.detector.Suspects()
+}
+
+// remember keeps the address of a server for probes.
+func (d *Dialer) remember(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if slices.Contains(d.recent, addr) {
+		return
+	}
+	if len(d.recent) < maxRecentServers {
+		d.recent = append(d.recent, addr)
+		return
+	}
+	d.recent[rand.IntN(len(d.recent))] = addr
+}
+
+// confirm records that a tunnel reached a server that a direct connection did not.
+func (d *Dialer) confirm() {
+	d.mu.Lock()
+	changed := d.detector.Tunneled(time.Now())
+	d.mu.Unlock()
+	if changed {
+		d.log.Warn().Int("peers", len(d.peers())).Msg("servers_unreachable")
+		d.onChange(true)
+	}
+}
+
+// reached records that a direct connection works again.
+func (d *Dialer) reached(addr string) {
+	d.mu.Lock()
+	changed := d.detector.Reached(time.Now())
+	d.failing.Store(false)
+	d.mu.Unlock()
+	if changed {
+		d.log.Info().Str("addr", addr).Msg("servers_reachable")
+		d.onChange(false)
+	}
+}
+
+// tunnel opens a connection to a server through another entry. The error wraps
+// errCutOff if no other entry could be asked.
+func (d *Dialer) tunnel(ctx context.Context, to yuccarelay.Server) (net.Conn, error) {
+	err := yuccaerror.Wrap(yuccaerror.Unreachable, errCutOff)
+	peers := candidates(d.peers(), to)
+	for _, p := range peers[:min(maxTunnelTries, len(peers))] {
+		var c net.Conn
+		if c, err = d.tunnelVia(ctx, p, to.Name); err == nil {
+			d.tunnels.Add(1)
+			return c, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, err
+}
+
+// tunnelVia opens a tunnel through one entry.
+func (d *Dialer) tunnelVia(ctx context.Context, p Peer, server string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, tunnelTimeout)
+	defer cancel()
+	dialer := net.Dialer{KeepAliveConfig: keepAlive}
+	raw, err := dialer.DialContext(ctx, "tcp", p.Addr)
+	if err != nil {
+		return nil, yuccaerror.New(yuccaerror.Unreachable, "tunnel through %s: %w", p.Name, err)
+	}
+	c, ok := raw.(*net.TCPConn)
+	if !ok {
+		_ = raw.Close()
+		return nil, yuccaerror.New(yuccaerror.Internal, "tunnel through %s is no TCP connection", p.Name)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	err = d.openTunnel(c, server)
+	if !stop() || err != nil {
+		_ = c.Close()
+		return nil, yuccaerror.New(yuccaerror.Unreachable, "tunnel through %s: %w", p.Name, errors.Join(err, ctx.Err()))
+	}
+	return &tunnelConn{c, p.Name}, nil
+}
+
+// openTunnel asks the other entry for the server and reads the reply.
+func (d *Dialer) openTunnel(c net.Conn, server string) error {
+	if err := writeMessage(c, &OpenRequest{Server: server, From: d.settings.Self}); err != nil {
+		return err
+	}
+	var reply OpenReply
+	if err := readMessage(c, &reply); err != nil {
+		return err
+	}
+	if kind := reply.GetKind(); kind != "" {
+		return errors.New("the other entry has no connection to the server: " + kind)
+	}
+	return nil
+}
+
+// run probes while the entry is cut off.
+func (d *Dialer) run(ctx context.Context) {
+	tick := time.NewTicker(probeInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			if d.CutOff() {
+				d.probe(ctx)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// probe opens a direct connection to a server that was lately connected to.
+func (d *Dialer) probe(ctx context.Context) {
+	d.mu.Lock()
+	if len(d.recent) == 0 {
+		d.mu.Unlock()
+		return
+	}
+	addr := d.recent[rand.IntN(len(d.recent))]
+	d.mu.Unlock()
+	c, err := d.direct(ctx, addr)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	if staysOpen(c) {
+		d.reached(addr)
+	}
+}
+
+// staysOpen reports whether a new connection is still open after probeHold.
+func staysOpen(c net.Conn) bool {
+	if err := c.SetReadDeadline(time.Now().Add(probeHold)); err != nil {
+		return false
+	}
+	var b [1]byte
+	_, err := c.Read(b[:])
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout() && c.SetReadDeadline(time.Time{}) == nil
+}
--- /dev/null
+++ b/core/yuccatunnel/listener.go
@@ -0,0 +1,238 @@
+package yuccatunnel
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccaerror"
+	"yuccawell.example/core/yuccasleep"
+)
+
+const (
+	// maxTunnels is the number of tunnels that an entry carries at a time.
+	maxTunnels = 1024
+	// openTimeout bounds the wait for the request that opens a tunnel.
+	openTimeout = 2 * time.Second
+	// acceptRetryDelay is the pause after a connection could not be accepted.
+	acceptRetryDelay = 100 * time.Millisecond
+	// copyBufferBytes is the size of the buffer of each direction of a tunnel.
+	copyBufferBytes = 16 << 10
+	// closeDelay is how long the other entry may take to close its side of a tunnel
+	// whose server has ended the connection.
+	closeDelay = time.Second
+)
+
+// ListenerSettings configure a Listener.
+type ListenerSettings struct {
+	// Addr is the address to listen on as host:port.
+	Addr string
+	// DrainDeadline returns until when open tunnels may last when the entry stops.
+	DrainDeadline func() time.Time
+	// DialTimeout bounds the wait for a connection to a server.
+	DialTimeout time.Duration
+}
+
+// Listener is the service that carries the tunnels of other entries. It connects to
+// known servers only. Create one with NewListener.
+type Listener struct {
+	settings ListenerSettings
+	// serverAddr returns the address of a server, empty for an unknown one.
+	serverAddr func(server string) string
+	dialer     net.Dialer
+	log        zerolog.Logger
+
+	socket net.Listener
+	// group contains the tunnels.
+	group errgroup.Group
+	done  chan struct{}
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// conns holds the open connections of both sides of all tunnels.
+	conns  map[*net.TCPConn]struct{}
+	closed bool
+}
+
+// NewListener returns a listener that connects to servers from the address source.
+func NewListener(settings ListenerSettings, source net.IP, serverAddr func(server string) string, log zerolog.Logger) *Listener {
+	l := &Listener{
+		settings:   settings,
+		serverAddr: serverAddr,
+		dialer:     net.Dialer{Timeout: settings.DialTimeout, LocalAddr: &net.TCPAddr{IP: source}},
+		log:        log,
+		done:       make(chan struct{}),
+		conns:      map[*net.TCPConn]struct{}{},
+	}
+	// One place more for the goroutine that accepts connections.
+	l.group.SetLimit(maxTunnels + 1)
+	return l
+}
+
+// Start implements yuccakernel.Service.
+func (l *Listener) Start(ctx context.Context, group *errgroup.Group) error {
+	socket, err := net.Listen("tcp", l.settings.Addr)
+	if err != nil {
+		return err
+	}
+	l.socket = socket
+	l.group.Go(func() error { return l.accept(ctx) })
+	group.Go(func() error {
+		defer close(l.done)
+		return l.group.Wait()
+	})
+	return nil
+}
+
+// Stop accepts no further tunnels, waits for the open ones until DrainDeadline and then
+// closes them. The entries that use them close them when their requests have ended.
+func (l *Listener) Stop(ctx context.Context) error {
+	_ = l.socket.Close()
+	deadline := l.settings.DrainDeadline()
+	for l.Open() > 0 && time.Now().Before(deadline) && yuccasleep.For(ctx, acceptRetryDelay) {
+		continue
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	for c := range l.conns {
+		reset(c)
+	}
+	return nil
+}
+
+// Addr returns the address that the listener accepts tunnels at. Call it after Start.
+func (l *Listener) Addr() string { return l.socket.Addr().String() }
+
+// Done implements yuccakernel.Service.
+func (l *Listener) Done() <-chan struct{} { return l.done }
+
+// Open returns the number of open connections of tunnels.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+func (l *Listener) accept(ctx context.Context) error {
+	for {
+		c, err := l.socket.Accept()
+		if err != nil {
+			if l.isStopping(err) || !yuccasleep.For(ctx, acceptRetryDelay) {
+				return nil
+			}
+			continue
+		}
+		tcp, ok := c.(*net.TCPConn)
+		if !ok || !l.group.TryGo(func() error { l.serve(ctx, tcp); return nil }) {
+			_ = c.Close()
+		}
+	}
+}
+
+// isStopping reports whether the socket was closed.
+func (l *Listener) isStopping(err error) bool {
+	e, ok := err.(*net.OpError)
+	return ok && e.Err == net.ErrClosed
+}
+
+// track adds a connection to those that Stop closes, and returns false after that.
+func (l *Listener) track(c *net.TCPConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return false
+	}
+	l.conns[c] = struct{}{}
+	return true
+}
+
+func (l *Listener) untrack(c *net.TCPConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// serve carries one tunnel until it ends.
+func (l *Listener) serve(ctx context.Context, caller *net.TCPConn) {
+	defer caller.Close()
+	if !l.track(caller) {
+		return
+	}
+	defer l.untrack(caller)
+	server, err := l.open(ctx, caller)
+	reply := &OpenReply{}
+	if err != nil {
+		reply.Kind = yuccaerror.KindOf(err).String()
+	}
+	if replyErr := writeMessage(caller, reply); err != nil || replyErr != nil {
+		if server != nil {
+			_ = server.Close()
+		}
+		return
+	}
+	defer server.Close()
+	if !l.track(server) {
+		reset(caller)
+		return
+	}
+	defer l.untrack(server)
+	carry(caller, server)
+}
+
+// open reads the request and connects to its server.
+func (l *Listener) open(ctx context.Context, caller *net.TCPConn) (*net.TCPConn, error) {
+	_ = caller.SetKeepAliveConfig(keepAlive)
+	_ = caller.SetReadDeadline(time.Now().Add(openTimeout))
+	var req OpenRequest
+	if err := readMessage(caller, &req); err != nil {
+		return nil, yuccaerror.New(yuccaerror.Protocol, "read request for a tunnel: %w", err)
+	}
+	_ = caller.SetReadDeadline(time.Time{})
+	addr := l.serverAddr(req.GetServer())
+	if addr == "" {
+		return nil, yuccaerror.New(yuccaerror.NoServer, "server %q is not known", req.GetServer())
+	}
+	c, err := l.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		l.log.Debug().Err(err).Str("server", req.GetServer()).Str("from", req.GetFrom()).Msg("tunnel_not_opened")
+		return nil, yuccaerror.Wrap(yuccaerror.Unreachable, err)
+	}
+	return c.(*net.TCPConn), nil
+}
+
+// carry copies the bytes of both directions until both have ended. The end of the
+// server's connection becomes the end of the caller's, and an error an error, so that
+// a response that was cut short does not look complete.
+func carry(caller, server *net.TCPConn) {
+	group := &errgroup.Group{}
+	group.Go(func() error {
+		if err := copyBytes(caller, server); err != nil {
+			reset(caller)
+			return nil
+		}
+		_ = caller.CloseWrite()
+		_ = caller.SetReadDeadline(time.Now().Add(closeDelay))
+		return nil
+	})
+	group.Go(func() error {
+		// However it ended, the caller sends nothing more. The server stops its work
+		// when its connection closes.
+		_ = copyBytes(server, caller)
+		_ = server.Close()
+		return nil
+	})
+	_ = group.Wait()
+}
+
+// copyBytes copies until the source ends. It returns nil if the source has ended and
+// all its bytes are written.
+func copyBytes(to io.Writer, from io.Reader) error {
+	_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, copyBufferBytes))
+	return err
+}
--- /dev/null
+++ b/core/yuccatunnel/peer.go
@@ -0,0 +1,43 @@
+package yuccatunnel
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"yuccawell.example/core/yuccarelay"
+)
+
+// Peer is another entry that may carry tunnels.
+type Peer struct {
+	// Name is the name of the entry.
+	Name string
+	// Region is the region of the entry.
+	Region string
+	// Domain is the failure domain of the entry.
+	Domain string
+	// Addr is the address for tunnels.
+	Addr string
+}
+
+// candidates returns the peers through which a connection to the server may go, best
+// first: peers of the server's failure domain, of its region, of any region. Peers of
+// equal rank are in random order, so that they share the load. A server that is only
+// for some regions gets tunnels through these regions alone.
+func candidates(peers []Peer, to yuccarelay.Server) []Peer {
+	rank := func(p Peer) int {
+		switch {
+		case p.Domain == to.Domain:
+			return 0
+		case p.Region == to.Region:
+			return 1
+		}
+		return 2
+	}
+	allowed := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool {
+		return p.Addr == "" || len(to.Regions) > 0 && !slices.Contains(to.Regions, p.Region)
+	})
+	rand.Shuffle(len(allowed), func(i, j int) { allowed[i], allowed[j] = allowed[j], allowed[i] })
+	slices.SortStableFunc(allowed, func(a, b Peer) int { return cmp.Compare(rank(a), rank(b)) })
+	return allowed
+}
