Servers that are about to exit, or that ask for a pause, are left alone

Two contracts of the platform that the program did not read. A server that answers 503 with Retry-After gets nothing from that entry for so long; the ends differ between entries, and the first request after it goes alone.

What servers say is one type now (yuccabalancer.Notice); yuccanotice tells it to the others by run of the server and time.

--- a/core/yuccaadmission/request.go
+++ b/core/yuccaadmission/request.go
@@ -106,6 +106,8 @@
 	TimeToHeader time.Duration
 	// Load is the load that the server reported; nil if it reported none.
 	Load *Load
+	// HoldOff is how long the server wants no requests from this entry.
+	HoldOff time.Duration
 }
 
 // Report is what a server says about itself in a response.
@@ -117,8 +119,12 @@
 	Limited bool
 	// RateLimit is that limit in requests a second.
 	RateLimit float64
-	// Invalid says which part of the report could not be read; empty if none. The
-	// other parts, except Load, are then to be ignored.
+	// Leaving is set when the server is about to exit.
+	Leaving bool
+	// HoldOff is how long the server wants no requests from this entry.
+	HoldOff time.Duration
+	// Invalid says which part of the report could not be read; empty if none. Whether
+	// the server names a limit is then unknown.
 	Invalid string
 }
 
--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -34,8 +34,8 @@
 	pools map[string]*pool
 	// division divides the rates that hold for all entries together.
 	division yuccaquota.Division
-	// limits holds the limits that servers name, by the name of the server.
-	limits map[string]RateLimit
+	// notices holds what servers say about themselves, by the name of the server.
+	notices map[string]Notice
 }
 
 // NewCore returns a Core that has no servers.
@@ -45,7 +45,7 @@
 		servers:  map[string]*serverState{},
 		pools:    map[string]*pool{},
 		division: yuccaquota.New(p.Entry, nil),
-		limits:   map[string]RateLimit{},
+		notices:  map[string]Notice{},
 	}
 }
 
@@ -118,12 +118,12 @@
 	pools := map[string]*pool{}
 	for _, s := range w.Servers {
 		state := c.servers[s.key()]
-		if state == nil || state.Addr != s.Addr {
+		if state == nil || state.Addr != s.Addr || state.Run != s.Run {
 			state = newServerState(s)
 		}
 		state.Server = s
 		state.slowStart = state.slowStart.WithRate(c.slowStartRate(s))
-		state.limiter = state.limiter.withLimit(c.limits[s.Name], s.Name, c.division)
+		c.applyNotice(state)
 		servers[s.key()] = state
 		p := pools[s.Service]
 		if p == nil {
@@ -164,10 +164,10 @@
 	return p
 }
 
-// acceptsRequests reports whether the server is neither draining nor in an
-// evacuated failure domain.
+// acceptsRequests reports whether the server is neither draining, nor about to exit, nor
+// in an evacuated failure domain.
 func (c *Core) acceptsRequests(s *serverState) bool {
-	return !s.Draining && !c.topology.Evacuated[s.Domain]
+	return !s.Draining && !s.leaving && !c.topology.Evacuated[s.Domain]
 }
 
 // Rebalance moves each service's traffic split toward the one that the
@@ -271,6 +271,9 @@
 func (c *Core) Done(choice Choice, r yuccaadmission.Result) {
 	s := choice.server
 	s.finish(r)
+	if r.HoldOff > 0 {
+		c.HoldOff(r.Now, s.Name, r.HoldOff)
+	}
 	if r.Succeeded && choice.cacheState() == cacheWarm && !choice.Queued {
 		s.warmLatency = ewma(s.warmLatency, r.TimeToHeader, latencyWeight)
 	}
--- a/core/yuccabalancer/exclusion.go
+++ b/core/yuccabalancer/exclusion.go
@@ -18,6 +18,10 @@
 	notExcluded exclusion = ""
 	// isDraining means that the server gets no new requests.
 	isDraining exclusion = "draining"
+	// isLeaving means that the server has said that it is about to exit.
+	isLeaving exclusion = "leaving"
+	// isHeldOff means that the server has asked this entry for a pause.
+	isHeldOff exclusion = "heldoff"
 	// isEvacuated means that the server's failure domain gets no new requests.
 	isEvacuated exclusion = "evacuated"
 	// isTried means that the request was already sent to the server.
@@ -38,12 +42,16 @@
 	switch {
 	case s.Draining:
 		return isDraining
+	case s.leaving:
+		return isLeaving
 	case c.topology.Evacuated[s.Domain]:
 		return isEvacuated
 	case slices.Contains(req.AvoidServers, s.Name):
 		return isTried
 	case req.Now.Before(s.blockedUntil):
 		return isBlocked
+	case !s.holdOff.allows(req.Now, s.inFlight):
+		return isHeldOff
 	case !s.limiter.allows(req.Now):
 		return isLimited
 	case s.inSlowStart(req.Now) && !s.slowStart.Allows(req.Now):
--- /dev/null
+++ b/core/yuccabalancer/hold_off.go
@@ -0,0 +1,71 @@
+package yuccabalancer
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// maxHoldOff bounds how long a server gets no requests at its own request. A longer
+	// time is more likely an error than a wish, and the first request after it is alone.
+	maxHoldOff = 5 * time.Minute
+	// holdOffSpread is the fraction of a hold-off by which its end differs at most
+	// between entries, so that they do not all return at the same moment.
+	holdOffSpread = 0.2
+	// maxHoldOffSpread bounds that difference.
+	maxHoldOffSpread = time.Second
+)
+
+// holdOff keeps requests from a server that has asked this entry for a pause. It
+// answers the load in which a full server rejects requests that then keep coming. After
+// the pause one request goes alone, until it shows that the server takes requests
+// again.
+type holdOff struct {
+	// until is the end of the pause, zero if there was none.
+	until time.Time
+	// probing is set from the start of a pause until the server has taken a request.
+	probing bool
+}
+
+// withPause returns the hold-off with a pause of the time d from now. The end is later
+// by a part that depends on the key.
+func (h holdOff) withPause(now time.Time, d time.Duration, key string) holdOff {
+	if d <= 0 {
+		return h
+	}
+	d = min(d, maxHoldOff)
+	spread := min(maxHoldOffSpread, time.Duration(holdOffSpread*float64(d)))
+	offset := time.Duration(xxhash.Sum64String(key) % uint64(max(1, spread)))
+	if until := now.Add(d + offset); until.After(h.until) {
+		h.until = until
+	}
+	h.probing = true
+	return h
+}
+
+// withAnswer returns the hold-off after the server has run a request.
+func (h holdOff) withAnswer(now time.Time) holdOff {
+	if now.Before(h.until) {
+		return h
+	}
+	return holdOff{}
+}
+
+// allows reports whether the server may get a request besides those of this entry in
+// flight.
+func (h holdOff) allows(now time.Time, inFlight int) bool {
+	return !now.Before(h.until) && (!h.probing || inFlight == 0)
+}
+
+// wait returns the time until the end of the pause.
+func (h holdOff) wait(now time.Time) time.Duration { return max(0, h.until.Sub(now)) }
+
+// HoldOff keeps requests from a server for the time d, as the server has asked for.
+func (c *Core) HoldOff(now time.Time, server string, d time.Duration) {
+	for _, s := range c.servers {
+		if s.Name == server {
+			s.holdOff = s.holdOff.withPause(now, d, c.location.Entry+" "+server)
+		}
+	}
+}
--- /dev/null
+++ b/core/yuccabalancer/notice_test.go
@@ -0,0 +1,100 @@
+package yuccabalancer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccawell.example/core/yuccaadmission"
+	"yuccawell.example/core/yuccabalancer"
+	"yuccawell.example/core/yuccaerror"
+)
+
+// TestLeavingServerGetsNothing has a server say that it is about to exit, and start again
+// under its name.
+func TestLeavingServerGetsNothing(t *testing.T) {
+	c := qt.New(t)
+	w := topology(1, 4, "a")
+	w.Servers[0].Run = 7
+	core := newCore(w)
+	core.SetNotice("a0", yuccabalancer.Notice{At: start, Run: 7, Leaving: true})
+	rejected := core.Choose(request(0, firstObject))
+	c.Assert(rejected.Kind, qt.Equals, yuccaerror.NoServer)
+	c.Assert(rejected.Excluded.String(), qt.Equals, " (leaving:1)")
+	core.Update(w)
+	c.Assert(core.Choose(request(0, firstObject)).Kind, qt.Equals, yuccaerror.NoServer)
+	w.Servers[0].Run = 8
+	core.Update(w)
+	c.Assert(core.Choose(request(0, firstObject)).Kind, qt.Equals, yuccaerror.None)
+}
+
+// TestNoticeComesBeforeServer records a notice about a server that is not known yet.
+func TestNoticeComesBeforeServer(t *testing.T) {
+	c := qt.New(t)
+	core := newCore(yuccabalancer.Topology{Entries: []string{"e1"}})
+	core.SetNotice("a0", yuccabalancer.Notice{At: start, Leaving: true})
+	core.Update(topology(1, 4, "a"))
+	c.Assert(core.Choose(request(0, firstObject)).Kind, qt.Equals, yuccaerror.NoServer)
+}
+
+// TestPauseOfServer has a server ask for pauses of several lengths: it gets nothing
+// meanwhile, callers are told to come back at the end, then one request goes alone.
+func TestPauseOfServer(t *testing.T) {
+	tests := []struct {
+		pause time.Duration
+		// earliest and latest bound the time at which it gets a request again.
+		earliest, latest time.Duration
+	}{
+		{100 * time.Millisecond, 100 * time.Millisecond, 130 * time.Millisecond},
+		{2 * time.Second, 2 * time.Second, 2500 * time.Millisecond},
+		{time.Minute, time.Minute, 62 * time.Second},
+		{100 * time.Hour, 4 * time.Minute, 6 * time.Minute},
+	}
+	for _, test := range tests {
+		t.Run(test.pause.String(), func(t *testing.T) {
+			c := qt.New(t)
+			core := newCore(topology(1, 4, "a"))
+			choice := core.Choose(request(0, firstObject))
+			core.Done(choice, yuccaadmission.Result{Now: start, Declined: true, HoldOff: test.pause})
+			rejected := core.Choose(request(time.Millisecond, firstObject))
+			c.Assert(rejected.Excluded.String(), qt.Equals, " (heldoff:1)")
+			if test.pause < time.Second {
+				c.Assert(rejected.RetryAfter >= test.pause-time.Millisecond && rejected.RetryAfter < test.latest, qt.IsTrue, qt.Commentf("%v", rejected.RetryAfter))
+			}
+			c.Assert(core.Choose(request(test.earliest-time.Millisecond, firstObject)).Kind, qt.Equals, yuccaerror.NoServer)
+			first := core.Choose(request(test.latest, firstObject))
+			c.Assert(first.Kind, qt.Equals, yuccaerror.None)
+			c.Assert(core.Choose(request(test.latest, firstObject)).Kind, qt.Equals, yuccaerror.NoServer, qt.Commentf("the first request goes alone"))
+			core.Done(first, yuccaadmission.Result{Now: start.Add(test.latest), Succeeded: true, TimeToHeader: time.Millisecond})
+			for range 3 {
+				c.Assert(core.Choose(request(test.latest, firstObject)).Kind, qt.Equals, yuccaerror.None)
+			}
+		})
+	}
+}
+
+// TestPausesEndAtDifferentTimes has one server ask 50 entries at the same moment.
+func TestPausesEndAtDifferentTimes(t *testing.T) {
+	const (
+		entries = 50
+		pause   = 2 * time.Second
+		step    = 20 * time.Millisecond
+	)
+	ended := map[time.Duration]int{}
+	for i := range entries {
+		core := yuccabalancer.NewCore(yuccabalancer.Location{Entry: fmt.Sprint("e", i), Region: "a", Domain: "a1"})
+		core.Update(topology(1, 4, "a"))
+		core.HoldOff(start, "a0", pause)
+		for at := pause; ; at += step {
+			if core.Choose(request(at, firstObject)).Kind == yuccaerror.None {
+				ended[at]++
+				break
+			}
+		}
+	}
+	for at, n := range ended {
+		qt.Check(t, n <= entries/5, qt.IsTrue, qt.Commentf("%d entries return at %v", n, at))
+	}
+}
--- a/core/yuccabalancer/picker.go
+++ b/core/yuccabalancer/picker.go
@@ -34,11 +34,18 @@
 	p.core.Rebalance(demand, elapsed)
 }
 
-// SetRateLimit records the limit that a server names. See Core.SetRateLimit.
-func (p *Picker) SetRateLimit(server string, limit RateLimit) {
+// SetNotice records what a server says about itself. See Core.SetNotice.
+func (p *Picker) SetNotice(server string, n Notice) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.core.SetRateLimit(server, limit)
+	p.core.SetNotice(server, n)
+}
+
+// HoldOff keeps requests from a server for the time d. See Core.HoldOff.
+func (p *Picker) HoldOff(server string, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.HoldOff(time.Now(), server, d)
 }
 
 // Unblock lets servers that could not be reached get requests at once. It is for the
@@ -71,6 +78,19 @@
 	return s.Addr
 }
 
+// AcceptingAddr returns the address of a server that may get requests of this entry now,
+// empty for any other.
+func (p *Picker) AcceptingAddr(server string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.core.servers {
+		if s.Name == server && p.core.acceptsRequests(s) && s.holdOff.allows(time.Now(), 0) {
+			return s.Addr
+		}
+	}
+	return ""
+}
+
 // Server returns a server by its name and whether it is known.
 func (p *Picker) Server(name string) (Server, bool) {
 	p.mu.Lock()
--- a/core/yuccabalancer/rate_limit.go
+++ b/core/yuccabalancer/rate_limit.go
@@ -19,22 +19,12 @@
 	minProbeRate = 0.05
 )
 
-// RateLimit is what servers say about the requests that they take from all entries
-// together.
-type RateLimit struct {
-	// Limited is set while the server names a limit.
-	Limited bool
-	// PerSecond is the limit in requests a second.
-	PerSecond float64
-	// At is when the server last said so, in any response to any entry.
-	At time.Time
-}
-
 // rateLimiter keeps this entry's requests to a server within its part of the limit
 // that the server names. It answers the load in which a server in need gets the
 // requests for its objects from every entry at once.
 type rateLimiter struct {
-	RateLimit
+	// notice is what the server last said.
+	notice Notice
 	// senderRate is this entry's part of the limit, zero if it is not among the
 	// server's senders.
 	senderRate float64
@@ -44,14 +34,14 @@
 	bucket    yuccaquota.Bucket
 }
 
-// withLimit returns the limiter for another limit or another list of entries. A
+// withNotice returns the limiter for another notice or another list of entries. A
 // limiter that begins to limit has no token, since the server has just had requests.
-func (l rateLimiter) withLimit(limit RateLimit, server string, division yuccaquota.Division) rateLimiter {
-	l.RateLimit = limit
+func (l rateLimiter) withNotice(n Notice, server string, division yuccaquota.Division) rateLimiter {
+	l.notice = n
 	l.senderRate, l.probeRate = 0, 0
-	if limit.Limited {
-		l.senderRate = division.ToSenders("limited "+server, limit.PerSecond)
-		l.probeRate = division.Evenly(max(minProbeRate, probeShare*limit.PerSecond))
+	if n.Limited {
+		l.senderRate = division.ToSenders("limited "+server, n.Limit)
+		l.probeRate = division.Evenly(max(minProbeRate, probeShare*n.Limit))
 		l.bucket = l.bucket.WithRate(l.senderRate)
 	} else {
 		l.bucket = yuccaquota.Bucket{}
@@ -62,7 +52,7 @@
 // refresh sets the rate of the bucket for the present time.
 func (l *rateLimiter) refresh(now time.Time) {
 	rate := l.senderRate
-	if now.Sub(l.At) > staleLimitAge {
+	if now.Sub(l.notice.At) > staleLimitAge {
 		rate = max(rate, l.probeRate)
 	}
 	l.bucket = l.bucket.WithRate(rate)
@@ -70,7 +60,7 @@
 
 // allows reports whether the server may get a request from this entry.
 func (l *rateLimiter) allows(now time.Time) bool {
-	if !l.Limited {
+	if !l.notice.Limited {
 		return true
 	}
 	l.refresh(now)
@@ -79,40 +69,25 @@
 
 // take counts a request to the server.
 func (l *rateLimiter) take(now time.Time) {
-	if l.Limited {
+	if l.notice.Limited {
 		l.bucket.Take(now)
 	}
 }
 
 // wait returns how long the server gets no request from this entry.
 func (l *rateLimiter) wait(now time.Time) time.Duration {
-	if !l.Limited {
+	if !l.notice.Limited {
 		return 0
 	}
 	l.refresh(now)
 	return l.bucket.Wait(now)
 }
 
-// SetRateLimit records the limit that a server names, or that it no longer names one.
-// Servers that are not known yet may have limits too.
-func (c *Core) SetRateLimit(server string, limit RateLimit) {
-	if limit.Limited {
-		c.limits[server] = limit
-	} else {
-		delete(c.limits, server)
-	}
-	for _, s := range c.servers {
-		if s.Name == server {
-			s.limiter = s.limiter.withLimit(limit, server, c.division)
-		}
-	}
-}
-
 // usableSlots returns how many of a server's slots its limit lets the entries fill.
 func (c *Core) usableSlots(p *pool, s *serverState) float64 {
 	slots := float64(s.Slots)
-	if s.limiter.Limited && p.meanLatency > 0 {
-		return min(slots, s.limiter.PerSecond*p.meanLatency.Seconds())
+	if s.limiter.notice.Limited && p.meanLatency > 0 {
+		return min(slots, s.limiter.notice.Limit*p.meanLatency.Seconds())
 	}
 	return slots
 }
@@ -130,8 +105,8 @@
 }
 
 // retryAfter returns when a request that finds no eligible server should come again:
-// when the first server of the allowed regions that is limited or in slow start takes
-// another request of this entry, else after maxRetryAfter.
+// when the first server of the allowed regions that is limited, in slow start or in its
+// hold-off takes another request of this entry, else after maxRetryAfter.
 func (c *Core) retryAfter(p *pool, req yuccaadmission.Request) time.Duration {
 	wait := maxRetryAfter
 	for region, servers := range p.regions {
@@ -144,6 +119,8 @@
 				wait = min(wait, s.limiter.wait(req.Now))
 			case isInSlowStart:
 				wait = min(wait, s.slowStart.Wait(req.Now))
+			case isHeldOff:
+				wait = min(wait, s.holdOff.wait(req.Now))
 			}
 		}
 	}
--- a/core/yuccabalancer/rate_limit_test.go
+++ b/core/yuccabalancer/rate_limit_test.go
@@ -78,7 +78,7 @@
 		w.Entries = f.versions[len(f.versions)-1-lag]
 		c.Update(w)
 		if at == 0 || rapid.Bool().Draw(f.t, "news") {
-			c.SetRateLimit("a0", yuccabalancer.RateLimit{Limited: true, PerSecond: f.limit, At: start.Add(at)})
+			c.SetNotice("a0", yuccabalancer.Notice{Limited: true, Limit: f.limit, At: start.Add(at)})
 		}
 	}
 }
@@ -138,7 +138,7 @@
 	for i := range entries {
 		core := yuccabalancer.NewCore(yuccabalancer.Location{Entry: fmt.Sprint("e", i), Region: "a", Domain: "a1"})
 		core.Update(w)
-		core.SetRateLimit("a0", yuccabalancer.RateLimit{Limited: true, PerSecond: limit, At: start})
+		core.SetNotice("a0", yuccabalancer.Notice{Limited: true, Limit: limit, At: start})
 		cores = append(cores, core)
 	}
 	sent := make([]int, entries)
@@ -163,14 +163,14 @@
 func TestLimitedServerIsLeftToOthers(t *testing.T) {
 	c := qt.New(t)
 	core := newCore(topology(1, 4, "a"))
-	core.SetRateLimit("a0", yuccabalancer.RateLimit{Limited: true, PerSecond: 5, At: start})
+	core.SetNotice("a0", yuccabalancer.Notice{Limited: true, Limit: 5, At: start})
 	rejected := core.Choose(request(0, firstObject))
 	c.Assert(rejected.Kind, qt.Equals, yuccaerror.NoServer)
 	c.Assert(rejected.Excluded.String(), qt.Equals, " (limited:1)")
 	// The lone entry uses 0.6 of the limit: a request each third of a second.
 	c.Assert(rejected.RetryAfter.Round(time.Millisecond), qt.Equals, 333*time.Millisecond)
 	c.Assert(core.Choose(request(rejected.RetryAfter+time.Millisecond, firstObject)).Kind, qt.Equals, yuccaerror.None)
-	core.SetRateLimit("a0", yuccabalancer.RateLimit{At: start})
+	core.SetNotice("a0", yuccabalancer.Notice{At: start})
 	c.Assert(core.Choose(request(time.Second, firstObject)).Kind, qt.Equals, yuccaerror.None)
 	c.Assert(core.Choose(request(time.Second, firstObject)).Kind, qt.Equals, yuccaerror.None)
 }
--- a/core/yuccabalancer/server_state.go
+++ b/core/yuccabalancer/server_state.go
@@ -78,6 +78,10 @@
 	slowStart yuccaquota.Bucket
 	// limiter limits this entry's requests while the server names a limit.
 	limiter rateLimiter
+	// leaving is set when this run of the server has said that it is about to exit.
+	leaving bool
+	// holdOff keeps requests from the server when it asks for that.
+	holdOff holdOff
 	// recent holds the objects that this entry recently sent to the server.
 	recent recentObjects
 }
@@ -150,6 +154,7 @@
 	case r.Failed:
 		s.failureRate += (1 - s.failureRate) * failureWeight
 	case r.Succeeded:
+		s.holdOff = s.holdOff.withAnswer(r.Now)
 		s.connectFailures, s.blockedUntil = 0, time.Time{}
 		s.failureRate -= s.failureRate * failureWeight
 	}
--- a/core/yuccabalancer/topology.go
+++ b/core/yuccabalancer/topology.go
@@ -37,8 +37,7 @@
 // Server is one backend server of one service. A backend server that serves
 // several services has one Server for each of them.
 type Server struct {
-	// Name identifies one run of the server; a restarted server has another
-	// name.
+	// Name identifies the server. A restarted server mostly has another name.
 	Name string
 	// Service is the name of the service.
 	Service string
@@ -50,6 +49,9 @@
 	Addr string
 	// Slots is how many requests the server runs at the same time.
 	Slots int
+	// Run identifies the run of the server under its name. A later run has a higher
+	// number.
+	Run int64
 	// Draining is set for a server that gets no new requests.
 	Draining bool
 	// SlowStartUntil is when slow start ends, so that the server gets the
--- a/core/yuccadiscovery/serverset.go
+++ b/core/yuccadiscovery/serverset.go
@@ -51,9 +51,6 @@
 	// SlowStart is how long the server remains in slow start after this registration
 	// was written. Zero means that it can serve the full rate of requests.
 	SlowStart time.Duration
-	// StartedAt is when this run of the server started, by the server's clock and in
-	// the unit of the registration.
-	StartedAt int64
 }
 
 // Decoder decodes the registration of the named server. It returns false for a
--- a/core/yuccanotice/exchange.go
+++ b/core/yuccanotice/exchange.go
@@ -25,6 +25,8 @@
 	// refreshInterval is the time between two messages about the same notice, for
 	// entries that have joined or missed a message.
 	refreshInterval = time.Second
+	// maxHoldOffSent bounds the pause in a message.
+	maxHoldOffSent = time.Hour
 	// maxNoticesPerMessage bounds the length of a message.
 	maxNoticesPerMessage = 1024
 	// invalidLinesPerSecond limits the log lines about reports that cannot be read.
@@ -41,10 +43,12 @@
 
 // Balancer is the load balancer that keeps to what the servers say.
 type Balancer interface {
-	// SetRateLimit records the limit of a server.
-	SetRateLimit(server string, limit yuccabalancer.RateLimit)
-	// Addr returns the address of a server, empty for an unknown server.
-	Addr(server string) string
+	// SetNotice records what a server says about itself.
+	SetNotice(server string, n yuccabalancer.Notice)
+	// HoldOff keeps requests from a server for the time d.
+	HoldOff(server string, d time.Duration)
+	// Server returns a server by its name and whether it is known.
+	Server(name string) (yuccabalancer.Server, bool)
 }
 
 // Exchange is the service that keeps the board, passes it to the load balancer and
@@ -52,6 +56,8 @@
 type Exchange struct {
 	*yuccakernel.Worker
 
+	// self is the name of this entry.
+	self     string
 	bus      Bus
 	balancer Balancer
 	log      zerolog.Logger
@@ -67,19 +73,21 @@
 	mu    sync.Mutex
 	board *Board
 	// changed holds own notices that the other entries have not been told.
-	changed map[string]Notice
+	changed map[string]yuccabalancer.Notice
 }
 
-// New returns the exchange and registers its message handler on the bus.
-func New(bus Bus, balancer Balancer, log zerolog.Logger) *Exchange {
+// New returns the exchange of the entry self and registers its message handler on the
+// bus.
+func New(self string, bus Bus, balancer Balancer, log zerolog.Logger) *Exchange {
 	x := &Exchange{
+		self:     self,
 		bus:      bus,
 		balancer: balancer,
 		log:      log,
 		invalid:  log.Sample(yuccalog.NewRateSampler(invalidLinesPerSecond)),
 		wake:     make(chan struct{}, 1),
 		board:    NewBoard(),
-		changed:  map[string]Notice{},
+		changed:  map[string]yuccabalancer.Notice{},
 	}
 	x.Worker = yuccakernel.NewWorker(x.run)
 	bus.Handle(topic, x.handleNotices)
@@ -89,21 +97,26 @@
 // Len returns the number of servers with a notice.
 func (x *Exchange) Len() int { return int(x.boardLen.Load()) }
 
-// ReceiveReport implements yuccarelay.ReportReceiver. A report that cannot be read
-// changes nothing.
-func (x *Exchange) ReceiveReport(server string, r yuccaadmission.Report) {
+// ReceiveReport implements yuccarelay.ReportReceiver. What cannot be read of a report
+// changes nothing. The balancer of this entry learns of a pause that a server asks for
+// with the result of the attempt. An entry that carried the attempt through a tunnel
+// learns of it here, since the server has asked that entry.
+func (x *Exchange) ReceiveReport(server, via string, r yuccaadmission.Report) {
 	if r.Invalid != "" {
 		x.invalid.Warn().Str("server", server).Str("report", r.Invalid).Msg("server_report_unreadable")
-		return
 	}
-	if !r.Limited && x.boardLen.Load() == 0 {
+	if via != "" && r.HoldOff > 0 {
+		x.send(&Notices{Carrier: via, Notices: []*ServerNotice{{Server: server, HoldOffMs: uint32(min(r.HoldOff, maxHoldOffSent).Milliseconds())}}})
+	}
+	if !r.Limited && !r.Leaving && x.boardLen.Load() == 0 {
 		return
 	}
+	s, _ := x.balancer.Server(server)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	n, changed := x.board.Observe(time.Now(), server, r)
+	n, changed := x.board.Observe(time.Now(), server, s.Run, r)
 	x.boardLen.Store(int64(x.board.Len()))
-	x.apply(server, n)
+	x.balancer.SetNotice(server, n)
 	if changed {
 		x.logChange(server, "", n)
 		x.changed[server] = n
@@ -111,15 +124,10 @@
 	}
 }
 
-// apply passes a notice to the load balancer.
-func (x *Exchange) apply(server string, n Notice) {
-	x.balancer.SetRateLimit(server, yuccabalancer.RateLimit{Limited: n.Limited, PerSecond: n.Limit, At: n.At})
-}
-
 // logChange logs that a server says something else than before. The name of the entry
 // that told it is empty if this entry got the response.
-func (x *Exchange) logChange(server, from string, n Notice) {
-	x.log.Info().Str("server", server).Str("from", from).Bool("limited", n.Limited).Float64("limit", n.Limit).Dur("age", time.Since(n.At)).Msg("server_limit_changed")
+func (x *Exchange) logChange(server, from string, n yuccabalancer.Notice) {
+	x.log.Info().Str("server", server).Str("from", from).Bool("limited", n.Limited).Float64("limit", n.Limit).Bool("leaving", n.Leaving).Dur("age", time.Since(n.At)).Msg("server_notice_changed")
 }
 
 func (x *Exchange) wakeUp() {
@@ -150,31 +158,34 @@
 }
 
 // takeChanged returns the changed notices and clears their list.
-func (x *Exchange) takeChanged() map[string]Notice {
+func (x *Exchange) takeChanged() map[string]yuccabalancer.Notice {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	changed := x.changed
-	x.changed = map[string]Notice{}
+	x.changed = map[string]yuccabalancer.Notice{}
 	return changed
 }
 
 // takeOwn prunes the board and returns the own notices.
-func (x *Exchange) takeOwn(now time.Time) map[string]Notice {
+func (x *Exchange) takeOwn(now time.Time) map[string]yuccabalancer.Notice {
 	if x.boardLen.Load() == 0 {
 		return nil
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	known := func(server string) bool { return x.balancer.Addr(server) != "" }
+	known := func(server string) bool {
+		_, ok := x.balancer.Server(server)
+		return ok
+	}
 	for _, server := range x.board.Prune(now, known) {
-		x.apply(server, Notice{At: now})
+		x.balancer.SetNotice(server, yuccabalancer.Notice{At: now})
 	}
 	x.boardLen.Store(int64(x.board.Len()))
 	return x.board.Own()
 }
 
 // publish sends notices to the other entries.
-func (x *Exchange) publish(notices map[string]Notice) {
+func (x *Exchange) publish(notices map[string]yuccabalancer.Notice) {
 	m := &Notices{}
 	for server, n := range notices {
 		m.Notices = append(m.Notices, &ServerNotice{
@@ -182,6 +193,8 @@
 			AgeMs:   uint32(max(0, time.Since(n.At)).Milliseconds()),
 			Limited: n.Limited,
 			Limit:   n.Limit,
+			Leaving: n.Leaving,
+			Run:     n.Run,
 		})
 		if len(m.GetNotices()) == maxNoticesPerMessage {
 			x.send(m)
@@ -209,14 +222,24 @@
 	if err := proto.Unmarshal(body, &m); err != nil {
 		return nil, yuccaerror.New(yuccaerror.Protocol, "decode notices of entry %s: %w", from, err)
 	}
+	if m.GetCarrier() != "" {
+		x.holdOff(&m)
+		return nil, nil
+	}
 	now := time.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for _, v := range m.GetNotices() {
-		n := Notice{At: now.Add(-time.Duration(v.GetAgeMs()) * time.Millisecond), Limited: v.GetLimited(), Limit: v.GetLimit()}
+		n := yuccabalancer.Notice{
+			At:      now.Add(-time.Duration(v.GetAgeMs()) * time.Millisecond),
+			Run:     v.GetRun(),
+			Limited: v.GetLimited(),
+			Limit:   v.GetLimit(),
+			Leaving: v.GetLeaving(),
+		}
 		newer, changed := x.board.Merge(v.GetServer(), n)
 		if newer {
-			x.apply(v.GetServer(), n)
+			x.balancer.SetNotice(v.GetServer(), n)
 		}
 		if changed {
 			x.logChange(v.GetServer(), from, n)
@@ -225,3 +248,14 @@
 	x.boardLen.Store(int64(x.board.Len()))
 	return nil, nil
 }
+
+// holdOff applies the pauses that servers have asked for when this entry carried a
+// request of another one.
+func (x *Exchange) holdOff(m *Notices) {
+	if m.GetCarrier() != x.self {
+		return
+	}
+	for _, v := range m.GetNotices() {
+		x.balancer.HoldOff(v.GetServer(), time.Duration(v.GetHoldOffMs())*time.Millisecond)
+	}
+}
--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -139,7 +139,7 @@
 	opt := a.task.relay.opt
 	a.report = opt.Protocol.Report(&a.exchange.head)
 	if opt.Reports != nil {
-		opt.Reports.ReceiveReport(a.ticket.Server, a.report)
+		opt.Reports.ReceiveReport(a.ticket.Server, a.via(), a.report)
 	}
 }
 
@@ -256,6 +256,7 @@
 	r.WrongServer = a.wrongServer
 	r.TimeToHeader = a.timeToHeader
 	r.Load = a.report.Load
+	r.HoldOff = a.report.HoldOff
 	a.task.relay.opt.Picker.Done(a.ticket, r)
 	a.task.logAttempt(a, r)
 }
--- a/core/yuccatunnel/listener.go
+++ b/core/yuccatunnel/listener.go
@@ -42,7 +42,8 @@
 // known servers only. Create one with NewListener.
 type Listener struct {
 	settings ListenerSettings
-	// serverAddr returns the address of a server, empty for an unknown one.
+	// serverAddr returns the address of a server that takes requests of this entry, empty
+	// for any other.
 	serverAddr func(server string) string
 	dialer     net.Dialer
 	log        zerolog.Logger
@@ -196,7 +197,7 @@
 	_ = caller.SetReadDeadline(time.Time{})
 	addr := l.serverAddr(req.GetServer())
 	if addr == "" {
-		return nil, yuccaerror.New(yuccaerror.NoServer, "server %q is not known", req.GetServer())
+		return nil, yuccaerror.New(yuccaerror.NoServer, "server %q is not known or takes no requests", req.GetServer())
 	}
 	c, err := l.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
