Nothing goes back when the store comes back from an older copy

Contract of the platform: the store may return from a copy some seconds old, and Store-Era in its answers rises by one. The program compared bare revisions: it refused such lists until the revisions had caught up, missed what was written meanwhile, and would have taken drained, gone and unevacuated servers from the copy.

Entries that are heard count for divided rates though the copy lacks them.

--- a/core/yuccadiscovery/aggregator.go
+++ b/core/yuccadiscovery/aggregator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -25,7 +26,8 @@
 type Aggregator struct {
 	*yuccakernel.Worker
 
-	servers *ServerSet
+	servers     *ServerSet
+	evacuations *EvacuationSet
 	// entryNames returns the names of the entries that may be sending requests.
 	entryNames func() []string
 	// onChange receives each new topology. It is called with mu held.
@@ -34,7 +36,7 @@
 	// routes is the table of the routes in force, nil before the first.
 	routes atomic.Pointer[yuccaroute.Table]
 
-	// mu guards servers and the fields below.
+	// mu guards servers, evacuations and the fields below.
 	mu sync.Mutex
 	// evacuated holds the failure domains that get no new requests.
 	evacuated map[string]bool
@@ -51,8 +53,8 @@
 
 // NewAggregator returns an aggregator that passes each new topology to onChange.
 // entryNames returns the names of all entries that may be sending requests.
-func NewAggregator(servers *ServerSet, entryNames func() []string, onChange func(yuccabalancer.Topology), log zerolog.Logger) *Aggregator {
-	k := &Aggregator{servers: servers, entryNames: entryNames, onChange: onChange, log: log}
+func NewAggregator(servers *ServerSet, evacuations *EvacuationSet, entryNames func() []string, onChange func(yuccabalancer.Topology), log zerolog.Logger) *Aggregator {
+	k := &Aggregator{servers: servers, evacuations: evacuations, entryNames: entryNames, onChange: onChange, log: log}
 	k.Worker = yuccakernel.NewWorker(k.run)
 	return k
 }
@@ -97,17 +99,24 @@
 	k.apply()
 }
 
-// SetEvacuated replaces the set of failure domains that get no new requests.
-func (k *Aggregator) SetEvacuated(domains map[string]bool) {
+// UpdateEvacuations applies an event about evacuated failure domains.
+func (k *Aggregator) UpdateEvacuations(event yuccawatch.Event) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if len(domains) == len(k.evacuated) && !slices.ContainsFunc(sortedKeys(domains), func(d string) bool { return !k.evacuated[d] }) {
+	k.evacuations.Update(event)
+	k.applyEvacuations()
+	k.apply()
+}
+
+// applyEvacuations takes the evacuated failure domains over if they have changed. The
+// caller holds mu.
+func (k *Aggregator) applyEvacuations() {
+	domains := k.evacuations.Domains()
+	if maps.Equal(domains, k.evacuated) {
 		return
 	}
-	k.evacuated = domains
-	k.dirty = true
+	k.evacuated, k.dirty = domains, true
 	k.log.Info().Strs("domains", sortedKeys(domains)).Msg("evacuation_changed")
-	k.apply()
 }
 
 func sortedKeys(m map[string]bool) []string {
@@ -168,6 +177,8 @@
 		case now := <-tick.C:
 			k.mu.Lock()
 			k.servers.Tick(now)
+			k.evacuations.Tick(now)
+			k.applyEvacuations()
 			k.apply()
 			k.mu.Unlock()
 		case <-ctx.Done():
--- a/core/yuccadiscovery/aggregator_test.go
+++ b/core/yuccadiscovery/aggregator_test.go
@@ -18,7 +18,7 @@
 // version seen so far stays in force, also after an invalid config.
 func TestRouteVersionNeverDecreases(t *testing.T) {
 	c := qt.New(t)
-	k := yuccadiscovery.NewAggregator(yuccadiscovery.NewServerSet("servers/", decode), func() []string { return nil }, func(yuccabalancer.Topology) {}, zerolog.Nop())
+	k := yuccadiscovery.NewAggregator(yuccadiscovery.NewServerSet("servers/", decode), yuccadiscovery.NewEvacuationSet("evacuations/"), func() []string { return nil }, func(yuccabalancer.Topology) {}, zerolog.Nop())
 	c.Assert(k.Routes(), qt.IsNil)
 	c.Assert(k.Ready(), qt.IsFalse)
 	highest := uint64(0)
--- a/core/yuccadiscovery/serverset.go
+++ b/core/yuccadiscovery/serverset.go
@@ -7,16 +7,20 @@
 // to the list too, so a registration may be unusable.
 //
 // ServerSet applies the events of a yuccawatch.Watcher. It keeps servers for a
-// grace period when their registrations may have expired because of an outage.
+// grace period when their registrations may have expired because of an outage, and
+// tells registrations in an older copy of the platform from new ones. EvacuationSet does
+// the same for evacuated failure domains.
 // Aggregator combines the servers with the routes, the evacuated failure domains
 // and the list of entries, and passes each new topology to the load balancer.
 //
 //	servers := yuccadiscovery.NewServerSet("servers/", decode)
-//	aggregator := yuccadiscovery.NewAggregator(servers, monitor.Names, picker.Update, log)
+//	evacuations := yuccadiscovery.NewEvacuationSet("evacuations/")
+//	aggregator := yuccadiscovery.NewAggregator(servers, evacuations, monitor.Names, picker.Update, log)
 //	watcher := yuccawatch.New(settings, store, aggregator.UpdateServers, log)
 package yuccadiscovery
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -39,6 +43,11 @@
 	// event for massExpiryGrace to apply. In normal operation, fewer servers than
 	// that stop at one time.
 	massExpiryCount = 3
+	// removedTTL is how long a removed server is remembered, in case the platform comes
+	// back from a copy in which it still is.
+	removedTTL = time.Minute
+	// maxRemoved is the number of removed servers that are remembered.
+	maxRemoved = 4096
 	// minOutage is the shortest silence of the platform that can make
 	// registrations expire. Their leases outlast shorter outages.
 	minOutage = time.Second
@@ -51,6 +60,14 @@
 	// SlowStart is how long the server remains in slow start after this registration
 	// was written. Zero means that it can serve the full rate of requests.
 	SlowStart time.Duration
+	// Renewal counts the writes of this run of the server. A later registration has a
+	// higher number, or the same one if nothing else has changed.
+	Renewal int64
+}
+
+// olderThan reports whether the server wrote the registration before another one.
+func (r Record) olderThan(other Record) bool {
+	return cmp.Or(cmp.Compare(r.Server.Run, other.Server.Run), cmp.Compare(r.Renewal, other.Renewal)) < 0
 }
 
 // Decoder decodes the registration of the named server. It returns false for a
@@ -66,6 +83,8 @@
 	prefix string
 	// servers holds the usable servers by name.
 	servers map[string]trackedServer
+	// removed holds the servers that were removed lately, by name.
+	removed map[string]removedServer
 	// recoveredAt is when the platform last became available again.
 	recoveredAt time.Time
 	// expiredAfterSilence is when registrations last vanished after the platform
@@ -87,10 +106,17 @@
 	keepUntil time.Time
 }
 
+// removedServer is a server that is no longer in the set.
+type removedServer struct {
+	trackedServer
+	// at is when it was removed.
+	at time.Time
+}
+
 // NewServerSet returns an empty set. The name of a server is the key of its registration
 // without the prefix.
 func NewServerSet(prefix string, decode Decoder) *ServerSet {
-	return &ServerSet{decode: decode, prefix: prefix, servers: map[string]trackedServer{}}
+	return &ServerSet{decode: decode, prefix: prefix, servers: map[string]trackedServer{}, removed: map[string]removedServer{}}
 }
 
 // Listed reports whether the set has received a full list.
@@ -118,6 +144,9 @@
 		f.applyChanges(event)
 	case yuccawatch.Recovered:
 		f.recoveredAt = event.At
+	case yuccawatch.Restored:
+		// Servers that the copy lacks register again, as after an outage.
+		f.recoveredAt = event.At
 	}
 }
 
@@ -125,10 +154,29 @@
 func (f *ServerSet) Tick(now time.Time) {
 	for name, v := range f.servers {
 		if !v.keepUntil.IsZero() && !now.Before(v.keepUntil) {
-			delete(f.servers, name)
+			f.drop(now, name)
 			f.version++
 		}
 	}
+	for name, v := range f.removed {
+		if now.Sub(v.at) > removedTTL {
+			delete(f.removed, name)
+		}
+	}
+}
+
+// drop takes a server out of the set and remembers it.
+func (f *ServerSet) drop(now time.Time, name string) {
+	if len(f.removed) < maxRemoved {
+		f.removed[name] = removedServer{f.servers[name], now}
+	}
+	delete(f.servers, name)
+}
+
+// copied reports whether a registration, read in a later era of the platform, comes from
+// the copy that the platform came back from: it is not newer than the known one.
+func copied(known trackedServer, o yuccastore.Object, r Record) bool {
+	return yuccastore.Era(o.Seq) > yuccastore.Era(known.seq) && !known.olderThan(r)
 }
 
 // applyList replaces the registrations by those of a full list.
@@ -169,8 +217,9 @@
 func (f *ServerSet) nameOf(o yuccastore.Object) string { return strings.TrimPrefix(o.Key, f.prefix) }
 
 // put applies the registration of a server. A registration that is already known
-// changes nothing, so that the end of the slow start does not move. A server with
-// an unusable registration is removed.
+// changes nothing, so that the end of the slow start does not move. Neither does one
+// from an older copy of the platform: the server is still draining, or gone, until it
+// registers again. A server with an unusable registration is removed.
 func (f *ServerSet) put(now time.Time, o yuccastore.Object) {
 	name := f.nameOf(o)
 	old, ok := f.servers[name]
@@ -185,6 +234,16 @@
 		}
 		return
 	}
+	gone, wasRemoved := f.removed[name]
+	if !ok && wasRemoved && copied(gone.trackedServer, o, r) {
+		return
+	}
+	delete(f.removed, name)
+	if ok && copied(old, o, r) {
+		old.seq, old.keepUntil = o.Seq, time.Time{}
+		f.servers[name] = old
+		return
+	}
 	switch {
 	case ok && old.seq == o.Seq:
 		r.Server.SlowStartUntil = old.Server.SlowStartUntil
@@ -204,7 +263,7 @@
 	for _, name := range names {
 		f.version++
 		if f.servers[name].Server.Draining {
-			delete(f.servers, name)
+			f.drop(now, name)
 			continue
 		}
 		unplanned = append(unplanned, name)
@@ -215,7 +274,7 @@
 	keepUntil := f.graceEnd(now, len(unplanned))
 	for _, name := range unplanned {
 		if !now.Before(keepUntil) {
-			delete(f.servers, name)
+			f.drop(now, name)
 			continue
 		}
 		v := f.servers[name]
--- a/core/yuccadiscovery/serverset_test.go
+++ b/core/yuccadiscovery/serverset_test.go
@@ -1,6 +1,7 @@
 package yuccadiscovery_test
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -19,10 +20,13 @@
 var start = time.Unix(1_800_000_000, 0)
 
 // decode accepts the registrations "ready", "leaving" (a draining server) and
-// "cold" (a server in slow start for 3 s). It rejects any other value.
+// "cold" (a server in slow start for 3 s), each with an optional number of the renewal
+// as in "ready@2". It rejects any other value.
 func decode(name string, value []byte) (yuccadiscovery.Record, bool) {
 	r := yuccadiscovery.Record{Server: yuccabalancer.Server{Name: name, Service: "s", Region: "a", Slots: 1}}
-	switch string(value) {
+	state, renewal, _ := strings.Cut(string(value), "@")
+	r.Renewal, _ = strconv.ParseInt(renewal, 10, 64)
+	switch state {
 	case "ready":
 	case "leaving":
 		r.Server.Draining = true
@@ -86,6 +90,8 @@
 	changedAgain := func(s float64, seq uint64, texts ...string) yuccawatch.Event {
 		return yuccawatch.Changed{At: at(s), SilentFor: 500 * time.Millisecond, Page: page(seq, texts...)}
 	}
+	// copied is the first sequence number after the platform has come back from a copy.
+	copied, _ := yuccastore.NewSeq(1, 1)
 	all := listed(0, 1, "a=ready", "b=ready", "c=ready", "d=ready")
 	tests := []struct {
 		name  string
@@ -137,6 +143,28 @@
 			{changedAgain(2, 4, "c=ready"), at(2.9), "b c d e"},
 			{nil, at(3.1), "c e"},
 		}},
+		{"a draining server is ready in the copy", []step{
+			{listed(0, 1, "a=ready@1", "b=ready@1"), at(0), "a b"},
+			{changed(1, 2, "a=leaving@2"), at(1), "a! b"},
+			{yuccawatch.Restored{At: at(2)}, at(2), "a! b"},
+			{listed(2, copied, "a=ready@1", "b=ready@1"), at(2), "a! b"},
+			{changed(3, copied+1, "a=leaving@3"), at(3), "a! b"},
+			{changed(4, copied+2, "a="), at(4), "b"},
+		}},
+		{"a server that has gone is in the copy", []step{
+			{listed(0, 1, "a=ready@1", "b=ready@1"), at(0), "a b"},
+			{changed(1, 2, "a="), at(1), "b"},
+			{yuccawatch.Restored{At: at(2)}, at(2), "b"},
+			{listed(2, copied, "a=ready@1", "b=ready@1"), at(2), "b"},
+			{changed(3, copied+1, "a=ready@2"), at(3), "a b"},
+		}},
+		{"servers that the copy lacks register again or are gone", []step{
+			{listed(0, 5, "a=ready@1", "b=ready@1", "c=ready@1"), at(0), "a b c"},
+			{yuccawatch.Restored{At: at(2)}, at(2), "a b c"},
+			{listed(2, copied, "a=ready@1"), at(2), "a b c"},
+			{changed(3, copied+1, "b=ready@2"), at(4.1), "a b c"},
+			{nil, at(4.3), "a b"},
+		}},
 		{"a draining server gets no grace period after an outage", []step{
 			{listed(0, 1, "a=ready", "b=leaving"), at(0), "a b!"},
 			{yuccawatch.Recovered{At: at(9)}, at(9), "a b!"},
--- a/core/yuccaexplain/explain.go
+++ b/core/yuccaexplain/explain.go
@@ -31,6 +31,7 @@
 	"changes_not_fetched":   "another entry did not hand on its changes",
 	"peer_unreachable":      "another entry could not be reached",
 	"peer_lost":             "another entry was lost",
+	"platform_restored":     "the platform came back from an older copy of itself",
 	"servers_unreachable":   "the entry lost its links to all servers and went on through other entries",
 	"servers_reachable":     "the entry reached the servers directly again",
 	"server_notice_changed": "a server named another limit, or none",
--- a/core/yuccaliveness/monitor.go
+++ b/core/yuccaliveness/monitor.go
@@ -113,11 +113,12 @@
 	return s.state.DomainPeers(time.Now())
 }
 
-// Names returns the sorted names of the listed entries. State.Names has the rules.
+// Names returns the sorted names of the entries that may be sending requests to backend
+// servers. State.Names has the rules.
 func (s *Monitor) Names() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state.Names()
+	return s.state.Names(time.Now())
 }
 
 // ToDeregister returns the names of the silent entries that this entry has to
--- a/core/yuccaliveness/state.go
+++ b/core/yuccaliveness/state.go
@@ -153,9 +153,23 @@
 	return all
 }
 
-// Names returns the sorted names of the listed entries, which may be sending
-// requests to backend servers. This one is missing until it is listed.
-func (s *State) Names() []string { return slices.Sorted(maps.Keys(s.listed)) }
+// Names returns the sorted names of the entries that may be sending requests to backend
+// servers: the listed ones, and those with a recent heartbeat, since the platform may
+// come back from a copy that lacks them. This one is missing until it is listed or
+// receives heartbeats.
+func (s *State) Names(now time.Time) []string {
+	names := map[string]bool{}
+	for name := range s.listed {
+		names[name] = true
+	}
+	for name, h := range s.heartbeats {
+		if now.Sub(h.receivedAt) < Timeout && !h.Leaving {
+			names[name] = true
+			names[s.self.Name] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
 
 // Alive returns the entries that accept new clients, sorted by name. A listed
 // entry without a heartbeat of its present incarnation counts as alive until
--- a/core/yuccastore/store.go
+++ b/core/yuccastore/store.go
@@ -45,6 +45,27 @@
 	Deleted bool `json:"gone,omitempty"`
 }
 
+// eraShift is the number of low bits of a sequence number that count changes within an
+// era.
+const eraShift = 40
+
+// NewSeq returns the sequence number of a change in an era of a store that may come back
+// from an older copy of itself. The era rises each time, so that sequence numbers never
+// go back, although the store gives the numbers of its changes out again. It returns
+// false for a change or an era that is too high.
+func NewSeq(era, change uint64) (uint64, bool) {
+	if change>>eraShift > 0 || era>>(64-eraShift) > 0 {
+		return 0, false
+	}
+	return era<<eraShift | change, true
+}
+
+// Era returns the era of a sequence number, zero for a store that has none.
+func Era(seq uint64) uint64 { return seq >> eraShift }
+
+// Change returns the number of the change within its era.
+func Change(seq uint64) uint64 { return seq & (1<<eraShift - 1) }
+
 // Page is the result of List.
 type Page struct {
 	// Seq is the sequence number to pass as after in the next call.
--- a/core/yuccawatch/watcher.go
+++ b/core/yuccawatch/watcher.go
@@ -1,6 +1,7 @@
 // Package yuccawatch keeps a local copy of the platform's objects under a prefix up
 // to date. It tolerates a platform that is unavailable, returns stale data, drops
-// its change history or leaves a watch without a response.
+// its change history, comes back from an older copy of itself or leaves a watch without
+// a response.
 //
 // An entry (a proxy instance of the system) runs a Watcher for each prefix that it
 // needs. A Watcher lists all objects once and then watches for changes, each time
@@ -91,8 +92,8 @@
 	retryDelay = 250 * time.Millisecond
 )
 
-// Event is what a Watcher reports: Listed, Changed, Unchanged, Unreachable or
-// Recovered.
+// Event is what a Watcher reports: Listed, Changed, Unchanged, Unreachable, Recovered
+// or Restored.
 type Event interface{ isEvent() }
 
 type (
@@ -139,6 +140,13 @@
 		// At is when the response arrived.
 		At time.Time
 	}
+	// Restored reports that the platform has come back from an older copy of itself. The
+	// Listed or Changed event that follows shows the copy, with what was written since:
+	// objects may be missing, deleted ones be back, and others have older values.
+	Restored struct {
+		// At is when the response arrived.
+		At time.Time
+	}
 )
 
 func (Listed) isEvent()      {}
@@ -146,6 +154,7 @@
 func (Unchanged) isEvent()   {}
 func (Unreachable) isEvent() {}
 func (Recovered) isEvent()   {}
+func (Restored) isEvent()    {}
 
 // Watcher is the service that watches the objects under one prefix. Create one
 // with New.
@@ -242,7 +251,7 @@
 			news.Objects = append(news.Objects, o)
 		}
 	}
-	f.seq = page.Seq
+	f.advance(page.Seq)
 	f.handleEvent(Changed{At: time.Now(), Page: news, Offered: true})
 	return true
 }
@@ -321,7 +330,8 @@
 		return nil
 	}
 	silentFor := f.recordResponse(false)
-	f.seq, f.lastListed, f.listSize = page.Seq, time.Now(), len(page.Objects)
+	f.advance(page.Seq)
+	f.lastListed, f.listSize = time.Now(), len(page.Objects)
 	f.handleEvent(Listed{time.Now(), silentFor, page})
 	return nil
 }
@@ -368,15 +378,27 @@
 	silentFor := f.recordResponse(late)
 	if len(page.Objects) == 0 || page.Seq < f.seq {
 		// An older page holds nothing that was not offered during the call.
-		f.seq = max(f.seq, page.Seq)
+		f.advance(max(f.seq, page.Seq))
 		f.handleEvent(Unchanged{time.Now(), f.seq})
 		return false
 	}
-	f.seq = page.Seq
+	f.advance(page.Seq)
 	f.handleEvent(Changed{At: time.Now(), SilentFor: silentFor, Page: page})
 	return true
 }
 
+// advance raises the sequence number up to which changes are known, and reports a later
+// era. The caller holds mu.
+func (f *Watcher) advance(seq uint64) {
+	old := f.seq
+	f.seq = seq
+	if old == 0 || yuccastore.Era(seq) == yuccastore.Era(old) {
+		return
+	}
+	f.log.Warn().Uint64("era", yuccastore.Era(seq)).Uint64("seq", yuccastore.Change(seq)).Uint64("before", yuccastore.Change(old)).Msg("platform_restored")
+	f.handleEvent(Restored{time.Now()})
+}
+
 // recordFailure reports the first failure of an outage and counts every one.
 func (f *Watcher) recordFailure(err error) {
 	f.mu.Lock()
