A server that was slow is tried again

Traced: the estimate of a server's latency only changes with its own answers. Once it looked slow, and its objects were cached elsewhere meanwhile, as a limit makes them, it got none any more.

The estimate now returns to the service's mean while the server gets no requests. TestSlowServerIsTriedAgain failed before with 0 of 50 requests in the last second.

--- a/core/yuccabalancer/bounds_test.go
+++ b/core/yuccabalancer/bounds_test.go
@@ -67,3 +67,40 @@
 	}
 	c.Assert(failed > 0 && failed <= maxProbes, qt.IsTrue, qt.Commentf("%d requests", failed))
 }
+
+// TestSlowServerIsTriedAgain has a server be slow, and then name a limit for a while, so
+// that its objects are cached by other servers. When it is quick again and names no
+// limit, it gets its objects back.
+func TestSlowServerIsTriedAgain(t *testing.T) {
+	const (
+		interval  = 20 * time.Millisecond
+		slowFrom  = 2 * time.Second
+		limitFrom = 4 * time.Second
+		limitEnd  = 10 * time.Second
+		length    = 20 * time.Second
+	)
+	c := qt.New(t)
+	core := newCore(topology(4, 4, "a"))
+	after := 0
+	for at := time.Duration(0); at < length; at += interval {
+		switch at {
+		case limitFrom:
+			core.SetNotice("a0", yuccabalancer.Notice{At: start.Add(at), Limited: true, Limit: 0.5})
+		case limitEnd:
+			core.SetNotice("a0", yuccabalancer.Notice{At: start.Add(at)})
+		}
+		a := request(at, firstObject+uint64(at/interval)%40)
+		choice := core.Choose(a)
+		took := 50 * time.Millisecond
+		if choice.Server() == "a0" {
+			if at >= slowFrom && at < limitFrom {
+				took *= 4
+			}
+			if at >= length-time.Second {
+				after++
+			}
+		}
+		core.Done(choice, yuccaadmission.Result{Now: a.Now.Add(took), Succeeded: true, TimeToHeader: took})
+	}
+	c.Check(after >= 5, qt.IsTrue, qt.Commentf("%d of 50 requests in the last second", after))
+}
--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -212,7 +212,7 @@
 	p.chosen[choice.Reason]++
 	if choice.server != nil {
 		choice.Warm = choice.server.recent.has(req.Now, req.Object)
-		choice.server.assign(req.Now, req.Object)
+		choice.server.assign(req.Now, req.Object, p.latency.warm)
 		p.addInFlight(req.Now, 1)
 		p.used = true
 	}
--- a/core/yuccabalancer/server_state.go
+++ b/core/yuccabalancer/server_state.go
@@ -44,6 +44,9 @@
 	minSlowdown = 1.5
 	// maxSlowdown is the upper bound of the ratio that is used.
 	maxSlowdown = 4
+	// slowdownDecay is the time constant with which a server that gets no requests
+	// ceases to count as slow, so that a recovery is noticed.
+	slowdownDecay = 3 * time.Second
 )
 
 // serverState is a server with this entry's statistics about it.
@@ -63,6 +66,8 @@
 	// warmLatency is the moving average of the time to a response for a warm
 	// object, without queueing.
 	warmLatency time.Duration
+	// assignedAt is when this entry last sent a request to the server.
+	assignedAt time.Time
 	// failureRate is the moving average of the share of failed requests, 0
 	// to 1.
 	failureRate float64
@@ -116,19 +121,33 @@
 // slowdown returns the server's latency as a multiple of the service's warm
 // latency. Differences below minSlowdown count as 1: they are noise, and not
 // worth moving an object to a server where it is cold.
-func (s *serverState) slowdown(meanLatency time.Duration) float64 {
-	if meanLatency == 0 || float64(s.warmLatency) < minSlowdown*float64(meanLatency) {
+func (s *serverState) slowdown(now time.Time, meanLatency time.Duration) float64 {
+	latency := s.currentLatency(now, meanLatency)
+	if meanLatency == 0 || float64(latency) < minSlowdown*float64(meanLatency) {
 		return 1
 	}
-	return min(maxSlowdown, float64(s.warmLatency)/float64(meanLatency))
+	return min(maxSlowdown, float64(latency)/float64(meanLatency))
+}
+
+// currentLatency returns warmLatency, closer to the service's mean the longer the
+// server has had no requests.
+func (s *serverState) currentLatency(now time.Time, meanLatency time.Duration) time.Duration {
+	idle := max(0, now.Sub(s.assignedAt))
+	if s.warmLatency <= meanLatency || s.assignedAt.IsZero() {
+		return s.warmLatency
+	}
+	weight := math.Exp(-float64(idle) / float64(slowdownDecay))
+	return meanLatency + time.Duration(float64(s.warmLatency-meanLatency)*weight)
 }
 
 // inSlowStart reports whether the server is still in slow start.
 func (s *serverState) inSlowStart(now time.Time) bool { return now.Before(s.SlowStartUntil) }
 
-// assign records that a request for the object is sent to the server.
-func (s *serverState) assign(now time.Time, object uint64) {
+// assign records that a request for the object is sent to the server, at the mean
+// latency of its service.
+func (s *serverState) assign(now time.Time, object uint64, meanLatency time.Duration) {
 	s.inFlight++
+	s.warmLatency, s.assignedAt = s.currentLatency(now, meanLatency), now
 	s.recent.add(now, object)
 	s.probeAt = now.Add(probeInterval)
 	if s.inSlowStart(now) {
