--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -30,6 +30,8 @@
 	topology Topology
 	// servers holds the state of each server, by Server.key.
 	servers map[string]*serverState
+	// byName holds the states of each server by its name, one for each of its services.
+	byName map[string][]*serverState
 	// pools holds the servers and statistics of each service, by name.
 	pools map[string]*pool
 	// division divides the rates that hold for all entries together.
@@ -115,6 +117,7 @@
 	c.topology = w
 	c.division = c.division.WithEntries(w.Entries)
 	servers := map[string]*serverState{}
+	byName := map[string][]*serverState{}
 	pools := map[string]*pool{}
 	for _, s := range w.Servers {
 		state := c.servers[s.key()]
@@ -122,6 +125,7 @@
 			state = newServerState(s)
 		}
 		state.Server = s
+		byName[s.Name] = append(byName[s.Name], state)
 		state.slowStart = state.slowStart.WithRate(c.slowStartRate(s))
 		c.applyNotice(state)
 		servers[s.key()] = state
@@ -132,7 +136,7 @@
 		}
 		p.regions[s.Region] = append(p.regions[s.Region], state)
 	}
-	c.servers, c.pools = servers, pools
+	c.servers, c.byName, c.pools = servers, byName, pools
 	for _, p := range pools {
 		c.updateSlots(p)
 		if !p.used {
--- a/core/yuccabalancer/hold_off.go
+++ b/core/yuccabalancer/hold_off.go
@@ -63,9 +63,7 @@
 
 // HoldOff keeps requests from a server for the time d, as the server has asked for.
 func (c *Core) HoldOff(now time.Time, server string, d time.Duration) {
-	for _, s := range c.servers {
-		if s.Name == server {
-			s.holdOff = s.holdOff.withPause(now, d, c.location.Entry+" "+server)
-		}
+	for _, s := range c.byName[server] {
+		s.holdOff = s.holdOff.withPause(now, d, c.location.Entry+" "+server)
 	}
 }
--- a/core/yuccabalancer/notice.go
+++ b/core/yuccabalancer/notice.go
@@ -33,10 +33,8 @@
 	} else {
 		c.notices[server] = n
 	}
-	for _, s := range c.servers {
-		if s.Name == server {
-			c.applyNotice(s)
-		}
+	for _, s := range c.byName[server] {
+		c.applyNotice(s)
 	}
 }
 
--- a/core/yuccabalancer/picker.go
+++ b/core/yuccabalancer/picker.go
@@ -83,8 +83,8 @@
 func (p *Picker) AcceptingAddr(server string) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, s := range p.core.servers {
-		if s.Name == server && p.core.acceptsRequests(s) && s.holdOff.allows(time.Now(), 0) {
+	for _, s := range p.core.byName[server] {
+		if p.core.acceptsRequests(s) && s.holdOff.allows(time.Now(), 0) {
 			return s.Addr
 		}
 	}
@@ -95,10 +95,8 @@
 func (p *Picker) Server(name string) (Server, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, s := range p.core.topology.Servers {
-		if s.Name == name {
-			return s, true
-		}
+	for _, s := range p.core.byName[name] {
+		return s.Server, true
 	}
 	return Server{}, false
 }
