An entry that starts while the store is away is handed what the others know

After a second without an answer of the store it asks an entry whose heartbeats it hears for the first lists; it goes on listing by itself as soon as the store answers.

--- a/core/yuccareplica/copy.go
+++ b/core/yuccareplica/copy.go
@@ -183,6 +183,18 @@
 	return c.firstPart(all), true
 }
 
+// all returns all objects. It returns false before the first list, or if the objects are
+// longer than maxChangeBytes.
+func (c *replicaCopy) all() (yuccastore.Page, bool) {
+	page := yuccastore.Page{Seq: c.seq}
+	size := 0
+	for _, o := range c.objects {
+		size += len(o.Key) + len(o.Value) + objectOverhead
+		page.Objects = append(page.Objects, o)
+	}
+	return page, c.seq > 0 && size <= maxChangeBytes
+}
+
 // firstPart returns the first changes, up to maxChangeBytes. Changes with the same
 // sequence number stay together.
 func (c *replicaCopy) firstPart(all []yuccastore.Object) yuccastore.Page {
--- a/core/yuccareplica/replica.go
+++ b/core/yuccareplica/replica.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -43,6 +44,9 @@
 	topicFetch = "replica.fetch"
 	// fetchTimeout bounds a call for missing changes.
 	fetchTimeout = 500 * time.Millisecond
+	// firstListDelay is how long an entry that starts waits for the platform before it
+	// asks others for the first lists.
+	firstListDelay = time.Second
 	// tickInterval is the time between two decisions.
 	tickInterval = 100 * time.Millisecond
 )
@@ -66,6 +70,8 @@
 	// live returns the names of the other live entries of the failure domain.
 	live func() []string
 	log  zerolog.Logger
+	// startedAt is when the replica was created.
+	startedAt time.Time
 	// watched holds the prefixes, sorted. It does not change after Start.
 	watched []*watched
 
@@ -89,7 +95,7 @@
 // New returns the replica of the named entry. The function live returns the names
 // of the other live entries of the same failure domain.
 func New(name, domain string, bus Bus, live func() []string, log zerolog.Logger) *Replica {
-	r := &Replica{bus: bus, live: live, log: log, fleet: newFleet(name, domain), calling: true, open: make(chan struct{})}
+	r := &Replica{bus: bus, live: live, log: log, startedAt: time.Now(), fleet: newFleet(name, domain), calling: true, open: make(chan struct{})}
 	close(r.open)
 	r.Worker = yuccakernel.NewWorker(r.run)
 	bus.Handle(topicChanges, r.handleChanges)
@@ -171,6 +177,9 @@
 	switch event := event.(type) {
 	case yuccawatch.Listed:
 		w.copy.replace(event.Page)
+		if event.Offered {
+			return
+		}
 		r.contact.responded(now)
 	case yuccawatch.Changed:
 		w.copy.merge(event.Page)
@@ -216,17 +225,22 @@
 	return nil, nil
 }
 
-// offer passes changes to the watcher of their prefix.
+// offer passes changes, or a first list, to the watcher of their prefix.
 func (r *Replica) offer(changes *Changes) {
 	for _, w := range r.watched {
-		if w.prefix == changes.GetPrefix() {
+		switch {
+		case w.prefix != changes.GetPrefix():
+		case changes.GetList():
+			w.watcher.OfferList(decodePage(changes))
+		default:
 			w.watcher.Offer(changes.GetAfter(), decodePage(changes))
 		}
 	}
 }
 
-// handleFetch answers another entry's request for missing changes. It answers only
-// while this entry is in settled contact with the platform.
+// handleFetch answers another entry's request. Changes are passed on only while this
+// entry is in settled contact with the platform, first lists at any time: an entry that
+// starts while the platform is unavailable is to know what the others use.
 func (r *Replica) handleFetch(_ context.Context, from string, body []byte) ([]byte, error) {
 	var request FetchRequest
 	if err := proto.Unmarshal(body, &request); err != nil {
@@ -234,19 +248,40 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.contactDuration(time.Now()) < settleTime {
-		return nil, yuccaerror.New(yuccaerror.PlatformUnavailable, "entry %s is not in settled contact with the platform", r.fleet.self)
-	}
+	settled := r.contactDuration(time.Now()) >= settleTime
 	var reply FetchReply
 	for _, w := range r.watched {
 		after, asked := request.GetAfter()[w.prefix]
-		if page, ok := w.copy.since(after); ok && asked {
-			reply.Changes = append(reply.Changes, encodeChanges(w.prefix, after, page))
+		switch {
+		case !asked:
+		case after == 0:
+			if changes := w.list(); changes != nil {
+				reply.Changes = append(reply.Changes, changes)
+			}
+		case settled:
+			if page, ok := w.copy.since(after); ok {
+				reply.Changes = append(reply.Changes, encodeChanges(w.prefix, after, page))
+			}
 		}
 	}
+	if len(reply.Changes) == 0 && !settled {
+		return nil, yuccaerror.New(yuccaerror.PlatformUnavailable, "entry %s is not in settled contact with the platform", r.fleet.self)
+	}
 	return proto.Marshal(&reply)
 }
 
+// list returns all objects under the prefix, nil if there has been no list yet or the
+// objects are too long for one message.
+func (w *watched) list() *Changes {
+	page, ok := w.copy.all()
+	if !ok {
+		return nil
+	}
+	changes := encodeChanges(w.prefix, 0, page)
+	changes.List = true
+	return changes
+}
+
 func (r *Replica) run(ctx context.Context) {
 	var group errgroup.Group
 	// One fetch at a time.
@@ -303,12 +338,21 @@
 	for i, w := range r.watched {
 		known[i] = w.copy.seq
 		if w.copy.seq == 0 {
-			return ""
+			return r.firstListFrom(now)
 		}
 	}
 	return r.fleet.behind(now, known, delay)
 }
 
+// firstListFrom returns the entry to ask for the first lists, if the platform has not
+// answered for a while. The caller holds mu.
+func (r *Replica) firstListFrom(now time.Time) string {
+	if now.Sub(r.startedAt) < firstListDelay {
+		return ""
+	}
+	return r.fleet.firstUsable(now, slices.Sorted(maps.Keys(r.fleet.received)))
+}
+
 // fetch asks another entry for the changes that this one misses.
 func (r *Replica) fetch(ctx context.Context, from string) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
--- a/core/yuccawatch/watcher.go
+++ b/core/yuccawatch/watcher.go
@@ -106,6 +106,8 @@
 		SilentFor time.Duration
 		// Page holds all objects.
 		Page yuccastore.Page
+		// Offered is set if the list was passed to OfferList.
+		Offered bool
 	}
 	// Changed reports the objects that have changed since the previous Listed or
 	// Changed event.
@@ -256,6 +258,20 @@
 	return true
 }
 
+// OfferList reports a list that another entry has, as a Listed event, if there has been
+// no list yet. It returns whether it did. The watcher still lists all objects itself as
+// soon as the platform responds.
+func (f *Watcher) OfferList(page yuccastore.Page) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.seq != 0 || page.Seq == 0 {
+		return false
+	}
+	f.advance(page.Seq)
+	f.handleEvent(Listed{At: time.Now(), Page: page, Offered: true})
+	return true
+}
+
 // call makes one call to the platform and handles its error. While the platform
 // is unreachable, the breaker admits one watcher at a time.
 func (f *Watcher) call(ctx context.Context) {
@@ -332,7 +348,7 @@
 	silentFor := f.recordResponse(false)
 	f.advance(page.Seq)
 	f.lastListed, f.listSize = time.Now(), len(page.Objects)
-	f.handleEvent(Listed{time.Now(), silentFor, page})
+	f.handleEvent(Listed{At: time.Now(), SilentFor: silentFor, Page: page})
 	return nil
 }
 
