--- a/core/yuccadiscovery/serverset.go
+++ b/core/yuccadiscovery/serverset.go
@@ -223,7 +223,7 @@
 func (f *ServerSet) put(now time.Time, o yuccastore.Object) {
 	name := f.nameOf(o)
 	old, ok := f.servers[name]
-	if ok && old.seq >= o.Seq && old.keepUntil.IsZero() {
+	if ok && (old.seq > o.Seq || old.seq == o.Seq && old.keepUntil.IsZero()) {
 		return
 	}
 	r, usable := f.decode(name, o.Value)
--- a/core/yuccadiscovery/serverset_test.go
+++ b/core/yuccadiscovery/serverset_test.go
@@ -165,6 +165,13 @@
 			{changed(3, copied+1, "b=ready@2"), at(4.1), "a b c"},
 			{nil, at(4.3), "a b"},
 		}},
+		{"an older registration does not end a grace period", []step{
+			{listed(0, 5, "a=ready@1", "b=ready@1"), at(0), "a b"},
+			{yuccawatch.Recovered{At: at(9)}, at(9), "a b"},
+			{changed(9, 20, "a="), at(9), "a b"},
+			{changed(9.5, 4, "a=ready@0"), at(9.5), "a b"},
+			{nil, at(11.3), "b"},
+		}},
 		{"a draining server gets no grace period after an outage", []step{
 			{listed(0, 1, "a=ready", "b=leaving"), at(0), "a b!"},
 			{yuccawatch.Recovered{At: at(9)}, at(9), "a b!"},
--- a/core/yuccaliveness/state.go
+++ b/core/yuccaliveness/state.go
@@ -10,7 +10,7 @@
 //
 //	monitor := yuccaliveness.New(self, peers, picker, replica, log)
 //	monitor.UpdateList(entries) // whenever the platform's list changes
-//	nearby := yuccaliveness.InRegion(monitor.Alive(), region, domain)
+//	nearby := yuccaliveness.InRegion(monitor.Alive(), region)
 package yuccaliveness
 
 import (
@@ -31,6 +31,9 @@
 	// deregisterTimeout is how long an entry must be silent before another entry
 	// removes it from the platform's list.
 	deregisterTimeout = time.Minute
+	// forgetTimeout is how long an entry that is not listed must be silent before it is
+	// forgotten. Until then an earlier incarnation of it is recognized.
+	forgetTimeout = 5 * time.Minute
 	// demandTTL is how long the demand in an entry's last heartbeat is counted.
 	demandTTL = 10 * time.Second
 )
@@ -106,8 +109,16 @@
 		}
 		s.listed[e.Name] = listedEntry{e, firstListed}
 	}
+	for name, h := range s.heartbeats {
+		if _, ok := s.listed[name]; !ok && now.Sub(h.receivedAt) > forgetTimeout {
+			delete(s.heartbeats, name)
+		}
+	}
 }
 
+// Heard returns the number of entries whose heartbeats are remembered.
+func (s *State) Heard() int { return len(s.heartbeats) }
+
 // RecordHeartbeat records a heartbeat of the entry e with its mean number of
 // requests in flight by service. It ignores heartbeats of this entry itself and
 // of an earlier incarnation than the last recorded one.
--- a/core/yuccaliveness/state_test.go
+++ b/core/yuccaliveness/state_test.go
@@ -1,6 +1,7 @@
 package yuccaliveness_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -100,7 +101,7 @@
 	for _, test := range tests {
 		t.Run(test.region, func(t *testing.T) {
 			var names []string
-			for _, e := range yuccaliveness.InRegion(all, test.region, "") {
+			for _, e := range yuccaliveness.InRegion(all, test.region) {
 				names = append(names, e.Name)
 			}
 			qt.Assert(t, strings.Join(names, " "), qt.Equals, test.want)
@@ -155,3 +156,19 @@
 		})
 	}
 }
+
+// TestForgetsEntriesThatAreGone hears many entries once: they are forgotten when they have
+// been silent for long and the platform does not list them.
+func TestForgetsEntriesThatAreGone(t *testing.T) {
+	const gone = 1000
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	s := yuccaliveness.NewState(yuccaliveness.Entry{Name: "self"}, now)
+	for i := range gone {
+		s.RecordHeartbeat(now, yuccaliveness.Entry{Name: fmt.Sprint("gone", i)}, nil)
+	}
+	s.RecordHeartbeat(now, yuccaliveness.Entry{Name: "listed"}, nil)
+	c.Assert(s.Heard(), qt.Equals, gone+1)
+	s.UpdateList(now.Add(10*time.Minute), []yuccaliveness.Entry{{Name: "listed"}})
+	c.Assert(s.Heard(), qt.Equals, 1)
+}
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -35,14 +35,11 @@
 	relay   *Relay
 	ctx     *fasthttp.RequestCtx
 	arrived time.Time
-	// deadline is the earlier of callerDeadline and the end of the route's
+	// deadline is the earlier of the caller's deadline and the end of the route's
 	// timeout; the zero time means never.
 	deadline time.Time
-	// callerDeadline is when the caller stops waiting; the zero time means
-	// never.
-	callerDeadline time.Time
-	service        string
-	route          *yuccaroute.Route
+	service  string
+	route    *yuccaroute.Route
 	// affinityKey is a hash of the object that the request is about, zero if
 	// unknown.
 	affinityKey uint64
@@ -144,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	t.callerDeadline, t.deadline = limit, limit
+	t.deadline = limit
 	if t.route.Timeout > 0 {
 		end := t.arrived.Add(t.route.Timeout)
 		if t.deadline.IsZero() || end.Before(t.deadline) {
