--- a/core/yuccalease/elector.go
+++ b/core/yuccalease/elector.go
@@ -41,9 +41,11 @@
 	candidates Candidates
 	log        zerolog.Logger
 
-	// mu guards state.
+	// mu guards the fields below.
 	mu    sync.Mutex
 	state State
+	// failing is set from the first failed call until one succeeds.
+	failing bool
 }
 
 // New returns an Elector for the entry with the given name and incarnation.
@@ -130,6 +132,7 @@
 // read reads the lease object and reports whether there was a response.
 func (k *Elector) read(ctx context.Context) (ReadResult, bool) {
 	o, err := k.store.Get(ctx, Key)
+	k.recordCall(err)
 	if yuccaerror.Is(err, yuccaerror.NotFound) {
 		return ReadResult{Now: time.Now()}, true
 	}
@@ -148,13 +151,29 @@
 	if err != nil {
 		return Command{}
 	}
-	o, outcome, _ := yuccastore.PutConfirmed(ctx, k.store, Key, value, yuccastore.Cond{Tag: tag, Absent: tag == ""}, func(o yuccastore.Object) bool {
+	o, outcome, err := yuccastore.PutConfirmed(ctx, k.store, Key, value, yuccastore.Cond{Tag: tag, Absent: tag == ""}, func(o yuccastore.Object) bool {
 		found, ok := decode(o)
 		return ok && found == r
 	})
+	k.recordCall(err)
 	return k.step(WriteResult{Record: r, Tag: o.Tag, Applied: outcome == yuccastore.Written, Rejected: outcome == yuccastore.Conflict})
 }
 
+// recordCall logs the first of several failed calls and the end of the failures. A missing
+// object and a failed condition are answers.
+func (k *Elector) recordCall(err error) {
+	failed := err != nil && !yuccaerror.Is(err, yuccaerror.NotFound) && !yuccaerror.Is(err, yuccaerror.WriteConflict)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case failed && !k.failing:
+		k.log.Warn().Err(err).Msg("lease_call_failed")
+	case !failed && k.failing:
+		k.log.Info().Msg("lease_call_worked")
+	}
+	k.failing = failed
+}
+
 // decode returns the record in an object and whether it is valid.
 func decode(o yuccastore.Object) (Record, bool) {
 	var r Record
--- a/core/yuccasync/heartbeat.go
+++ b/core/yuccasync/heartbeat.go
@@ -98,9 +98,9 @@
 		summary = f.buildSummary(own, now)
 	}
 	f.mu.Unlock()
-	f.bus.PublishToDomain(topicHeartbeat, marshal(encodeHeartbeat(own)))
+	f.publish(f.bus.PublishToDomain, topicHeartbeat, encodeHeartbeat(own))
 	if summary != nil {
-		f.bus.PublishToGateways(topicSummary, marshal(summary))
+		f.publish(f.bus.PublishToGateways, topicSummary, summary)
 	}
 }
 
@@ -195,11 +195,12 @@
 	}
 }
 
-// marshal returns nil if the message cannot be encoded.
-func marshal(m proto.Message) []byte {
+// publish sends a message. One that cannot be encoded is logged and not sent.
+func (f *Syncer) publish(send func(topic string, body []byte), topic string, m proto.Message) {
 	body, err := proto.Marshal(m)
 	if err != nil {
-		return nil
+		f.log.Error().Err(err).Str("topic", topic).Msg("heartbeat_not_encoded")
+		return
 	}
-	return body
+	send(topic, body)
 }
--- a/core/yuccasync/planner.go
+++ b/core/yuccasync/planner.go
@@ -125,7 +125,10 @@
 	}
 	if err == nil {
 		if err := json.Unmarshal(o.Value, &p.last); err != nil {
-			return yuccaerror.Wrap(yuccaerror.Protocol, err)
+			// Planning begins anew: the epoch of the lease is higher than that of any
+			// plan that entries may have taken from it.
+			p.log.Warn().Err(err).Msg("plan_unreadable")
+			p.last = yuccaplan.Plan{}
 		}
 		p.tag = o.Tag
 	}
--- a/core/yuccasync/planner_test.go
+++ b/core/yuccasync/planner_test.go
@@ -362,3 +362,20 @@
 		c.Assert(w.violations, qt.HasLen, 0)
 	})
 }
+
+// TestUnreadablePlanIsReplaced has the platform hold a plan that cannot be decoded: the
+// holder of the lease plans anew in its place.
+func TestUnreadablePlanIsReplaced(t *testing.T) {
+	inVirtualTime(t, func(c *qt.C) {
+		w := newPlanSimulation("a")
+		defer w.stop()
+		w.platform.OnWrite(func(yuccastore.Object) {})
+		_, err := w.platform.Put(context.Background(), yuccasync.PlanKey, []byte("{"), yuccastore.Cond{})
+		c.Assert(err, qt.IsNil)
+		w.platform.OnWrite(w.checkWrite)
+		w.applyConcurrently(0)
+		w.run(20 * time.Second)
+		c.Assert(w.lastPlan.RulesVersion, qt.Equals, w.rules[len(w.rules)-1].Version)
+		c.Assert(w.violations, qt.HasLen, 0)
+	})
+}
