The address from which servers are connected to is an option, unset by default

Binding each connection takes a local port for as long as it lingers, whichever server it went to, which an entry with many new connections would run out of.

--- a/core/yuccatunnel/dialer.go
+++ b/core/yuccatunnel/dialer.go
@@ -48,7 +48,8 @@
 type DialerSettings struct {
 	// Self is the name of this entry.
 	Self string
-	// Source is the address from which servers are connected to.
+	// Source is the address from which servers are connected to; nil means that the
+	// system chooses.
 	Source net.IP
 	// Timeout bounds the wait for a direct connection.
 	Timeout time.Duration
@@ -81,7 +82,7 @@
 
 // NewDialer returns a dialer that asks peers for the entries that may carry tunnels.
 func NewDialer(settings DialerSettings, peers func() []Peer, onChange func(cutOff bool), log zerolog.Logger) *Dialer {
-	direct := net.Dialer{Timeout: settings.Timeout, LocalAddr: &net.TCPAddr{IP: settings.Source}}
+	direct := newServerDialer(settings.Source, settings.Timeout)
 	d := &Dialer{
 		settings: settings,
 		direct:   func(ctx context.Context, addr string) (net.Conn, error) { return direct.DialContext(ctx, "tcp", addr) },
@@ -93,6 +94,15 @@
 	return d
 }
 
+// newServerDialer returns a dialer for connections to servers.
+func newServerDialer(source net.IP, timeout time.Duration) net.Dialer {
+	d := net.Dialer{Timeout: timeout}
+	if source != nil {
+		d.LocalAddr = &net.TCPAddr{IP: source}
+	}
+	return d
+}
+
 // CutOff reports whether the entry is cut off from all servers.
 func (d *Dialer) CutOff() bool {
 	d.mu.Lock()
--- a/core/yuccatunnel/listener.go
+++ b/core/yuccatunnel/listener.go
@@ -60,12 +60,13 @@
 	closed bool
 }
 
-// NewListener returns a listener that connects to servers from the address source.
+// NewListener returns a listener that connects to servers from the address source; nil
+// means that the system chooses.
 func NewListener(settings ListenerSettings, source net.IP, serverAddr func(server string) string, log zerolog.Logger) *Listener {
 	l := &Listener{
 		settings:   settings,
 		serverAddr: serverAddr,
-		dialer:     net.Dialer{Timeout: settings.DialTimeout, LocalAddr: &net.TCPAddr{IP: source}},
+		dialer:     newServerDialer(source, settings.DialTimeout),
 		log:        log,
 		done:       make(chan struct{}),
 		conns:      map[*net.TCPConn]struct{}{},
