--- a/core/yuccabalancer/hold_off.go
+++ b/core/yuccabalancer/hold_off.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// maxHoldOff bounds how long a server gets no requests at its own request. A longer
-	// time is more likely an error than a wish, and the first request after it is alone.
+	// maxHoldOff bounds how long a server gets no requests when it asks for that. A longer
+	// time is probably an error, and the first request after it goes alone.
 	maxHoldOff = 5 * time.Minute
 	// holdOffSpread is the fraction of a hold-off by which its end differs at most
 	// between entries, so that they do not all return at the same moment.
--- a/core/yuccaliveness/state_test.go
+++ b/core/yuccaliveness/state_test.go
@@ -157,8 +157,8 @@
 	}
 }
 
-// TestForgetsEntriesThatAreGone hears many entries once: they are forgotten when they have
-// been silent for long and the platform does not list them.
+// TestForgetsEntriesThatAreGone records one heartbeat of each of many entries: they are
+// forgotten when they have been silent for long and the platform does not list them.
 func TestForgetsEntriesThatAreGone(t *testing.T) {
 	const gone = 1000
 	c := qt.New(t)
