A server that has said that it leaves is leaving for the rest of its run

Responses may arrive in another order than they were sent: one from before the server began to leave took the notice back at all entries until the next answer. TestLeavingStays failed first.

--- a/core/yuccanotice/board.go
+++ b/core/yuccanotice/board.go
@@ -27,8 +27,8 @@
 	liftedTTL = 10 * time.Second
 )
 
-// entry is a notice with its origin.
-type entry struct {
+// record is a notice with its origin.
+type record struct {
 	yuccabalancer.Notice
 	// own is set if this entry itself got the response.
 	own bool
@@ -37,11 +37,11 @@
 // Board holds the newest notice of each server that has said something. It is not safe
 // for concurrent use. Make one with NewBoard.
 type Board struct {
-	notices map[string]entry
+	notices map[string]record
 }
 
 // NewBoard returns a board without notices.
-func NewBoard() *Board { return &Board{notices: map[string]entry{}} }
+func NewBoard() *Board { return &Board{notices: map[string]record{}} }
 
 // Len returns the number of servers with a notice.
 func (b *Board) Len() int { return len(b.notices) }
@@ -51,31 +51,43 @@
 // the report is unknown, the notice says what the one before said.
 func (b *Board) Observe(now time.Time, server string, run int64, r yuccaadmission.Report) (n yuccabalancer.Notice, changed bool) {
 	n = yuccabalancer.Notice{At: now, Run: run, Limited: r.Limited, Limit: r.RateLimit, Leaving: r.Leaving}
-	if old := b.notices[server]; r.Invalid != "" {
+	old := b.notices[server]
+	if r.Invalid != "" {
 		n.Limited, n.Limit = old.Limited, old.Limit
 	}
-	return n, b.put(server, entry{n, true})
+	n = keepLeaving(old, n)
+	return n, b.put(server, record{n, true})
+}
+
+// keepLeaving returns the notice n after an older one. A server that has said that it is
+// about to exit is leaving for the rest of its run: responses may arrive in another order
+// than they were sent.
+func keepLeaving(old record, n yuccabalancer.Notice) yuccabalancer.Notice {
+	n.Leaving = n.Leaving || old.Leaving && old.Run == n.Run
+	return n
 }
 
 // Merge records a notice that another entry has sent. It returns whether the notice
 // is newer than the one on the board, by the run of the server and then by time, and
-// whether it says something else.
-func (b *Board) Merge(server string, n yuccabalancer.Notice) (newer, changed bool) {
-	if old, ok := b.notices[server]; ok && (n.Run < old.Run || n.Run == old.Run && !n.At.After(old.At)) {
-		return false, false
+// whether it says something else. It returns the notice as it stands on the board then.
+func (b *Board) Merge(server string, n yuccabalancer.Notice) (merged yuccabalancer.Notice, newer, changed bool) {
+	old, ok := b.notices[server]
+	if ok && (n.Run < old.Run || n.Run == old.Run && !n.At.After(old.At)) {
+		return old.Notice, false, false
 	}
-	return true, b.put(server, entry{n, false})
+	n = keepLeaving(old, n)
+	return n, true, b.put(server, record{n, false})
 }
 
 // put records a notice and reports whether it says something else than the one before.
 // A full board takes no further servers.
-func (b *Board) put(server string, e entry) bool {
+func (b *Board) put(server string, r record) bool {
 	old, ok := b.notices[server]
-	if !ok && (e.Empty() || len(b.notices) >= maxServers) {
+	if !ok && (r.Empty() || len(b.notices) >= maxServers) {
 		return false
 	}
-	b.notices[server] = e
-	return !ok || !old.SameContent(e.Notice)
+	b.notices[server] = r
+	return !ok || !old.SameContent(r.Notice)
 }
 
 // Own returns the notices whose newest response this entry itself got, by server.
@@ -83,9 +95,9 @@
 // does not grow with the number of entries.
 func (b *Board) Own() map[string]yuccabalancer.Notice {
 	own := map[string]yuccabalancer.Notice{}
-	for server, e := range b.notices {
-		if e.own {
-			own[server] = e.Notice
+	for server, r := range b.notices {
+		if r.own {
+			own[server] = r.Notice
 		}
 	}
 	return own
@@ -96,13 +108,13 @@
 // say.
 func (b *Board) Prune(now time.Time, known func(server string) bool) []string {
 	var gone []string
-	for server, e := range b.notices {
-		age := now.Sub(e.At)
-		if age < liftedTTL || !e.Empty() && known(server) {
+	for server, r := range b.notices {
+		age := now.Sub(r.At)
+		if age < liftedTTL || !r.Empty() && known(server) {
 			continue
 		}
 		delete(b.notices, server)
-		if !e.Empty() {
+		if !r.Empty() {
 			gone = append(gone, server)
 		}
 	}
--- a/core/yuccanotice/board_test.go
+++ b/core/yuccanotice/board_test.go
@@ -45,7 +45,7 @@
 				b.Observe(start, "i-1", 1, *test.own)
 			}
 			test.other.At = start.Add(test.at)
-			newer, changed := b.Merge("i-1", test.other)
+			_, newer, changed := b.Merge("i-1", test.other)
 			c.Assert(newer, qt.Equals, test.newer)
 			c.Assert(changed, qt.Equals, test.changed)
 		})
@@ -96,3 +96,19 @@
 	c.Assert(n.Limited, qt.IsTrue)
 	c.Assert(n.Limit, qt.Equals, limited.RateLimit)
 }
+
+// TestLeavingStays has a server say that it is about to exit, and then a response arrive
+// that it sent before. Only a later run of the server takes it back.
+func TestLeavingStays(t *testing.T) {
+	c := qt.New(t)
+	b := yuccanotice.NewBoard()
+	b.Observe(start, "i-1", 1, yuccaadmission.Report{Leaving: true})
+	n, changed := b.Observe(start.Add(time.Millisecond), "i-1", 1, yuccaadmission.Report{})
+	c.Assert(changed, qt.IsFalse)
+	c.Assert(n.Leaving, qt.IsTrue)
+	_, _, changed = b.Merge("i-1", yuccabalancer.Notice{At: start.Add(time.Second), Run: 1})
+	c.Assert(changed, qt.IsFalse)
+	n, changed = b.Observe(start.Add(2*time.Second), "i-1", 2, yuccaadmission.Report{})
+	c.Assert(changed, qt.IsTrue)
+	c.Assert(n.Leaving, qt.IsFalse)
+}
--- a/core/yuccanotice/exchange.go
+++ b/core/yuccanotice/exchange.go
@@ -237,7 +237,7 @@
 			Limit:   v.GetLimit(),
 			Leaving: v.GetLeaving(),
 		}
-		newer, changed := x.board.Merge(v.GetServer(), n)
+		n, newer, changed := x.board.Merge(v.GetServer(), n)
 		if newer {
 			x.balancer.SetNotice(v.GetServer(), n)
 		}
--- a/core/yuccatunnel/listener.go
+++ b/core/yuccatunnel/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -125,7 +126,7 @@
 	for {
 		c, err := l.socket.Accept()
 		if err != nil {
-			if l.isStopping(err) || !yuccasleep.For(ctx, acceptRetryDelay) {
+			if errors.Is(err, net.ErrClosed) || !yuccasleep.For(ctx, acceptRetryDelay) {
 				return nil
 			}
 			continue
@@ -137,12 +138,6 @@
 	}
 }
 
-// isStopping reports whether the socket was closed.
-func (l *Listener) isStopping(err error) bool {
-	e, ok := err.(*net.OpError)
-	return ok && e.Err == net.ErrClosed
-}
-
 // track adds a connection to those that Stop closes, and returns false after that.
 func (l *Listener) track(c *net.TCPConn) bool {
 	l.mu.Lock()
