--- a/core/yuccabalancer/exclusion.go
+++ b/core/yuccabalancer/exclusion.go
@@ -20,7 +20,7 @@
 	isDraining exclusion = "draining"
 	// isLeaving means that the server has said that it is about to exit.
 	isLeaving exclusion = "leaving"
-	// isHeldOff means that the server has asked this entry for a pause.
+	// isHeldOff means that the server has asked this entry to hold off.
 	isHeldOff exclusion = "heldoff"
 	// isEvacuated means that the server's failure domain gets no new requests.
 	isEvacuated exclusion = "evacuated"
--- a/core/yuccabalancer/hold_off.go
+++ b/core/yuccabalancer/hold_off.go
@@ -17,20 +17,20 @@
 	maxHoldOffSpread = time.Second
 )
 
-// holdOff keeps requests from a server that has asked this entry for a pause. It
+// holdOff keeps requests from a server that has asked this entry to hold off. It
 // answers the load in which a full server rejects requests that then keep coming. After
-// the pause one request goes alone, until it shows that the server takes requests
+// that time one request goes alone, until it shows that the server takes requests
 // again.
 type holdOff struct {
-	// until is the end of the pause, zero if there was none.
+	// until is when the server may get a request again, zero if it has not asked.
 	until time.Time
-	// probing is set from the start of a pause until the server has taken a request.
+	// probing is set until the server has then taken a request.
 	probing bool
 }
 
-// withPause returns the hold-off with a pause of the time d from now. The end is later
-// by a part that depends on the key.
-func (h holdOff) withPause(now time.Time, d time.Duration, key string) holdOff {
+// withRequest returns the hold-off after the server has asked for the time d from now.
+// The end is later by a part that depends on the key.
+func (h holdOff) withRequest(now time.Time, d time.Duration, key string) holdOff {
 	if d <= 0 {
 		return h
 	}
@@ -58,12 +58,12 @@
 	return !now.Before(h.until) && (!h.probing || inFlight == 0)
 }
 
-// wait returns the time until the end of the pause.
+// wait returns the time until the server may get a request again.
 func (h holdOff) wait(now time.Time) time.Duration { return max(0, h.until.Sub(now)) }
 
 // HoldOff keeps requests from a server for the time d, as the server has asked for.
 func (c *Core) HoldOff(now time.Time, server string, d time.Duration) {
 	for _, s := range c.byName[server] {
-		s.holdOff = s.holdOff.withPause(now, d, c.location.Entry+" "+server)
+		s.holdOff = s.holdOff.withRequest(now, d, c.location.Entry+" "+server)
 	}
 }
--- a/core/yuccabalancer/notice_test.go
+++ b/core/yuccabalancer/notice_test.go
@@ -39,11 +39,11 @@
 	c.Assert(core.Choose(request(0, firstObject)).Kind, qt.Equals, yuccaerror.NoServer)
 }
 
-// TestPauseOfServer has a server ask for pauses of several lengths: it gets nothing
+// TestHoldOff has a server ask for hold-offs of several lengths: it gets nothing
 // meanwhile, callers are told to come back at the end, then one request goes alone.
-func TestPauseOfServer(t *testing.T) {
+func TestHoldOff(t *testing.T) {
 	tests := []struct {
-		pause time.Duration
+		holdOff time.Duration
 		// earliest and latest bound the time at which it gets a request again.
 		earliest, latest time.Duration
 	}{
@@ -53,15 +53,15 @@
 		{100 * time.Hour, 4 * time.Minute, 6 * time.Minute},
 	}
 	for _, test := range tests {
-		t.Run(test.pause.String(), func(t *testing.T) {
+		t.Run(test.holdOff.String(), func(t *testing.T) {
 			c := qt.New(t)
 			core := newCore(topology(1, 4, "a"))
 			choice := core.Choose(request(0, firstObject))
-			core.Done(choice, yuccaadmission.Result{Now: start, Declined: true, HoldOff: test.pause})
+			core.Done(choice, yuccaadmission.Result{Now: start, Declined: true, HoldOff: test.holdOff})
 			rejected := core.Choose(request(time.Millisecond, firstObject))
 			c.Assert(rejected.Excluded.String(), qt.Equals, " (heldoff:1)")
-			if test.pause < time.Second {
-				c.Assert(rejected.RetryAfter >= test.pause-time.Millisecond && rejected.RetryAfter < test.latest, qt.IsTrue, qt.Commentf("%v", rejected.RetryAfter))
+			if test.holdOff < time.Second {
+				c.Assert(rejected.RetryAfter >= test.holdOff-time.Millisecond && rejected.RetryAfter < test.latest, qt.IsTrue, qt.Commentf("%v", rejected.RetryAfter))
 			}
 			c.Assert(core.Choose(request(test.earliest-time.Millisecond, firstObject)).Kind, qt.Equals, yuccaerror.NoServer)
 			first := core.Choose(request(test.latest, firstObject))
@@ -75,19 +75,19 @@
 	}
 }
 
-// TestPausesEndAtDifferentTimes has one server ask 50 entries at the same moment.
-func TestPausesEndAtDifferentTimes(t *testing.T) {
+// TestHoldOffsEndAtDifferentTimes has one server ask 50 entries at the same moment.
+func TestHoldOffsEndAtDifferentTimes(t *testing.T) {
 	const (
 		entries = 50
-		pause   = 2 * time.Second
+		holdOff = 2 * time.Second
 		step    = 20 * time.Millisecond
 	)
 	ended := map[time.Duration]int{}
 	for i := range entries {
 		core := yuccabalancer.NewCore(yuccabalancer.Location{Entry: fmt.Sprint("e", i), Region: "a", Domain: "a1"})
 		core.Update(topology(1, 4, "a"))
-		core.HoldOff(start, "a0", pause)
-		for at := pause; ; at += step {
+		core.HoldOff(start, "a0", holdOff)
+		for at := holdOff; ; at += step {
 			if core.Choose(request(at, firstObject)).Kind == yuccaerror.None {
 				ended[at]++
 				break
--- a/core/yuccanotice/exchange.go
+++ b/core/yuccanotice/exchange.go
@@ -25,7 +25,7 @@
 	// refreshInterval is the time between two messages about the same notice, for
 	// entries that have joined or missed a message.
 	refreshInterval = time.Second
-	// maxHoldOffSent bounds the pause in a message.
+	// maxHoldOffSent bounds the hold-off in a message.
 	maxHoldOffSent = time.Hour
 	// maxNoticesPerMessage bounds the length of a message.
 	maxNoticesPerMessage = 1024
@@ -98,8 +98,8 @@
 func (x *Exchange) Len() int { return int(x.boardLen.Load()) }
 
 // ReceiveReport implements yuccarelay.ReportReceiver. What cannot be read of a report
-// changes nothing. The balancer of this entry learns of a pause that a server asks for
-// with the result of the attempt. An entry that carried the attempt through a tunnel
+// changes nothing. The balancer of this entry learns of a hold-off that a server asks
+// for with the result of the attempt. An entry that carried the attempt through a tunnel
 // learns of it here, since the server has asked that entry.
 func (x *Exchange) ReceiveReport(server, via string, r yuccaadmission.Report) {
 	if r.Invalid != "" {
@@ -249,7 +249,7 @@
 	return nil, nil
 }
 
-// holdOff applies the pauses that servers have asked for when this entry carried a
+// holdOff applies the hold-offs that servers have asked for when this entry carried a
 // request of another one.
 func (x *Exchange) holdOff(m *Notices) {
 	if m.GetCarrier() != x.self {
