--- a/core/yuccaburn/history.go
+++ b/core/yuccaburn/history.go
@@ -30,7 +30,7 @@
 		total = total.Plus(c)
 	}
 	budget := float64(total.Total) * (1 - g.Share.Float())
-	end := now.Truncate(t.step).Add(t.step)
+	end := t.endOfStep(now)
 	points := make([]Point, steps)
 	bad := uint64(0)
 	for i, c := range counts {
--- a/core/yuccaburn/series.go
+++ b/core/yuccaburn/series.go
@@ -33,6 +33,12 @@
 	return uint32(at.Unix() / int64(t.step/time.Second))
 }
 
+// endOfStep returns the end of the step that contains a time. Time.Truncate would count
+// steps from the year 1, which differ from those of index if they are longer than a day.
+func (t tier) endOfStep(at time.Time) time.Time {
+	return time.Unix(0, 0).Add(t.step * time.Duration(t.index(at)+1)).In(at.Location())
+}
+
 // bucket holds the counts of one step. Its counters saturate instead of
 // overflowing.
 type bucket struct {
