Connections without a request no longer hold up a stop

Traced: the HTTP server closes idle connections when it stops, but waits for those that have carried no request yet, which clients open ahead; each planned stop with such a connection took the whole time and looked failed. They are closed 200 ms after the socket now.

TestStopClosesUnusedConnections failed before after 5 s.

--- a/core/yuccafront/listener.go
+++ b/core/yuccafront/listener.go
@@ -17,6 +17,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,6 +55,9 @@
 	maxBodyBytes = 1 << 50
 	// idleTimeout is how long a connection may stay idle between two requests.
 	idleTimeout = 2 * time.Minute
+	// newConnGrace is how long a connection that was accepted last has for its first
+	// request when the listener stops.
+	newConnGrace = 200 * time.Millisecond
 )
 
 // Listener is the service that accepts clients' connections. Create one with New or
@@ -66,6 +70,11 @@
 	socket   net.Listener
 	leaving  atomic.Bool
 	done     chan struct{}
+
+	// mu guards newConns.
+	mu sync.Mutex
+	// newConns holds the connections on which nothing has been received yet.
+	newConns map[net.Conn]struct{}
 }
 
 // New returns a listener that answers lookups from source and passes all other
@@ -78,7 +87,7 @@
 // NewWithHandler returns a listener that passes all requests to handler. It calls
 // handleReadError for a request that cannot be read or parsed.
 func NewWithHandler(settings Settings, handler fasthttp.RequestHandler, handleReadError func(*fasthttp.RequestCtx, error), log zerolog.Logger) *Listener {
-	f := &Listener{settings: settings, handler: handler, log: log, done: make(chan struct{})}
+	f := &Listener{settings: settings, handler: handler, log: log, done: make(chan struct{}), newConns: map[net.Conn]struct{}{}}
 	f.server = &fasthttp.Server{
 		Handler:                       f.serve,
 		Name:                          "yuccawell",
@@ -93,6 +102,7 @@
 		IdleTimeout:                   idleTimeout,
 		CloseOnShutdown:               true,
 		ErrorHandler:                  handleReadError,
+		ConnState:                     f.trackConn,
 		Logger:                        discardLogger{},
 	}
 	return f
@@ -119,6 +129,9 @@
 	f.leaving.Store(true)
 	yuccasleep.For(ctx, f.settings.DrainDelay)
 	_ = f.socket.Close()
+	// The server closes idle connections itself, but waits for those without a request.
+	unused := time.AfterFunc(newConnGrace, f.closeNewConns)
+	defer unused.Stop()
 	if f.settings.DrainTimeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, f.settings.DrainTimeout)
@@ -130,6 +143,26 @@
 	return nil
 }
 
+// trackConn keeps newConns up to date.
+func (f *Listener) trackConn(c net.Conn, state fasthttp.ConnState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if state == fasthttp.StateNew {
+		f.newConns[c] = struct{}{}
+		return
+	}
+	delete(f.newConns, c)
+}
+
+// closeNewConns closes the connections on which nothing has been received yet.
+func (f *Listener) closeNewConns() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.newConns {
+		_ = c.Close()
+	}
+}
+
 // Done implements yuccakernel.Service.
 func (f *Listener) Done() <-chan struct{} { return f.done }
 
--- a/core/yuccafront/listener_test.go
+++ b/core/yuccafront/listener_test.go
@@ -100,3 +100,22 @@
 	}
 	c.Assert(group.Wait(), qt.IsNil)
 }
+
+// TestStopClosesUnusedConnections has a client open a connection and send nothing, as
+// clients do that dial ahead. The listener stops nevertheless, long before its timeout.
+func TestStopClosesUnusedConnections(t *testing.T) {
+	const timeout = 5 * time.Second
+	c := qt.New(t)
+	addr, stop := startListener(t, testSnapshot(t), 0)
+	unused, err := net.Dial("tcp", addr)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = unused.Close() }()
+	used, err := net.Dial("tcp", addr)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = used.Close() }()
+	_, err = roundTrip(used, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	begin := time.Now()
+	stop()
+	c.Assert(time.Since(begin) < timeout, qt.IsTrue, qt.Commentf("%v", time.Since(begin)))
+}
