A store that refuses watches from its own lists is not called in a loop

A watch that fails with 410 right after a list is followed by a pause now, as stale answers are. TestExpiredHistoryCostsFewCalls failed before with 2,500 calls in 10 s.

--- a/core/yuccawatch/watcher.go
+++ b/core/yuccawatch/watcher.go
@@ -289,9 +289,13 @@
 		f.settings.Breaker.reset()
 		return
 	}
-	f.forgetList()
+	afterList := f.forgetList()
 	if yuccaerror.Is(err, yuccaerror.HistoryExpired) {
 		f.log.Info().Uint64("seq", f.Seq()).Msg("history_forgotten")
+		if afterList {
+			// The platform refuses a watch from its own list, so another one may fail too.
+			yuccasleep.For(ctx, jitteredRetryDelay())
+		}
 		return
 	}
 	f.recordFailure(err)
@@ -299,11 +303,14 @@
 	yuccasleep.For(ctx, jitteredRetryDelay())
 }
 
-// forgetList makes the next call list all objects.
-func (f *Watcher) forgetList() {
+// forgetList makes the next call list all objects. It reports whether they were listed a
+// moment ago.
+func (f *Watcher) forgetList() (afterList bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	afterList = time.Since(f.lastListed) < retryDelay
 	f.lastListed = time.Time{}
+	return afterList
 }
 
 // step lists all objects if that is due, and watches for a change otherwise.
--- a/core/yuccawatch/watcher_test.go
+++ b/core/yuccawatch/watcher_test.go
@@ -409,3 +409,22 @@
 		c.Assert(group.Wait(), qt.IsNil)
 	})
 }
+
+// TestExpiredHistoryCostsFewCalls has the platform refuse a watch from any sequence
+// number, also from that of the list just before.
+func TestExpiredHistoryCostsFewCalls(t *testing.T) {
+	// maxCallRate is in calls per second: a list and a watch for each pause.
+	const maxCallRate = 10
+	const length = 10 * time.Second
+	runWatchers(t, 1, func(c *qt.C, p *platform, w *recorder) {
+		p.put("a")
+		time.Sleep(500 * time.Millisecond)
+		p.update(func() { p.oldestSeq = p.seq + 1000 })
+		before := p.callCount()
+		time.Sleep(length)
+		c.Assert(p.callCount()-before <= maxCallRate*int(length/time.Second), qt.IsTrue, qt.Commentf("%d calls", p.callCount()-before))
+		p.put("b")
+		time.Sleep(time.Second)
+		c.Assert(w.knows("b"), qt.IsTrue)
+	})
+}
