Requests that wait for silent servers get an answer before a stopping entry exits

They were cut, and the stop counted as failed. Their deadline is now the end of the drain at the latest, so that they are answered with 504 and the entry ends without an error.

--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -206,6 +207,8 @@
 	downloadTimes *yuccaretry.Tracker
 	// failures is the sampled logger of failed requests.
 	failures zerolog.Logger
+	// stopAt is when the relay stops to wait for servers, nil if it does not stop.
+	stopAt atomic.Pointer[time.Time]
 }
 
 // New returns a relay with the given options.
@@ -248,6 +251,10 @@
 	t.run()
 }
 
+// StopAt bounds the deadlines of all further requests, so that those for which a server
+// does not answer in time get a response before the entry exits.
+func (r *Relay) StopAt(at time.Time) { r.stopAt.Store(&at) }
+
 // SetRetryLimits replaces the limits of retries, hedged requests and resumed
 // downloads.
 func (r *Relay) SetRetryLimits(l yuccaretry.Limits) { r.retries.SetLimits(l) }
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -35,8 +35,8 @@
 	relay   *Relay
 	ctx     *fasthttp.RequestCtx
 	arrived time.Time
-	// deadline is the earlier of the caller's deadline and the end of the route's
-	// timeout; the zero time means never.
+	// deadline is the earliest of the caller's deadline, the end of the route's timeout
+	// and the end of the entry; the zero time means never.
 	deadline time.Time
 	service  string
 	route    *yuccaroute.Route
@@ -135,7 +135,8 @@
 	return nil
 }
 
-// setDeadline sets the deadline to the earlier of the caller's and the route's.
+// setDeadline sets the deadline to the earliest of the caller's, the route's and the end
+// of the entry.
 func (t *task) setDeadline() error {
 	limit, err := t.relay.opt.Protocol.Deadline(t.arrived, &t.ctx.Request.Header)
 	if err != nil {
@@ -143,14 +144,21 @@
 	}
 	t.deadline = limit
 	if t.route.Timeout > 0 {
-		end := t.arrived.Add(t.route.Timeout)
-		if t.deadline.IsZero() || end.Before(t.deadline) {
-			t.deadline = end
-		}
+		t.limitDeadline(t.arrived.Add(t.route.Timeout))
+	}
+	if at := t.relay.stopAt.Load(); at != nil {
+		t.limitDeadline(*at)
 	}
 	return nil
 }
 
+// limitDeadline moves the deadline to a time if that is earlier.
+func (t *task) limitDeadline(at time.Time) {
+	if t.deadline.IsZero() || at.Before(t.deadline) {
+		t.deadline = at
+	}
+}
+
 // run executes the commands of the request's lifecycle until it ends.
 func (t *task) run() {
 	t.state = yuccalifecycle.New(t.idempotent).WithMaxAttempts(t.route.MaxAttempts)
