An entry that is not listed yet gets what the others publish

The mesh now holds the entries with an open session too. Ruled out: load (the failing entry handled its own requests all the time, age=1759 ms in its line from=e3).

--- a/core/yuccapeer/connect.go
+++ b/core/yuccapeer/connect.go
@@ -8,6 +8,7 @@
 
 	"yuccawell.example/core/yuccaerror"
 	"yuccawell.example/core/yuccasleep"
+	"yuccawell.example/core/yuccastore"
 )
 
 const (
@@ -91,6 +92,9 @@
 	for _, e := range p.entries {
 		known[e.Name] = true
 	}
+	for name := range p.sessions {
+		known[name] = true
+	}
 	p.duplicates.retain(known)
 	p.rebuildMesh()
 }
@@ -98,13 +102,33 @@
 // rebuildMesh chooses the peers to keep sessions with and triggers dials. The
 // caller holds mu.
 func (p *Peers) rebuildMesh() {
-	p.mesh = newMesh(p.settings.Name, p.settings.Domain, p.entries, p.mayBeAlive)
+	p.mesh = newMesh(p.settings.Name, p.settings.Domain, p.members(), p.mayBeAlive)
 	select {
 	case p.meshChanged <- struct{}{}:
 	default:
 	}
 }
 
+// members returns the entries that take part in the bus: the known ones that have a peer
+// address, and those that have opened a session before the list named them. The latter
+// come without an address. The caller holds mu.
+func (p *Peers) members() []yuccastore.Instance {
+	var all []yuccastore.Instance
+	known := map[string]bool{}
+	for _, e := range p.entries {
+		known[e.Name] = true
+		if e.Peer != "" {
+			all = append(all, e)
+		}
+	}
+	for name, s := range p.sessions {
+		if !known[name] {
+			all = append(all, yuccastore.Instance{Name: name, Kind: yuccastore.KindEntry, Domain: s.peer.Domain})
+		}
+	}
+	return all
+}
+
 // mayBeAlive reports whether a peer is connected or has not failed often enough
 // to count as lost. The caller holds mu.
 func (p *Peers) mayBeAlive(name string) bool {
@@ -121,7 +145,9 @@
 	wanted := map[string]string{}
 	for _, group := range []map[string]string{p.mesh.domainPeers, p.mesh.gatewayPeers} {
 		for name, addr := range group {
-			wanted[name] = addr
+			if addr != "" {
+				wanted[name] = addr
+			}
 		}
 	}
 	if len(p.sessions) == 0 {
@@ -297,6 +323,9 @@
 		old.close()
 	}
 	p.sessions[s.peer.Name] = s
+	if p.addr(s.peer.Name) == "" {
+		p.rebuildMesh()
+	}
 	return true
 }
 
--- a/core/yuccapeer/mesh.go
+++ b/core/yuccapeer/mesh.go
@@ -41,10 +41,10 @@
 	// domain is the failure domain of the entry.
 	domain string
 	// domainPeers maps the other members of the entry's failure domain to their
-	// addresses.
+	// addresses, "" where only a session is known.
 	domainPeers map[string]string
 	// gatewayPeers maps the gateways of the other failure domains to their
-	// addresses; empty when the entry is not a gateway.
+	// addresses as in domainPeers; empty when the entry is not a gateway.
 	gatewayPeers map[string]string
 	// gateway is true when the entry is a gateway of its failure domain.
 	gateway bool
@@ -58,7 +58,7 @@
 	domains := map[string][]string{domain: {self}}
 	addrs := map[string]string{}
 	for _, e := range entries {
-		if e.Name == self || e.Peer == "" {
+		if e.Name == self {
 			continue
 		}
 		addrs[e.Name] = e.Peer
--- a/core/yuccapeer/peers_test.go
+++ b/core/yuccapeer/peers_test.go
@@ -176,6 +176,53 @@
 // TestInvalidInputEndsOnlyItsConnection sends bytes that violate the protocol.
 // Their connections are closed and logged; the session between the entries goes
 // on.
+// TestEntryThatIsNotListedYetGetsMessages has an entry join whose name is not in the
+// lists of the others yet: it gets what they publish as soon as it is connected.
+func TestEntryThatIsNotListedYetGetsMessages(t *testing.T) {
+	tests := []struct {
+		name  string
+		old   []string
+		joins string
+	}{
+		{"another domain", []string{"b1", "b2", "b3"}, "a1"},
+		{"the same domain", []string{"b2", "b3", "b4"}, "b1"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newCluster(append(test.old, test.joins)...)
+			got := make(chan string, 1000)
+			f.peers[test.joins].Handle("update", func(_ context.Context, from string, _ []byte) ([]byte, error) {
+				got <- from
+				return nil, nil
+			})
+			f.start(t)
+			var listed []yuccastore.Instance
+			for _, e := range f.list {
+				if e.Name != test.joins {
+					listed = append(listed, e)
+				}
+			}
+			for _, name := range test.old {
+				f.peers[name].Update(listed)
+			}
+			f.peers[test.joins].Update(f.list)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			for _, name := range test.old {
+				for heard := false; !heard; {
+					f.peers[name].Publish("update", nil)
+					select {
+					case from := <-got:
+						heard = from == name
+					case <-time.After(10 * time.Millisecond):
+						qt.Assert(t, ctx.Err(), qt.IsNil, qt.Commentf("messages of %s do not arrive", name))
+					}
+				}
+			}
+		})
+	}
+}
+
 func TestInvalidInputEndsOnlyItsConnection(t *testing.T) {
 	f := newCluster("a1", "a2")
 	f.peers["a2"].Handle("echo", func(_ context.Context, _ string, body []byte) ([]byte, error) { return body, nil })
