--- a/core/yuccapeer/connect.go
+++ b/core/yuccapeer/connect.go
@@ -18,7 +18,7 @@
 	dialTimeout = 2 * time.Second
 	// passiveDialDelay is how long the entry with the higher name waits for the
 	// other one to open the session before it dials itself.
-	passiveDialDelay = 2 * time.Second
+	passiveDialDelay = 500 * time.Millisecond
 	// lostAfterFailures is how many dials in a row must fail before a peer
 	// counts as lost. A lost peer is not chosen as a gateway.
 	lostAfterFailures = 2
--- a/core/yuccapeer/peers_test.go
+++ b/core/yuccapeer/peers_test.go
@@ -186,6 +186,8 @@
 	}{
 		{"another domain", []string{"b1", "b2", "b3"}, "a1"},
 		{"the same domain", []string{"b2", "b3", "b4"}, "b1"},
+		{"another domain and a higher name", []string{"b1", "b2", "b3"}, "c1"},
+		{"the same domain and a higher name", []string{"b1", "b2", "b3"}, "b4"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
