Entries that lose the history together list all objects spread over 200 ms

When the store comes back from a copy, or drops its history, the readers of all failure domains got 410 at the same moment and listed everything at once. The new test failed with 40 of 40 lists within 20 ms.

--- a/core/yuccawatch/watcher.go
+++ b/core/yuccawatch/watcher.go
@@ -86,6 +86,8 @@
 	lateResponseMargin = 300 * time.Millisecond
 	// listTimeout bounds a call that lists all objects.
 	listTimeout = 2 * time.Second
+	// relistSpread spreads the lists of the entries that lose the history together.
+	relistSpread = 200 * time.Millisecond
 	// retryDelay is the mean pause after a failed call. It is short because an
 	// entry that recovers late keeps sending requests to servers that have
 	// stopped. The breaker keeps this cheap: it allows one call at a time.
@@ -295,7 +297,9 @@
 		if afterList {
 			// The platform refuses a watch from its own list, so another one may fail too.
 			yuccasleep.For(ctx, jitteredRetryDelay())
+			return
 		}
+		yuccasleep.For(ctx, rand.N(relistSpread))
 		return
 	}
 	f.recordFailure(err)
--- a/core/yuccawatch/watcher_test.go
+++ b/core/yuccawatch/watcher_test.go
@@ -40,6 +40,8 @@
 	staleSeq uint64
 	// calls is the number of calls.
 	calls int
+	// lists holds when all objects were listed.
+	lists []time.Time
 	// changed is closed at the next update.
 	changed chan struct{}
 }
@@ -117,6 +119,7 @@
 	page := yuccastore.Page{Seq: p.seq}
 	switch {
 	case after == 0:
+		p.lists = append(p.lists, time.Now())
 		for name, seq := range p.objects {
 			page.Objects = append(page.Objects, yuccastore.Object{Key: "k/" + name, Seq: seq})
 		}
@@ -410,6 +413,34 @@
 	})
 }
 
+// TestExpiredHistoryIsListedAnewSpread expires the history for many watchers at the same
+// moment. They list all objects within half a second, but not all at once.
+func TestExpiredHistoryIsListedAnewSpread(t *testing.T) {
+	const (
+		watchers = 40
+		window   = 20 * time.Millisecond
+		most     = watchers / 2
+	)
+	runWatchers(t, watchers, func(c *qt.C, p *platform, _ *recorder) {
+		time.Sleep(500 * time.Millisecond)
+		p.update(func() { p.lists, p.oldestSeq = nil, p.seq+1 })
+		p.put("a")
+		time.Sleep(500 * time.Millisecond)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		c.Assert(p.lists, qt.HasLen, watchers)
+		for _, first := range p.lists {
+			n := 0
+			for _, at := range p.lists {
+				if since := at.Sub(first); since >= 0 && since < window {
+					n++
+				}
+			}
+			c.Assert(n <= most, qt.IsTrue, qt.Commentf("%d of %d lists within %v", n, watchers, window))
+		}
+	})
+}
+
 // TestExpiredHistoryCostsFewCalls has the platform refuse a watch from any sequence
 // number, also from that of the list just before.
 func TestExpiredHistoryCostsFewCalls(t *testing.T) {
