The retry budget refills by time while no request arrives

A trace of the tries to continue showed the retry budget empty for 13 s and more while downloads waited for a server: tries once a second, each denied, until their number was exhausted. The allowance by time (Rate, one a second by default) was only added when a new request arrived, and a test that has sent all its requests, or a service with a few long downloads, sends none. On a slow machine more downloads change servers than the burst.

Retries and hedges now add the time that has passed, too. The bound stays: burst, plus the ratio of requests, plus the rate over time.

Ruled out: no free slot, and an answer that is not the rest of the file; the trace had neither.

--- a/core/yuccarelay/resume.go
+++ b/core/yuccarelay/resume.go
@@ -50,7 +50,8 @@
 	last int64
 	// total is the size of the file in bytes.
 	total int64
-	// resumes counts the servers that were asked to continue the body.
+	// resumes counts the tries to continue the body on another server, also those for
+	// which there was no server or no retry budget.
 	resumes int
 	// windowBytes counts the body bytes since the start of the rate window.
 	windowBytes int64
--- a/core/yuccaretry/budget.go
+++ b/core/yuccaretry/budget.go
@@ -79,7 +79,7 @@
 	hedgeTokens float64
 	// rejectionRate is the moving average of the share of rejected attempts.
 	rejectionRate float64
-	// refilledAt is when the last request refilled the buckets.
+	// refilledAt is when the allowance by time was last added.
 	refilledAt time.Time
 }
 
@@ -131,12 +131,14 @@
 		b.rejectionRate += (1 - b.rejectionRate) * rejectionWeight
 		return b, true
 	case Retry:
+		b = b.accrue(now)
 		if b.Overloaded() || b.retryTokens < 1 {
 			return b, false
 		}
 		b.retryTokens--
 		return b, true
 	case Hedge:
+		b = b.accrue(now)
 		if b.Overloaded() || b.hedgeTokens < 1 || b.retryTokens < 1 {
 			return b, false
 		}
@@ -147,11 +149,21 @@
 	return b, false
 }
 
-// refill adds the tokens for one request.
+// refill adds the tokens for one request: those by ratio or those by time, whichever are
+// more.
 func (b Budget) refill(now time.Time) Budget {
+	before := b.retryTokens
+	b = b.accrue(now)
+	b.retryTokens = max(b.retryTokens, min(b.limits.Burst, before+b.limits.RetryRatio))
+	b.hedgeTokens = min(b.limits.Burst, b.hedgeTokens+b.limits.HedgeRatio)
+	return b
+}
+
+// accrue adds the tokens for the time that has passed. Attempts need them while no
+// request arrives.
+func (b Budget) accrue(now time.Time) Budget {
 	accrued := max(0, now.Sub(b.refilledAt).Seconds()) * b.limits.Rate
 	b.refilledAt = now
-	b.retryTokens = min(b.limits.Burst, b.retryTokens+max(b.limits.RetryRatio, accrued))
-	b.hedgeTokens = min(b.limits.Burst, b.hedgeTokens+b.limits.HedgeRatio)
+	b.retryTokens = min(b.limits.Burst, b.retryTokens+accrued)
 	return b
 }
--- a/core/yuccaretry/budget_test.go
+++ b/core/yuccaretry/budget_test.go
@@ -47,6 +47,26 @@
 	})
 }
 
+// TestBudgetRefillsWithoutRequests waits for the budget while no request arrives, as
+// downloads do that have lost their server: the allowance by time comes all the same.
+func TestBudgetRefillsWithoutRequests(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(0, 0)
+	limits := yuccaretry.Limits{Burst: 2, Rate: 1, Overload: 1}
+	b := yuccaretry.NewWithLimits(now, limits)
+	allowed := 0
+	for range 10 {
+		for range 105 {
+			var ok bool
+			if b, ok = b.Update(now, yuccaretry.Retry); ok {
+				allowed++
+			}
+			now = now.Add(10 * time.Millisecond)
+		}
+	}
+	c.Assert(allowed, qt.Equals, int(limits.Burst)+10)
+}
+
 func TestOverloadStopsAdditionalAttempts(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(0, 0)
