The own interface keeps to a hold-off that a server asks for

A server of the own interface that rejects a request without running it may name a time in Retry-After, as those of the platform do: the entry sends it nothing until then, at most five minutes. Without one it stays 50 ms. The stand-in server can name one (pause). The tests failed with a request after 52 ms, and with no hold-off read.

--- a/core/yuccaadmission/allocation.go
+++ b/core/yuccaadmission/allocation.go
@@ -20,8 +20,11 @@
 	firstEjectTime = time.Second
 	// maxEjectTime is the upper bound of that duration.
 	maxEjectTime = 30 * time.Second
-	// shedBackoff is how long a server gets no requests after it shed one.
+	// shedBackoff is how long a server gets no requests after it shed one, unless it asks
+	// for a longer time.
 	shedBackoff = 50 * time.Millisecond
+	// maxHoldOff bounds the time that a server may ask for.
+	maxHoldOff = 5 * time.Minute
 	// latencyEWMAWeight is the weight of one response in the moving average of
 	// the latency.
 	latencyEWMAWeight = 0.1
@@ -105,7 +108,8 @@
 func (s *server) recordResult(started time.Time, r Result) {
 	switch {
 	case r.Declined:
-		s.suspendedUntil = later(s.suspendedUntil, r.Now.Add(shedBackoff))
+		// The entries return together; their slots bound what the server gets then.
+		s.suspendedUntil = later(s.suspendedUntil, r.Now.Add(min(max(shedBackoff, r.HoldOff), maxHoldOff)))
 	case r.Kind == yuccaerror.Unreachable || r.Kind == yuccaerror.ConnectionLost:
 		s.failures++
 	default:
--- a/core/yuccaadmission/core_test.go
+++ b/core/yuccaadmission/core_test.go
@@ -54,14 +54,18 @@
 	return a
 }
 
-func (f *cluster) done(e int, kind yuccaerror.Kind) {
+func (f *cluster) done(e int, kind yuccaerror.Kind) { f.finish(e, yuccaadmission.Result{Kind: kind}) }
+
+// finish ends the oldest request in flight of an entry with a result.
+func (f *cluster) finish(e int, r yuccaadmission.Result) {
 	if len(f.tickets[e]) == 0 {
 		return
 	}
 	t := f.tickets[e][0]
 	f.tickets[e] = f.tickets[e][1:]
 	f.inFlight[t.Server]--
-	f.cores[e].Done(t, yuccaadmission.Result{Now: f.now, Kind: kind})
+	r.Now = f.now
+	f.cores[e].Done(t, r)
 	f.execute(e)
 }
 
@@ -233,6 +237,34 @@
 	qt.Assert(t, hits <= 6, qt.IsTrue, qt.Commentf("%d requests", hits))
 }
 
+// TestServerThatAsksToHoldOffGetsNothing has a server reject a request and ask for a
+// pause: it gets nothing until that has passed, while the others serve, and is then used
+// again.
+func TestServerThatAsksToHoldOffGetsNothing(t *testing.T) {
+	const holdOff = 300 * time.Millisecond
+	f := newCluster(newEnvironment(1, 4, 4))
+	rejectedAt, after := time.Time{}, 0
+	for i := range 1000 {
+		f.now = f.now.Add(time.Millisecond)
+		a := f.admit(0, uint64(i)*0x9e3779b97f4a7c15)
+		if a.Ticket.Server != "s1" {
+			f.done(0, yuccaerror.None)
+			continue
+		}
+		if rejectedAt.IsZero() {
+			rejectedAt = f.now
+			f.finish(0, yuccaadmission.Result{Declined: true, HoldOff: holdOff})
+			continue
+		}
+		if f.now.Sub(rejectedAt) >= holdOff {
+			after++
+		}
+		qt.Assert(t, f.now.Sub(rejectedAt) >= holdOff, qt.IsTrue, qt.Commentf("a request after %v", f.now.Sub(rejectedAt)))
+		f.done(0, yuccaerror.None)
+	}
+	qt.Assert(t, after > 50, qt.IsTrue, qt.Commentf("%d requests after the pause", after))
+}
+
 // TestLeavingServersGetNothing checks that leaving servers get no new request.
 // They leave by the membership list or by a drain rule, while requests are in
 // flight and slots are lent.
--- a/core/yuccafake/server.go
+++ b/core/yuccafake/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -34,6 +35,9 @@
 	// Shed makes the server answer 503 with Yucca-Run: no when no slot is free;
 	// otherwise requests wait for a slot.
 	Shed bool `json:"shed"`
+	// HoldOff is the time in the Retry-After of those answers, rounded up to a second;
+	// zero means that they have none.
+	HoldOff time.Duration `json:"pause"`
 	// Lag is the age of the load that /load reports.
 	Lag time.Duration `json:"lag"`
 	// ReportedBusy replaces the number of busy slots that /load reports; a negative
@@ -241,6 +245,9 @@
 	if !s.acquireSlot(behaviour, slots, closed) {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		ctx.Response.Header.Set("Yucca-Run", "no")
+		if behaviour.HoldOff > 0 {
+			ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(behaviour.HoldOff.Seconds()))))
+		}
 		return
 	}
 	defer func() {
--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -138,8 +138,11 @@
 	}
 	opt := a.task.relay.opt
 	a.report = opt.Protocol.Report(&a.exchange.head)
-	if opt.Reports != nil {
+	switch {
+	case opt.Reports != nil:
 		opt.Reports.ReceiveReport(a.ticket.Server, a.via(), a.report)
+	case a.report.Invalid != "":
+		a.task.relay.failures.Warn().Str("server", a.ticket.Server).Str("report", a.report.Invalid).Msg("server_report_unreadable")
 	}
 }
 
--- a/core/yuccarelay/protocol.go
+++ b/core/yuccarelay/protocol.go
@@ -1,6 +1,9 @@
 package yuccarelay
 
 import (
+	"fmt"
+	"math"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -71,8 +74,8 @@
 	Invalid
 )
 
-// DefaultProtocol uses the system's own header fields and reports neither
-// affinity keys nor load.
+// DefaultProtocol uses the system's own header fields. It reports neither affinity keys
+// nor load.
 type DefaultProtocol struct{}
 
 // ID returns the trace id of the Traceparent header and adds the header if it
@@ -104,9 +107,38 @@
 	return Genuine
 }
 
-// Report returns an empty report.
-func (DefaultProtocol) Report(*fasthttp.ResponseHeader) yuccaadmission.Report {
-	return yuccaadmission.Report{}
+// Report returns the time for which a server that did not run the request wants no more,
+// from the header Retry-After in seconds.
+func (d DefaultProtocol) Report(h *fasthttp.ResponseHeader) yuccaadmission.Report {
+	text := h.Peek(fasthttp.HeaderRetryAfter)
+	if len(text) == 0 || d.ClassifyResponse("", h) != Declined {
+		return yuccaadmission.Report{}
+	}
+	holdOff, err := ParseSeconds(text)
+	if err != nil {
+		return yuccaadmission.Report{Invalid: fmt.Sprintf("header %s: %v", fasthttp.HeaderRetryAfter, err)}
+	}
+	return yuccaadmission.Report{HoldOff: holdOff}
+}
+
+// MaxSeconds bounds the times in header fields, so that they fit a time.Duration.
+const MaxSeconds = 1e6
+
+// ParseSeconds parses a time in seconds, a decimal number that is finite and not
+// negative. It returns MaxSeconds for a longer time, and zero with an error.
+func ParseSeconds(text []byte) (time.Duration, error) {
+	v, err := ParseNumber(text)
+	return time.Duration(min(v, MaxSeconds) * float64(time.Second)), err
+}
+
+// ParseNumber parses a decimal number that is finite and not negative. It returns zero
+// with an error.
+func ParseNumber(text []byte) (float64, error) {
+	v, err := strconv.ParseFloat(string(text), 64)
+	if err != nil || !(v >= 0) || math.IsInf(v, 1) {
+		return 0, fmt.Errorf("%.40q is not a number, 0 or more", text)
+	}
+	return v, nil
 }
 
 // WriteError writes the error response as the function WriteError does.
--- a/core/yuccarelay/protocol_test.go
+++ b/core/yuccarelay/protocol_test.go
@@ -67,6 +67,38 @@
 	return backend{l.Addr().String(), 4}
 }
 
+// TestHoldOffIsRead reads the time for which a server wants no requests.
+func TestHoldOffIsRead(t *testing.T) {
+	tests := []struct {
+		name       string
+		status     int
+		run, after string
+		want       time.Duration
+		invalid    bool
+	}{
+		{"seconds", 503, "no", "3", 3 * time.Second, false},
+		{"fraction", 503, "no", "0.25", 250 * time.Millisecond, false},
+		{"zero", 503, "no", "0", 0, false},
+		{"absurd", 503, "no", "1e300", 1e6 * time.Second, false},
+		{"no number", 503, "no", "Fri, 04 Dec 2026", 0, true},
+		{"negative", 503, "no", "-1", 0, true},
+		{"NaN", 503, "no", "NaN", 0, true},
+		{"the request may have run", 503, "", "3", 0, false},
+		{"another status", 200, "no", "3", 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var h fasthttp.ResponseHeader
+			h.SetStatusCode(test.status)
+			h.Set(yuccarelay.RunHeader, test.run)
+			h.Set(fasthttp.HeaderRetryAfter, test.after)
+			r := yuccarelay.DefaultProtocol{}.Report(&h)
+			qt.Assert(t, r.HoldOff, qt.Equals, test.want)
+			qt.Assert(t, r.Invalid != "", qt.Equals, test.invalid)
+		})
+	}
+}
+
 // TestMismatchedResponseIsSkipped has a server that repeats its previous
 // response before each new one on the same connection.
 func TestMismatchedResponseIsSkipped(t *testing.T) {
