The own interface's store comes back from an older copy, in tests

The stand-in's Restore drops what was written since a copy and puts later writes in the next era of sequence numbers, which the interface now requires of a store. Not shown: claims by key, which such a loss ends (docs/DESIGN.md, 19).

--- a/core/yuccafake/platform.go
+++ b/core/yuccafake/platform.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -117,6 +118,38 @@
 	return counts
 }
 
+// Snapshot is a copy of a Platform's objects.
+type Snapshot struct {
+	seq     uint64
+	objects map[string]versions
+}
+
+// Snapshot returns a copy of the objects.
+func (p *Platform) Snapshot() Snapshot {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Snapshot{p.seq, maps.Clone(p.objects)}
+}
+
+// Restore brings the platform back from a copy: what was written since is gone. The
+// sequence numbers of later writes are in the next era.
+func (p *Platform) Restore(s Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	seq, ok := yuccastore.NewSeq(yuccastore.Era(p.seq)+1, yuccastore.Change(s.seq))
+	if !ok {
+		panic("the platform has come back too often")
+	}
+	p.seq, p.objects = seq, maps.Clone(s.objects)
+	p.notify()
+}
+
+// notify makes the waiting calls look for changes. The caller holds mu.
+func (p *Platform) notify() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 // SetInstances replaces the list of instances.
 func (p *Platform) SetInstances(list ...yuccastore.Instance) {
 	p.mu.Lock()
@@ -264,8 +297,7 @@
 	if p.onWrite != nil {
 		p.onWrite(o)
 	}
-	close(p.changed)
-	p.changed = make(chan struct{})
+	p.notify()
 	if p.faults.LostReplies > 0 {
 		p.faults.LostReplies--
 		return yuccastore.Object{}, yuccaerror.New(yuccaerror.PlatformUnavailable, "the write took effect but its reply was lost")
--- a/core/yuccalease/elector_test.go
+++ b/core/yuccalease/elector_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,3 +84,67 @@
 		c.Assert(group.Wait(), qt.IsNil)
 	})
 }
+
+// knownEpochs ranks an entry by its name. All entries know the highest epoch that any of
+// them has held, as they do from the plans of the holder.
+type knownEpochs struct {
+	rank    int
+	highest *atomic.Uint64
+}
+
+func (k knownEpochs) Rank() int     { return k.rank }
+func (k knownEpochs) Epoch() uint64 { return k.highest.Load() }
+
+// TestLeaseAfterARestore brings the platform back from a copy in which nobody holds the
+// lease. Another entry may acquire it at once, under a higher epoch; the old holder stops
+// when it learns of that, or at the latest when its own time runs out.
+func TestLeaseAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const poll = 50 * time.Millisecond
+		c := qt.New(t)
+		p := yuccafake.NewPlatform()
+		copied := p.Snapshot()
+		var group errgroup.Group
+		var highest atomic.Uint64
+		electors := make([]*yuccalease.Elector, 3)
+		for i := range electors {
+			electors[i] = yuccalease.New(fmt.Sprint("e", i+1), 1, p, knownEpochs{i, &highest}, zerolog.Nop())
+			c.Assert(electors[i].Start(t.Context(), &group), qt.IsNil)
+		}
+		// holders returns the epochs that are held now.
+		holders := func() []uint64 {
+			var epochs []uint64
+			for _, k := range electors {
+				if epoch, held := k.Held(); held {
+					epochs = append(epochs, epoch)
+					highest.Store(max(highest.Load(), epoch))
+				}
+			}
+			return epochs
+		}
+		time.Sleep(10 * time.Second)
+		c.Assert(holders(), qt.HasLen, 1)
+
+		for range 3 {
+			before := highest.Load()
+			p.Restore(copied)
+			restored := time.Now()
+			for time.Since(restored) < 4*yuccalease.TTL {
+				time.Sleep(poll)
+				held := holders()
+				if time.Since(restored) > yuccalease.TTL {
+					c.Assert(len(held) <= 1, qt.IsTrue, qt.Commentf("%v held %v after the restore", held, time.Since(restored)))
+				}
+				for _, epoch := range held {
+					c.Assert(epoch >= before, qt.IsTrue)
+				}
+			}
+			c.Assert(holders(), qt.HasLen, 1)
+			c.Assert(highest.Load() > before, qt.IsTrue)
+		}
+		for _, k := range electors {
+			c.Assert(k.Stop(context.Background()), qt.IsNil)
+		}
+		c.Assert(group.Wait(), qt.IsNil)
+	})
+}
--- a/core/yuccastore/store.go
+++ b/core/yuccastore/store.go
@@ -39,7 +39,8 @@
 	// empty for an object that does not exist.
 	Tag string `json:"tag"`
 	// Seq is the sequence number of the object's last write. It increases with
-	// every write of any object.
+	// every write of any object, also after the platform has come back from an
+	// older copy of itself; see NewSeq.
 	Seq uint64 `json:"seq"`
 	// Deleted marks a deleted object.
 	Deleted bool `json:"gone,omitempty"`
