A test that a hold-off holds for all services of a server

A mutant that kept the hold-off with the state of one service passed all tests. It fails this one. Mutants that keep none, so that only the connection is given up, already failed TestHoldOff and TestHoldOffIsKept.

--- a/core/yuccabalancer/notice_test.go
+++ b/core/yuccabalancer/notice_test.go
@@ -75,6 +75,26 @@
 	}
 }
 
+// TestHoldOffCoversAllServices has a server that runs two services reject a request of
+// one of them: it gets none of the other either.
+func TestHoldOffCoversAllServices(t *testing.T) {
+	c := qt.New(t)
+	w := topology(1, 4, "a")
+	other := w.Servers[0]
+	other.Service = "other"
+	w.Servers = append(w.Servers, other)
+	core := newCore(w)
+	choice := core.Choose(request(0, firstObject))
+	c.Assert(choice.Kind, qt.Equals, yuccaerror.None)
+	core.Done(choice, yuccaadmission.Result{Now: start, Declined: true, HoldOff: time.Second})
+	r := request(time.Millisecond, firstObject)
+	r.Service = other.Service
+	c.Assert(core.Choose(r).Kind, qt.Not(qt.Equals), yuccaerror.None)
+	r = request(2500*time.Millisecond, firstObject)
+	r.Service = other.Service
+	c.Assert(core.Choose(r).Kind, qt.Equals, yuccaerror.None)
+}
+
 // TestHoldOffsEndAtDifferentTimes has one server ask 50 entries at the same moment.
 func TestHoldOffsEndAtDifferentTimes(t *testing.T) {
 	const (
