The relay logs the Retry-After that it sends

In the system's own protocol callers got a random time, and the log said 0. WriteError returns the time that it named, in both protocols; a known time is sent as it is. The changed test failed with 0 logged and 5 sent.

--- a/core/yuccarelay/header.go
+++ b/core/yuccarelay/header.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -64,11 +63,11 @@
 	return h
 }
 
-// retryAfterSeconds returns a random number of seconds between base and three
-// times base, so that rejected callers do not all return at once.
-func retryAfterSeconds(base time.Duration) int {
+// spreadRetryAfter returns a random number of whole seconds between base and three times
+// base, so that rejected callers do not all return at once.
+func spreadRetryAfter(base time.Duration) time.Duration {
 	s := int(base / time.Second)
-	return s + rand.IntN(2*s+1)
+	return time.Duration(s+rand.IntN(2*s+1)) * time.Second
 }
 
 // isIdempotent reports whether a request with this method may be sent again
@@ -92,19 +91,8 @@
 	return now.Add(d), nil
 }
 
-// WriteError replaces the response by an error response of the given kind.
+// WriteError replaces the response by an error response of the given kind, in the
+// system's own protocol.
 func WriteError(ctx *fasthttp.RequestCtx, k yuccaerror.Kind, ran yuccaerror.RunStatus) {
-	attributes := k.Attributes()
-	ctx.Response.Reset()
-	ctx.Response.SetStatusCode(attributes.Status)
-	ctx.Response.Header.Set(ErrorHeader, attributes.Name)
-	ctx.Response.Header.Set(RunHeader, string(ran))
-	if attributes.RetryAfter > 0 {
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(retryAfterSeconds(attributes.RetryAfter)))
-	}
-	ctx.SetContentType("text/plain; charset=utf-8")
-	ctx.Response.SetBodyString(attributes.Name + "\n")
-	if ctx.Request.IsBodyStream() {
-		ctx.SetConnectionClose()
-	}
+	DefaultProtocol{}.WriteError(ctx, ErrorResponse{Kind: k, RunStatus: ran})
 }
--- a/core/yuccarelay/protocol.go
+++ b/core/yuccarelay/protocol.go
@@ -32,8 +32,9 @@
 	ClassifyResponse(id string, h *fasthttp.ResponseHeader) ResponseClass
 	// Report returns what a server says about itself in its response.
 	Report(h *fasthttp.ResponseHeader) yuccaadmission.Report
-	// WriteError replaces the response by an error response of the relay.
-	WriteError(ctx *fasthttp.RequestCtx, f ErrorResponse)
+	// WriteError replaces the response by an error response of the relay. It returns the
+	// delay that it names to the caller, zero if none.
+	WriteError(ctx *fasthttp.RequestCtx, f ErrorResponse) (retryAfter time.Duration)
 }
 
 // Target is the destination of one attempt.
@@ -141,7 +142,26 @@
 	return v, nil
 }
 
-// WriteError writes the error response as the function WriteError does.
-func (DefaultProtocol) WriteError(ctx *fasthttp.RequestCtx, f ErrorResponse) {
-	WriteError(ctx, f.Kind, f.RunStatus)
+// WriteError implements Protocol. The delay is in whole seconds: the time after which a
+// retry may succeed, or a random one if that is unknown.
+func (DefaultProtocol) WriteError(ctx *fasthttp.RequestCtx, f ErrorResponse) time.Duration {
+	attributes := f.Kind.Attributes()
+	ctx.Response.Reset()
+	ctx.Response.SetStatusCode(attributes.Status)
+	ctx.Response.Header.Set(ErrorHeader, attributes.Name)
+	ctx.Response.Header.Set(RunHeader, string(f.RunStatus))
+	var after time.Duration
+	if attributes.RetryAfter > 0 {
+		after = time.Duration(math.Ceil(f.RetryAfter.Seconds())) * time.Second
+		if after <= 0 {
+			after = spreadRetryAfter(attributes.RetryAfter)
+		}
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(after/time.Second)))
+	}
+	ctx.SetContentType("text/plain; charset=utf-8")
+	ctx.Response.SetBodyString(attributes.Name + "\n")
+	if ctx.Request.IsBodyStream() {
+		ctx.SetConnectionClose()
+	}
+	return after
 }
--- a/core/yuccarelay/retry_test.go
+++ b/core/yuccarelay/retry_test.go
@@ -1,6 +1,7 @@
 package yuccarelay_test
 
 import (
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -14,7 +15,8 @@
 )
 
 // TestRelayBoundsRetriesUnderOverload has servers that reject every request.
-// They must receive less than 5% more requests than callers send.
+// They must receive less than 5% more requests than callers send. What the observer is
+// told is what the caller gets.
 func TestRelayBoundsRetriesUnderOverload(t *testing.T) {
 	const requests = 500
 	c := qt.New(t)
@@ -23,13 +25,17 @@
 		received.Add(1)
 		return "HTTP/1.1 503 Service Unavailable\r\nYucca-Run: no\r\nContent-Length: 0\r\n\r\n"
 	}
-	w := newFaultyServers(t, 4, yuccarelay.Options{}, func(int64) yuccafake.Fault { return yuccafake.Fault{} }, shed)
+	var logged atomic.Int64
+	opt := yuccarelay.Options{Observer: observer(func(r yuccarelay.Record) { logged.Store(int64(r.RetryAfter)) })}
+	w := newFaultyServers(t, 4, opt, func(int64) yuccafake.Fault { return yuccafake.Fault{} }, shed)
 	retryAfterCounts := map[string]int{}
 	for range requests {
 		resp, err := w.callWithToken(fasthttp.MethodGet, "t", longTimeout)
 		c.Assert(err, qt.IsNil)
 		c.Assert(resp.StatusCode(), qt.Equals, http.StatusServiceUnavailable)
-		retryAfterCounts[string(resp.Header.Peek("Retry-After"))]++
+		retryAfter := string(resp.Header.Peek(fasthttp.HeaderRetryAfter))
+		c.Assert(fmt.Sprint(time.Duration(logged.Load()).Seconds()), qt.Equals, retryAfter)
+		retryAfterCounts[retryAfter]++
 	}
 	c.Assert(received.Load() < requests*105/100, qt.IsTrue, qt.Commentf("%d received", received.Load()))
 	c.Assert(len(retryAfterCounts) > 2, qt.IsTrue, qt.Commentf("%v", retryAfterCounts))
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -367,7 +367,7 @@
 // answerError ends the request with an error response of the relay.
 func (t *task) answerError(k yuccaerror.Kind, ran yuccaerror.RunStatus) {
 	f := ErrorResponse{Kind: k, RunStatus: ran, RetryAfter: yuccaerror.RetryAfter(t.err)}
-	t.relay.opt.Protocol.WriteError(t.ctx, f)
+	f.RetryAfter = t.relay.opt.Protocol.WriteError(t.ctx, f)
 	t.observe(f, t.ctx.Response.StatusCode(), 0)
 	t.end(nil)
 	t.logFailure(f, t.ctx.Response.StatusCode())
