A claim that failed to be written waits its turn before the next write

A further try now asks for a store call as the first one does, at most one per MinWriteInterval. The new test failed: two writes under one allowance.

--- a/core/yuccaidempotency/model_test.go
+++ b/core/yuccaidempotency/model_test.go
@@ -238,6 +238,12 @@
 // before the write.
 func (m *model) replyWithStaleLoad(c *call) {
 	last := m.calls[len(m.calls)-1]
+	if _, ok := last.cmd.(yuccaidempotency.Schedule); ok && last.by == c.by {
+		last.applied = true
+		m.answer(last)
+		m.calls = slices.DeleteFunc(m.calls, func(other *call) bool { return other == last })
+		last = m.calls[len(m.calls)-1]
+	}
 	if _, ok := last.cmd.(yuccaidempotency.Load); ok && last.by == c.by {
 		last.applied = true
 		last.result = m.loaded(version{m.now().tag, c.before.open, c.before.parts}, last.cmd)
--- a/core/yuccaidempotency/shard_test.go
+++ b/core/yuccaidempotency/shard_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"yuccawell.example/core/yuccaidempotency"
 )
 
 func TestKeysRunAtMostOnce(t *testing.T) {
@@ -15,6 +18,38 @@
 	})
 }
 
+// TestRetriedWritesKeepTheirInterval has every write of a shard fail. Each further one
+// waits until a store call is allowed, as the first one does.
+func TestRetriedWritesKeepTheirInterval(t *testing.T) {
+	const maxWrites = 3
+	now := time.Unix(0, 0)
+	shard := yuccaidempotency.NewShard(yuccaidempotency.Limits{Expiry: time.Hour, MaxOpenRecords: 8, MaxKeys: 8, MaxWrites: maxWrites})
+	shard, commands := shard.Update(yuccaidempotency.ClaimRequested{Record: yuccaidempotency.Record{ID: yuccaidempotency.ID{1}, Attempt: yuccaidempotency.Attempt{1}}})
+	allowed, writes := 0, 0
+	for len(commands) > 0 {
+		next := commands[0]
+		commands = commands[1:]
+		var m yuccaidempotency.Message
+		switch next.(type) {
+		case yuccaidempotency.Schedule:
+			allowed++
+			m = yuccaidempotency.StoreCallAllowed{Now: now}
+		case yuccaidempotency.Load:
+			m = yuccaidempotency.Loaded{Now: now}
+		case yuccaidempotency.Write:
+			writes++
+			qt.Assert(t, allowed, qt.Equals, writes)
+			m = yuccaidempotency.WriteFailed{}
+		default:
+			continue
+		}
+		var more []yuccaidempotency.Command
+		shard, more = shard.Update(m)
+		commands = append(commands, more...)
+	}
+	qt.Assert(t, writes, qt.Equals, maxWrites)
+}
+
 // maxCases is how many random cases the model tries for each mutant. A mutant
 // must fail in one of them, the unmodified protocol in none.
 const maxCases = 1000
--- a/core/yuccaidempotency/write.go
+++ b/core/yuccaidempotency/write.go
@@ -124,9 +124,9 @@
 	return r
 }
 
-// handleWriteFailure reads the shard object again: the write may have taken
-// effect, or another entry may have written. Each claim of the batch is written
-// at most MaxWrites times, then it fails.
+// handleWriteFailure asks for a store call, which reads the shard object again: the write
+// may have taken effect, or another entry may have written. Each claim of the batch is
+// written at most MaxWrites times, then it fails.
 func (r Shard) handleWriteFailure() (Shard, []Command) {
 	var cmds []Command
 	var retries []pendingClaim
@@ -143,7 +143,7 @@
 	}
 	r.loaded, r.batch, r.next = false, nil, nextContent{}
 	r.waiting = append(retries, r.waiting...)
-	return r, append(cmds, Load{r.parts})
+	return r, append(cmds, Schedule{})
 }
 
 // giveUpWaiting fails all waiting claims, since the store does not answer.
