Errors of slot messages, pages and encodings have a log line

SlotExchange, Guard, the admin pages, the lease and the list of instances dropped errors without a word (found on reading). Each has a line now, at most one a second where it may repeat. The stand-in server reads its group under its lock, and the hint on names in rules names underscores too.

Claims keep a store client of their own without the call limit: they decide whether a request may run, and one write per shard and interval bounds them.

--- a/core/yuccaadmin/admin.go
+++ b/core/yuccaadmin/admin.go
@@ -4,7 +4,7 @@
 //
 //	admin := yuccaadmin.New("127.0.0.1:7103", registry, probe, map[string]yuccaadmin.Page{
 //		"/status": func() (any, error) { return status, nil },
-//	})
+//	}, log)
 //	kernel.Add("admin", admin)
 package yuccaadmin
 
@@ -16,11 +16,17 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccalog"
 )
 
+// failureLinesPerSecond limits the log lines about pages that fail.
+const failureLinesPerSecond = 1
+
 // Probe reports whether the process is ready to serve requests, and the reason if
 // it is not.
 type Probe func() (ready bool, reason string)
@@ -40,19 +46,22 @@
 
 // New returns an admin server that listens on addr as host:port once it is
 // started. It serves each of the pages under its path, such as /status.
-func New(addr string, registry *prometheus.Registry, probe Probe, pages map[string]Page) *Admin {
-	handler := Handler(registry, probe, pages)
+func New(addr string, registry *prometheus.Registry, probe Probe, pages map[string]Page, log zerolog.Logger) *Admin {
+	handler := Handler(registry, probe, pages, log)
 	return &Admin{addr: addr, server: &fasthttp.Server{Handler: handler, Name: "yuccawell", CloseOnShutdown: true}, done: make(chan struct{})}
 }
 
 // Handler returns the request handler of an admin server. The response to
-// any unknown path has status 404.
-func Handler(registry *prometheus.Registry, probe Probe, pages map[string]Page) fasthttp.RequestHandler {
+// any unknown path has status 404. Pages that fail are logged.
+func Handler(registry *prometheus.Registry, probe Probe, pages map[string]Page, log zerolog.Logger) fasthttp.RequestHandler {
+	failures := log.Sample(yuccalog.NewRateSampler(failureLinesPerSecond))
 	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	return func(ctx *fasthttp.RequestCtx) {
 		path := string(ctx.Path())
 		if page, ok := pages[path]; ok {
-			serveJSON(ctx, page)
+			if err := serveJSON(ctx, page); err != nil {
+				failures.Warn().Err(err).Str("path", path).Msg("page_failed")
+			}
 			return
 		}
 		switch path {
@@ -80,8 +89,8 @@
 	ctx.SetBodyString("ready\n")
 }
 
-// serveJSON answers with the value of a page as JSON.
-func serveJSON(ctx *fasthttp.RequestCtx, page Page) {
+// serveJSON answers with the value of a page as JSON, or with status 500 and an error.
+func serveJSON(ctx *fasthttp.RequestCtx, page Page) error {
 	v, err := page()
 	var body []byte
 	if err == nil {
@@ -89,10 +98,11 @@
 	}
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
-		return
+		return err
 	}
 	ctx.SetContentType("application/json")
 	ctx.SetBody(body)
+	return nil
 }
 
 // Start listens on the server's address and serves in the background.
--- a/core/yuccaadmission/exchange.go
+++ b/core/yuccaadmission/exchange.go
@@ -4,11 +4,13 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"yuccawell.example/core/yuccaerror"
 	"yuccawell.example/core/yuccakernel"
+	"yuccawell.example/core/yuccalog"
 	"yuccawell.example/core/yuccapeer"
 )
 
@@ -24,6 +26,9 @@
 	// maxConcurrentCalls is the number of calls to other entries in flight at
 	// once. Further ones are dropped.
 	maxConcurrentCalls = 16
+	// failureLinesPerSecond limits the log lines about messages that were not sent or not
+	// answered.
+	failureLinesPerSecond = 1
 )
 
 // SlotExchange is the service that calls Tick on a Picker and exchanges slots
@@ -33,12 +38,14 @@
 
 	picker *Picker
 	bus    yuccapeer.Bus
+	// failures is the logger of messages that were not sent or not answered.
+	failures zerolog.Logger
 }
 
 // NewSlotExchange returns a slot exchange for the picker. Call it before the
 // bus starts.
-func NewSlotExchange(picker *Picker, bus yuccapeer.Bus) *SlotExchange {
-	s := &SlotExchange{picker: picker, bus: bus}
+func NewSlotExchange(picker *Picker, bus yuccapeer.Bus, log zerolog.Logger) *SlotExchange {
+	s := &SlotExchange{picker: picker, bus: bus, failures: log.Sample(yuccalog.NewRateSampler(failureLinesPerSecond))}
 	s.Worker = yuccakernel.NewWorker(s.work)
 	bus.Handle(reportTopic, s.handleReport)
 	bus.Handle(lendTopic, s.handleLoanRequest)
@@ -61,10 +68,13 @@
 		case <-publish.C:
 			s.publish()
 		case cmd := <-s.picker.outbox:
-			calls.TryGo(func() error {
+			started := calls.TryGo(func() error {
 				s.send(ctx, cmd)
 				return nil
 			})
+			if !started {
+				s.failures.Info().Int("calls", maxConcurrentCalls).Msg("slot_message_dropped")
+			}
 		}
 	}
 	_ = calls.Wait()
@@ -74,9 +84,12 @@
 	s.picker.mu.Lock()
 	message := s.picker.core.SlotReport()
 	s.picker.mu.Unlock()
-	if body, err := proto.Marshal(message); err == nil {
-		s.bus.Publish(reportTopic, body)
+	body, err := proto.Marshal(message)
+	if err != nil {
+		s.failures.Error().Err(err).Str("topic", reportTopic).Msg("slot_message_not_encoded")
+		return
 	}
+	s.bus.Publish(reportTopic, body)
 }
 
 func (s *SlotExchange) handleReport(_ context.Context, from string, body []byte) ([]byte, error) {
@@ -115,8 +128,13 @@
 func (s *SlotExchange) sendOffer(ctx context.Context, o Offer) {
 	ctx, cancel := context.WithTimeout(ctx, LoanTimeout)
 	defer cancel()
-	if body, err := proto.Marshal(o.Loan); err == nil {
-		_, _ = s.bus.Call(ctx, o.To, offerTopic, body)
+	body, err := proto.Marshal(o.Loan)
+	if err != nil {
+		s.failures.Error().Err(err).Str("topic", offerTopic).Msg("slot_message_not_encoded")
+		return
+	}
+	if _, err := s.bus.Call(ctx, o.To, offerTopic, body); err != nil {
+		s.logUnanswered(err, o.To, offerTopic)
 	}
 }
 
@@ -137,11 +155,19 @@
 	defer cancel()
 	body, err := proto.Marshal(s.picker.core.LoanRequest(b))
 	if err != nil {
+		s.failures.Error().Err(err).Str("topic", lendTopic).Msg("slot_message_not_encoded")
 		return
 	}
 	reply, err := s.bus.Call(ctx, b.To, lendTopic, body)
+	if err == nil {
+		err = ctx.Err()
+	}
 	var loan Loan
-	if err != nil || ctx.Err() != nil || proto.Unmarshal(reply, &loan) != nil {
+	if err == nil {
+		err = proto.Unmarshal(reply, &loan)
+	}
+	if err != nil {
+		s.logUnanswered(err, b.To, lendTopic)
 		return
 	}
 	s.picker.mu.Lock()
@@ -149,3 +175,9 @@
 	s.picker.core.HandleLoan(time.Now(), b.To, &loan)
 	s.picker.execute()
 }
+
+// logUnanswered logs that another entry has not answered a message. The slots stay where
+// they are, or come back when the loan ends.
+func (s *SlotExchange) logUnanswered(err error, to, topic string) {
+	s.failures.Info().Err(err).Str("peer", to).Str("topic", topic).Msg("slot_message_unanswered")
+}
--- a/core/yuccafake/server.go
+++ b/core/yuccafake/server.go
@@ -166,8 +166,11 @@
 // Close calls Crash and waits until the server has stopped accepting.
 func (s *Server) Close() {
 	s.Crash()
-	if s.group != nil {
-		_ = s.group.Wait()
+	s.mu.Lock()
+	group := s.group
+	s.mu.Unlock()
+	if group != nil {
+		_ = group.Wait()
 	}
 }
 
--- a/core/yuccalease/elector.go
+++ b/core/yuccalease/elector.go
@@ -149,6 +149,7 @@
 func (k *Elector) write(ctx context.Context, r Record, tag string) Command {
 	value, err := json.Marshal(r)
 	if err != nil {
+		k.log.Error().Err(err).Msg("lease_not_encoded")
 		return Command{}
 	}
 	o, outcome, err := yuccastore.PutConfirmed(ctx, k.store, Key, value, yuccastore.Cond{Tag: tag, Absent: tag == ""}, func(o yuccastore.Object) bool {
--- a/core/yuccapoison/guard.go
+++ b/core/yuccapoison/guard.go
@@ -257,6 +257,7 @@
 func (g *Guard) broadcast(n *SuspectReport) {
 	body, err := proto.Marshal(n)
 	if err != nil {
+		g.opt.Log.Error().Err(err).Msg("poison_news_not_encoded")
 		return
 	}
 	others := slices.DeleteFunc(slices.Clone(g.opt.Members()), func(name string) bool { return name == g.opt.Self })
--- a/core/yuccarule/read.go
+++ b/core/yuccarule/read.go
@@ -205,7 +205,7 @@
 )
 
 const (
-	nameExpected = "lower-case letters, digits, dots and dashes, at most 63"
+	nameExpected = "lower-case letters, digits, dots, dashes and underscores, at most 63, a letter or digit first"
 	hostExpected = "a host name in lower case without a port"
 )
 
--- a/core/yuccasync/watch.go
+++ b/core/yuccasync/watch.go
@@ -197,6 +197,7 @@
 func (f *Syncer) updateList(list []yuccastore.Instance) {
 	body, err := json.Marshal(list)
 	if err != nil {
+		f.log.Error().Err(err).Msg("list_not_encoded")
 		return
 	}
 	hash := max(1, uint32(xxhash.Sum64(body)))
--- a/ctl/discovery_test.go
+++ b/ctl/discovery_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"yuccawell.example/core/yuccaadmin"
@@ -18,7 +19,7 @@
 func serveStatus(t *testing.T, status yuccadiscovery.Status) string {
 	page := func() (any, error) { return status, nil }
 	ready := func() (bool, string) { return true, "" }
-	return serve(t, yuccaadmin.Handler(prometheus.NewRegistry(), ready, map[string]yuccaadmin.Page{"/status": page}))
+	return serve(t, yuccaadmin.Handler(prometheus.NewRegistry(), ready, map[string]yuccaadmin.Page{"/status": page}, zerolog.Nop()))
 }
 
 func TestStatusOfAddresses(t *testing.T) {
--- a/entry/run.go
+++ b/entry/run.go
@@ -50,11 +50,13 @@
 	picker := yuccaadmission.New(cfg.Name)
 	syncer.Subscribe(func(s yuccasync.Snapshot) { picker.Update(s.Plan, s.Rules, s.View) })
 	syncer.Subscribe(func(s yuccasync.Snapshot) { peers.Update(s.View.Entries()) })
-	slotExchange := yuccaadmission.NewSlotExchange(picker, peers)
+	slotExchange := yuccaadmission.NewSlotExchange(picker, peers, log)
 	elector := yuccalease.New(cfg.Name, incarnation, store, syncer, log)
 	demand := yuccademand.New(cfg.Name, peers, memberNames(syncer), elector, picker.InFlight, log)
 	burnRates := yuccaburn.New(cfg.Name, peers, memberNames(syncer), log)
 	deduplicator := yuccaidempotency.New(yuccaidempotency.Options{
+		// Claims decide whether requests may run, so they have their own limit: one write
+		// per shard and MinWriteInterval.
 		Store:   platform,
 		Bus:     peers,
 		Self:    cfg.Name,
@@ -87,7 +89,7 @@
 	planner := yuccasync.NewPlanner(syncer, store, elector, planFunc(syncer, demand), log)
 
 	kernel := yuccakernel.New(log)
-	kernel.Add("admin", yuccaadmin.New(cfg.Admin, metrics.Registry(), readiness(syncer, listener), pages))
+	kernel.Add("admin", yuccaadmin.New(cfg.Admin, metrics.Registry(), readiness(syncer, listener), pages, log))
 	kernel.Add("peer", peers)
 	kernel.Add("burn", burnRates)
 	kernel.Add("demand", demand)
