--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -38,6 +38,9 @@
 	division yuccaquota.Division
 	// notices holds what servers say about themselves, by the name of the server.
 	notices map[string]Notice
+	// senders holds the other entries that have said that they are senders of a server
+	// that names a limit, by the name of the server.
+	senders map[string][]string
 }
 
 // NewCore returns a Core that has no servers.
@@ -48,6 +51,7 @@
 		pools:    map[string]*pool{},
 		division: yuccaquota.New(p.Entry, nil),
 		notices:  map[string]Notice{},
+		senders:  map[string][]string{},
 	}
 }
 
--- a/core/yuccabalancer/picker.go
+++ b/core/yuccabalancer/picker.go
@@ -41,6 +41,21 @@
 	p.core.SetNotice(server, n)
 }
 
+// SetSenders records which other entries are senders of a server that names a limit. See
+// Core.SetSenders.
+func (p *Picker) SetSenders(server string, entries []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.SetSenders(server, entries)
+}
+
+// Sends reports whether this entry is a sender of a server that names a limit.
+func (p *Picker) Sends(server string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.Sends(server)
+}
+
 // HoldOff keeps requests from a server for the time d. See Core.HoldOff.
 func (p *Picker) HoldOff(server string, d time.Duration) {
 	p.mu.Lock()
--- a/core/yuccabalancer/rate_limit.go
+++ b/core/yuccabalancer/rate_limit.go
@@ -40,7 +40,7 @@
 	l.notice = n
 	l.senderRate, l.probeRate = 0, 0
 	if n.Limited {
-		l.senderRate = division.ToSenders("limited "+server, n.Limit)
+		l.senderRate = senderRate(n, server, division)
 		l.probeRate = division.Evenly(max(minProbeRate, probeShare*n.Limit))
 		l.bucket = l.bucket.WithRate(l.senderRate)
 	} else {
@@ -49,6 +49,12 @@
 	return l
 }
 
+// senderRate returns this entry's part of the limit that a server names, zero if the
+// entry is not among the server's senders.
+func senderRate(n Notice, server string, division yuccaquota.Division) float64 {
+	return division.ToSenders("limited "+server, n.Limit)
+}
+
 // refresh sets the rate of the bucket for the present time.
 func (l *rateLimiter) refresh(now time.Time) {
 	rate := l.senderRate
--- a/core/yuccabalancer/rate_limit_test.go
+++ b/core/yuccabalancer/rate_limit_test.go
@@ -120,6 +120,87 @@
 	})
 }
 
+// TestServerLimitHoldsForUnrelatedLists gives each of many entries a list that has itself
+// and a drawn part of the others. Each second the entries hear which of them are senders.
+func TestServerLimitHoldsForUnrelatedLists(t *testing.T) {
+	const (
+		length = 8 * time.Second
+		step   = 50 * time.Millisecond
+		// settled is when the sum must hold.
+		settled = 2 * time.Second
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Float64Range(1, 30).Draw(t, "limit")
+		part := rapid.IntRange(0, 10).Draw(t, "part")
+		names := make([]string, rapid.IntRange(8, 40).Draw(t, "entries"))
+		for i := range names {
+			names[i] = fmt.Sprint("e", i)
+		}
+		var cores []*yuccabalancer.Core
+		for i, name := range names {
+			core := yuccabalancer.NewCore(yuccabalancer.Location{Entry: name, Region: "a", Domain: "a1"})
+			w := topology(1, 1000, "a")
+			w.Entries = []string{name}
+			for j, other := range names {
+				if j != i && rapid.IntRange(0, 9).Draw(t, "listed") < part {
+					w.Entries = append(w.Entries, other)
+				}
+			}
+			core.Update(w)
+			cores = append(cores, core)
+		}
+		var sent []time.Duration
+		for at := time.Duration(0); at < length; at += step {
+			if at%time.Second == 0 {
+				tellSenders(cores, names, yuccabalancer.Notice{Limited: true, Limit: limit, At: start.Add(at)})
+			}
+			for i, core := range cores {
+				if choice := core.Choose(request(at, uint64(i+1))); choice.Kind == yuccaerror.None {
+					core.Done(choice, yuccaadmission.Result{Now: start.Add(at), Succeeded: true, TimeToHeader: time.Millisecond})
+					if at >= settled {
+						sent = append(sent, at)
+					}
+				}
+			}
+		}
+		for i := range sent {
+			n := 0
+			for _, other := range sent[i:] {
+				if other < sent[i]+limitWindow {
+					n++
+				}
+			}
+			if float64(n) > limitFactor*limit*limitWindow.Seconds()+limitSlack {
+				t.Fatalf("%d requests in %v at a limit of %v", n, limitWindow, limit)
+			}
+		}
+		if len(sent) == 0 {
+			t.Fatalf("the server is not used at a limit of %v", limit)
+		}
+	})
+}
+
+// tellSenders gives all entries the news of a limit, and then tells each which of the
+// others are senders.
+func tellSenders(cores []*yuccabalancer.Core, names []string, n yuccabalancer.Notice) {
+	for _, core := range cores {
+		core.SetNotice("a0", n)
+	}
+	sends := make([]bool, len(cores))
+	for i, core := range cores {
+		sends[i] = core.Sends("a0")
+	}
+	for i, core := range cores {
+		var others []string
+		for j, name := range names {
+			if j != i && sends[j] {
+				others = append(others, name)
+			}
+		}
+		core.SetSenders("a0", others)
+	}
+}
+
 // TestServerLimitEndsWithoutNews has no entry tell the others anything: each finds out by
 // itself after a while, all together rarely, whether the limit still holds.
 func TestServerLimitEndsWithoutNews(t *testing.T) {
--- a/core/yuccanotice/board.go
+++ b/core/yuccanotice/board.go
@@ -5,7 +5,8 @@
 // they need not ask the server themselves, and learn that a limit has ended although
 // it keeps them from asking.
 //
-// Board holds the newest notice of each server; it has no clock and does no I/O.
+// Board holds the newest notice of each server, and Senders which entries send requests
+// to a server within its limit; they have no clock and do no I/O.
 // Exchange is the service around it:
 //
 //	exchange := yuccanotice.New(peers, picker, log)
@@ -91,8 +92,7 @@
 }
 
 // Own returns the notices whose newest response this entry itself got, by server.
-// Since only one entry has the newest response of a server, the number of messages
-// does not grow with the number of entries.
+// Only one entry has the newest response of a server.
 func (b *Board) Own() map[string]yuccabalancer.Notice {
 	own := map[string]yuccabalancer.Notice{}
 	for server, r := range b.notices {
@@ -103,6 +103,17 @@
 	return own
 }
 
+// Limited returns the notices of the servers that name a limit.
+func (b *Board) Limited() map[string]yuccabalancer.Notice {
+	limited := map[string]yuccabalancer.Notice{}
+	for server, r := range b.notices {
+		if r.Limited {
+			limited[server] = r.Notice
+		}
+	}
+	return limited
+}
+
 // Prune forgets servers that have lifted their limit a while ago and servers that
 // known no longer reports. It returns the names of those that still had something to
 // say.
--- a/core/yuccanotice/exchange.go
+++ b/core/yuccanotice/exchange.go
@@ -45,6 +45,10 @@
 type Balancer interface {
 	// SetNotice records what a server says about itself.
 	SetNotice(server string, n yuccabalancer.Notice)
+	// SetSenders records which other entries are senders of a server that names a limit.
+	SetSenders(server string, entries []string)
+	// Sends reports whether this entry is a sender of a server that names a limit.
+	Sends(server string) bool
 	// HoldOff keeps requests from a server for the time d.
 	HoldOff(server string, d time.Duration)
 	// Server returns a server by its name and whether it is known.
@@ -71,7 +75,8 @@
 
 	// mu guards the fields below.
 	mu    sync.Mutex
-	board *Board
+	board   *Board
+	senders *Senders
 	// changed holds own notices that the other entries have not been told.
 	changed map[string]yuccabalancer.Notice
 }
@@ -87,6 +92,7 @@
 		invalid:  log.Sample(yuccalog.NewRateSampler(invalidLinesPerSecond)),
 		wake:     make(chan struct{}, 1),
 		board:    NewBoard(),
+		senders:  NewSenders(),
 		changed:  map[string]yuccabalancer.Notice{},
 	}
 	x.Worker = yuccakernel.NewWorker(x.run)
@@ -150,7 +156,7 @@
 			}
 			x.publish(x.takeChanged())
 		case now := <-refresh.C:
-			x.publish(x.takeOwn(now))
+			x.publish(x.refresh(now))
 		case <-ctx.Done():
 			return
 		}
@@ -166,11 +172,10 @@
 	return changed
 }
 
-// takeOwn prunes the board and returns the own notices.
-func (x *Exchange) takeOwn(now time.Time) map[string]yuccabalancer.Notice {
-	if x.boardLen.Load() == 0 {
-		return nil
-	}
+// refresh forgets what is too old, and returns the notices that this entry repeats to the
+// others: those of the newest responses, which it got itself, and those of limited
+// servers that it is a sender of.
+func (x *Exchange) refresh(now time.Time) map[string]yuccabalancer.Notice {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	known := func(server string) bool {
@@ -180,8 +185,28 @@
 	for _, server := range x.board.Prune(now, known) {
 		x.balancer.SetNotice(server, yuccabalancer.Notice{At: now})
 	}
+	for _, server := range x.senders.Prune(now) {
+		x.setSenders(server)
+	}
 	x.boardLen.Store(int64(x.board.Len()))
-	return x.board.Own()
+	notices := x.board.Own()
+	for server, n := range x.board.Limited() {
+		if x.balancer.Sends(server) {
+			notices[server] = n
+		}
+	}
+	return notices
+}
+
+// setSenders tells the load balancer which other entries are senders of a server, and logs
+// whether this entry begins or stops to be one. The caller holds mu.
+func (x *Exchange) setSenders(server string) {
+	before := x.balancer.Sends(server)
+	names := x.senders.Names(server)
+	x.balancer.SetSenders(server, names)
+	if after := x.balancer.Sends(server); after != before {
+		x.log.Info().Str("server", server).Bool("sending", after).Strs("others", names).Msg("server_sender_changed")
+	}
 }
 
 // publish sends notices to the other entries.
@@ -195,6 +220,7 @@
 			Limit:   n.Limit,
 			Leaving: n.Leaving,
 			Run:     n.Run,
+			Sender:  x.balancer.Sends(server),
 		})
 		if len(m.GetNotices()) == maxNoticesPerMessage {
 			x.send(m)
@@ -244,6 +270,9 @@
 		if changed {
 			x.logChange(v.GetServer(), from, n)
 		}
+		if x.senders.Record(now, v.GetServer(), from, v.GetSender()) {
+			x.setSenders(v.GetServer())
+		}
 	}
 	x.boardLen.Store(int64(x.board.Len()))
 	return nil, nil
--- a/core/yuccaquota/division.go
+++ b/core/yuccaquota/division.go
@@ -46,6 +46,17 @@
 	return d
 }
 
+// With returns the division among the listed entries and others that are not listed.
+func (d Division) With(others []string) Division {
+	all := slices.Clone(d.entries)
+	for _, name := range others {
+		if !slices.Contains(all, name) {
+			all = append(all, name)
+		}
+	}
+	return d.WithEntries(all)
+}
+
 // Evenly returns this entry's part of a rate that is divided among all listed entries.
 // It suits rates that every entry needs a part of and that are large against the
 // number of entries.
@@ -61,7 +72,8 @@
 //
 // While entries hold different lists, there are more senders than in any one list. The
 // sum of the parts then stays below 1.5 times the rate as long as there are seven
-// senders or fewer.
+// senders or fewer. Senders that tell one another of themselves use With, so that the
+// best placed ones remain, whatever the lists.
 func (d Division) ToSenders(key string, rate float64) float64 {
 	chosen := yuccapeer.RendezvousTop(key, d.entries, senders)
 	if !slices.Contains(chosen, d.self) {
