--- a/core/yuccanotice/exchange.go
+++ b/core/yuccanotice/exchange.go
@@ -74,7 +74,7 @@
 	wake chan struct{}
 
 	// mu guards the fields below.
-	mu    sync.Mutex
+	mu      sync.Mutex
 	board   *Board
 	senders *Senders
 	// changed holds own notices that the other entries have not been told.
