A busy entry does not take slow connections for lost links

Before it counts as cut off, an entry now connects directly to three other servers. If one accepts and keeps the connection, its links work.

--- a/core/yuccatunnel/dialer.go
+++ b/core/yuccatunnel/dialer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"yuccawell.example/core/yuccaerror"
 	"yuccawell.example/core/yuccakernel"
@@ -31,6 +32,9 @@
 	probeHold = 50 * time.Millisecond
 	// maxRecentServers is how many servers are remembered for probes.
 	maxRecentServers = 16
+	// verifyServers is how many of them are connected to before the entry counts as cut
+	// off.
+	verifyServers = 3
 )
 
 // keepAlive detects the silent death of the other entry of a tunnel.
@@ -70,6 +74,8 @@
 	log      zerolog.Logger
 	// failing lets responses pass without a lock while nothing has failed.
 	failing atomic.Bool
+	// verifying is set while one caller finds out whether the entry is cut off.
+	verifying atomic.Bool
 	// tunnels counts the tunnels that were opened.
 	tunnels atomic.Uint64
 
@@ -225,8 +231,18 @@
 	d.recent[rand.IntN(len(d.recent))] = addr
 }
 
-// confirm records that a tunnel reached a server that a direct connection did not.
+// confirm is called when a tunnel has reached a server that a direct connection did not.
+// The entry counts as cut off unless some other server accepts a direct connection:
+// under load, connections to busy servers or of a busy entry fail as well.
 func (d *Dialer) confirm() {
+	if d.CutOff() || !d.suspects() || !d.verifying.CompareAndSwap(false, true) {
+		return
+	}
+	defer d.verifying.Store(false)
+	if addr, ok := d.anyReachable(); ok {
+		d.reached(addr)
+		return
+	}
 	d.mu.Lock()
 	changed := d.detector.Tunneled(time.Now())
 	d.mu.Unlock()
@@ -236,6 +252,44 @@
 	}
 }
 
+// anyReachable opens direct connections to verifyServers servers that were lately
+// connected to. It returns the address of one that accepts and keeps one, and false if
+// there is none.
+func (d *Dialer) anyReachable() (addr string, ok bool) {
+	d.mu.Lock()
+	addrs := slices.Clone(d.recent)
+	d.mu.Unlock()
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	addrs = addrs[:min(verifyServers, len(addrs))]
+	reachable := make(chan string, verifyServers)
+	group := &errgroup.Group{}
+	for _, addr := range addrs {
+		group.Go(func() error {
+			if d.accepts(context.Background(), addr) {
+				reachable <- addr
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	select {
+	case addr = <-reachable:
+		return addr, true
+	default:
+		return "", false
+	}
+}
+
+// accepts reports whether a server accepts a direct connection and keeps it open.
+func (d *Dialer) accepts(ctx context.Context, addr string) bool {
+	c, err := d.direct(ctx, addr)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	return staysOpen(c)
+}
+
 // reached records that a direct connection works again.
 func (d *Dialer) reached(addr string) {
 	d.mu.Lock()
@@ -329,12 +383,7 @@
 	}
 	addr := d.recent[rand.IntN(len(d.recent))]
 	d.mu.Unlock()
-	c, err := d.direct(ctx, addr)
-	if err != nil {
-		return
-	}
-	defer c.Close()
-	if staysOpen(c) {
+	if d.accepts(ctx, addr) {
 		d.reached(addr)
 	}
 }
--- a/core/yuccatunnel/tunnel_test.go
+++ b/core/yuccatunnel/tunnel_test.go
@@ -29,6 +29,8 @@
 	dialer *yuccatunnel.Dialer
 	// linkDown makes direct connections of the entry fail.
 	linkDown atomic.Bool
+	// refusing holds the addresses of servers to which direct connections fail.
+	refusing map[string]bool
 	// cutOff is the last value that the dialer reported.
 	cutOff  atomic.Bool
 	peers   []yuccatunnel.Peer
@@ -40,7 +42,7 @@
 	settings := yuccatunnel.DialerSettings{Self: "e1", Source: net.IPv4(127, 0, 0, 1), Timeout: 100 * time.Millisecond}
 	w.dialer = yuccatunnel.NewDialer(settings, func() []yuccatunnel.Peer { return w.peers }, func(cutOff bool) { w.cutOff.Store(cutOff) }, zerolog.Nop())
 	w.dialer.SetDirect(func(ctx context.Context, addr string) (net.Conn, error) {
-		if w.linkDown.Load() {
+		if w.linkDown.Load() || w.refusing[addr] {
 			return nil, errLinkDown
 		}
 		var d net.Dialer
@@ -148,6 +150,33 @@
 	w.c.Assert(tunneled, qt.IsFalse)
 }
 
+// TestOverloadIsNotTakenForPartition has several servers not accept the connections of an
+// entry in time, as under load, while another entry gets through to them. Since one more
+// server accepts them, the entry's links are not at fault.
+func TestOverloadIsNotTakenForPartition(t *testing.T) {
+	w := newWorld(t)
+	w.addPeer(t, "e2")
+	others := []yuccarelay.Server{w.addServer(t, "a", echo), w.addServer(t, "b", echo)}
+	busy := []yuccarelay.Server{w.addServer(t, "x", echo), w.addServer(t, "y", echo)}
+	for _, s := range others {
+		c, err := w.dialer.Dial(t.Context(), s)
+		w.c.Assert(err, qt.IsNil)
+		defer c.Close()
+	}
+	w.refusing = map[string]bool{busy[0].Addr: true, busy[1].Addr: true}
+	for range 3 {
+		for _, s := range busy {
+			if c, err := w.dialer.Dial(t.Context(), s); err == nil {
+				defer c.Close()
+			}
+			w.c.Assert(w.dialer.CutOff(), qt.IsFalse)
+		}
+	}
+	w.linkDown.Store(true)
+	w.cut(others...)
+	w.c.Assert(w.dialer.CutOff(), qt.IsTrue)
+}
+
 // TestEntryReturnsToItsOwnLinks ends a partition: the entry soon connects directly, and
 // uses neither the tunnels nor connections from before.
 func TestEntryReturnsToItsOwnLinks(t *testing.T) {
