A tunnel is tried only when no server accepts a direct connection

Now the check of the other servers comes first, with twice the time of a connection, and only if it fails a tunnel is opened.

--- a/core/yuccatunnel/dialer.go
+++ b/core/yuccatunnel/dialer.go
@@ -35,6 +35,8 @@
 	// verifyServers is how many of them are connected to before the entry counts as cut
 	// off.
 	verifyServers = 3
+	// verifyTimeouts is how many times the timeout of a direct connection that may take.
+	verifyTimeouts = 2
 )
 
 // keepAlive detects the silent death of the other entry of a tunnel.
@@ -88,7 +90,7 @@
 
 // NewDialer returns a dialer that asks peers for the entries that may carry tunnels.
 func NewDialer(settings DialerSettings, peers func() []Peer, onChange func(cutOff bool), log zerolog.Logger) *Dialer {
-	direct := newServerDialer(settings.Source, settings.Timeout)
+	direct := newServerDialer(settings.Source)
 	d := &Dialer{
 		settings: settings,
 		direct:   func(ctx context.Context, addr string) (net.Conn, error) { return direct.DialContext(ctx, "tcp", addr) },
@@ -101,8 +103,8 @@
 }
 
 // newServerDialer returns a dialer for connections to servers.
-func newServerDialer(source net.IP, timeout time.Duration) net.Dialer {
-	d := net.Dialer{Timeout: timeout}
+func newServerDialer(source net.IP) net.Dialer {
+	var d net.Dialer
 	if source != nil {
 		d.LocalAddr = &net.TCPAddr{IP: source}
 	}
@@ -120,16 +122,17 @@
 func (d *Dialer) Tunnels() uint64 { return d.tunnels.Load() }
 
 // Dial implements yuccarelay.Path. While the entry is cut off, it opens a tunnel. When
-// a direct connection fails and the entry's own links are suspected, it tries one too.
+// a direct connection fails and no server can be reached, it tries one too.
 func (d *Dialer) Dial(ctx context.Context, to yuccarelay.Server) (net.Conn, error) {
 	d.remember(to.Addr)
-	if d.CutOff() {
+	cutOff := d.CutOff()
+	if cutOff {
 		if c, err := d.tunnel(ctx, to); !errors.Is(err, errCutOff) {
 			return c, err
 		}
 	}
 	c, err := d.dialDirect(ctx, to)
-	if err == nil || ctx.Err() != nil || !d.suspects() {
+	if err == nil || ctx.Err() != nil || cutOff || !d.reachesNone() {
 		return c, err
 	}
 	t, tunnelErr := d.tunnel(ctx, to)
@@ -179,7 +182,6 @@
 		if c, err = d.tunnel(ctx, to); err != nil {
 			return d.CutOff()
 		}
-		d.confirm()
 	}
 	_ = c.Close()
 	return true
@@ -188,7 +190,9 @@
 // dialDirect opens a direct connection and records a failure. While the entry's own
 // links are suspected, a connection that is broken at once counts as none.
 func (d *Dialer) dialDirect(ctx context.Context, to yuccarelay.Server) (net.Conn, error) {
-	c, err := d.direct(ctx, to.Addr)
+	dialCtx, cancel := context.WithTimeout(ctx, d.settings.Timeout)
+	defer cancel()
+	c, err := d.direct(dialCtx, to.Addr)
 	if err == nil && d.suspects() && !staysOpen(c) {
 		_ = c.Close()
 		err = errBrokenAtOnce
@@ -231,18 +235,27 @@
 	d.recent[rand.IntN(len(d.recent))] = addr
 }
 
-// confirm is called when a tunnel has reached a server that a direct connection did not.
-// The entry counts as cut off unless some other server accepts a direct connection:
-// under load, connections to busy servers or of a busy entry fail as well.
-func (d *Dialer) confirm() {
-	if d.CutOff() || !d.suspects() || !d.verifying.CompareAndSwap(false, true) {
-		return
+// reachesNone reports whether the entry's own links are suspected and no server accepts
+// a direct connection. Under load, connections to some busy servers or of a busy entry
+// fail, and then a tunnel would only add to the load. One caller at a time finds out; to
+// the others it returns false meanwhile.
+func (d *Dialer) reachesNone() bool {
+	if d.CutOff() {
+		return true
+	}
+	if !d.suspects() || !d.verifying.CompareAndSwap(false, true) {
+		return false
 	}
 	defer d.verifying.Store(false)
-	if addr, ok := d.anyReachable(); ok {
+	addr, ok := d.anyReachable()
+	if ok {
 		d.reached(addr)
-		return
 	}
+	return !ok
+}
+
+// confirm records that a tunnel reached a server while no direct connection works.
+func (d *Dialer) confirm() {
 	d.mu.Lock()
 	changed := d.detector.Tunneled(time.Now())
 	d.mu.Unlock()
@@ -253,9 +266,11 @@
 }
 
 // anyReachable opens direct connections to verifyServers servers that were lately
-// connected to. It returns the address of one that accepts and keeps one, and false if
-// there is none.
+// connected to, and waits longer for them than requests do. It returns the address of one
+// that accepts and keeps one, and false if there is none.
 func (d *Dialer) anyReachable() (addr string, ok bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), verifyTimeouts*d.settings.Timeout)
+	defer cancel()
 	d.mu.Lock()
 	addrs := slices.Clone(d.recent)
 	d.mu.Unlock()
@@ -265,7 +280,7 @@
 	group := &errgroup.Group{}
 	for _, addr := range addrs {
 		group.Go(func() error {
-			if d.accepts(context.Background(), addr) {
+			if d.accepts(ctx, addr) {
 				reachable <- addr
 			}
 			return nil
@@ -383,6 +398,8 @@
 	}
 	addr := d.recent[rand.IntN(len(d.recent))]
 	d.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, d.settings.Timeout)
+	defer cancel()
 	if d.accepts(ctx, addr) {
 		d.reached(addr)
 	}
--- a/core/yuccatunnel/listener.go
+++ b/core/yuccatunnel/listener.go
@@ -67,7 +67,7 @@
 	l := &Listener{
 		settings:   settings,
 		serverAddr: serverAddr,
-		dialer:     newServerDialer(source, settings.DialTimeout),
+		dialer:     newServerDialer(source),
 		log:        log,
 		done:       make(chan struct{}),
 		conns:      map[*net.TCPConn]struct{}{},
@@ -195,6 +195,8 @@
 	if addr == "" {
 		return nil, yuccaerror.New(yuccaerror.NoServer, "server %q is not known or takes no requests", req.GetServer())
 	}
+	ctx, cancel := context.WithTimeout(ctx, l.settings.DialTimeout)
+	defer cancel()
 	c, err := l.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		l.log.Debug().Err(err).Str("server", req.GetServer()).Str("from", req.GetFrom()).Msg("tunnel_not_opened")
--- a/core/yuccatunnel/tunnel_test.go
+++ b/core/yuccatunnel/tunnel_test.go
@@ -166,10 +166,10 @@
 	w.refusing = map[string]bool{busy[0].Addr: true, busy[1].Addr: true}
 	for range 3 {
 		for _, s := range busy {
-			if c, err := w.dialer.Dial(t.Context(), s); err == nil {
-				defer c.Close()
-			}
+			_, err := w.dialer.Dial(t.Context(), s)
+			w.c.Assert(errors.Is(err, errLinkDown), qt.IsTrue, qt.Commentf("%v", err))
 			w.c.Assert(w.dialer.CutOff(), qt.IsFalse)
+			w.c.Assert(w.dialer.Tunnels(), qt.Equals, uint64(0))
 		}
 	}
 	w.linkDown.Store(true)
