A reader that has just started passes the config and evacuations on

Freshly started it passes nothing on, since after an outage of the store its view of expired registrations is not to be trusted for 3 s; and its changes have a gap that the others refuse. They then have to ask an entry of another domain, to which no session is open. In the smallest region, which the burst overloads, opening one took longer than the 0.5 s that a fetch may take: five entries were asked in vain, and one got the config 3.9 s after it was acked.

What operators write does not expire, so that caution is not needed for it: config and evacuations are passed on whole, by any reader at any time, and any entry that has them may be asked. Entries of the own domain, to which sessions are open, are asked first, for everything. The new test failed: no entry of the domain knew the change.

--- a/core/yuccareplica/fetch.go
+++ b/core/yuccareplica/fetch.go
@@ -27,7 +27,7 @@
 		after, asked := request.GetAfter()[w.prefix]
 		switch {
 		case !asked:
-		case after == 0:
+		case after == 0, w.durable && w.copy.changed > after:
 			if changes := w.list(); changes != nil {
 				reply.Changes = append(reply.Changes, changes)
 			}
@@ -63,14 +63,14 @@
 	if r.contactDuration(now) > 0 {
 		delay = readerFetchDelay
 	}
-	known := make([]uint64, len(r.watched))
+	known := make([]knownCopy, len(r.watched))
 	for i, w := range r.watched {
-		known[i] = w.copy.seq
+		known[i] = knownCopy{w.copy.seq, w.durable}
 		if w.copy.seq == 0 {
 			return r.firstListFrom(now)
 		}
 	}
-	return r.fleet.behind(now, known, delay)
+	return r.fleet.behind(now, known, r.near, delay)
 }
 
 // firstListFrom returns the entry to ask for the first lists, if the platform has not
@@ -79,7 +79,7 @@
 	if now.Sub(r.startedAt) < firstListDelay {
 		return ""
 	}
-	return r.fleet.firstUsable(now, slices.Sorted(maps.Keys(r.fleet.received)))
+	return r.fleet.firstUsable(now, slices.Sorted(maps.Keys(r.fleet.received)), r.near)
 }
 
 // fetch asks another entry for the changes that this one misses.
--- a/core/yuccareplica/fleet.go
+++ b/core/yuccareplica/fleet.go
@@ -1,6 +1,7 @@
 package yuccareplica
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -87,14 +88,22 @@
 	return true
 }
 
+// knownCopy is what this entry has of the objects under one prefix.
+type knownCopy struct {
+	// seq is the sequence number up to which the copy is complete.
+	seq uint64
+	// durable is set if the objects do not expire while the platform is unavailable.
+	durable bool
+}
+
 // behind returns the entry to ask for changes that this one has been missing for
-// at least delay. The argument known holds the sequence numbers up to which the
-// copies are complete, in the order of the prefixes. It returns an empty name when
-// nothing is missing or nobody can be asked.
-func (f *fleet) behind(now time.Time, known []uint64, delay time.Duration) string {
+// at least delay. The argument known holds this entry's copies in the order of the
+// prefixes, near the entries to ask first. It returns an empty name when nothing is
+// missing or nobody can be asked.
+func (f *fleet) behind(now time.Time, known []knownCopy, near []string, delay time.Duration) string {
 	var name string
-	for i, seq := range known {
-		announcers := f.announcers(i, seq)
+	for i, k := range known {
+		announcers := f.announcers(i, k)
 		if len(announcers) == 0 {
 			delete(f.behindSince, i)
 			continue
@@ -105,18 +114,18 @@
 			f.behindSince[i] = now
 		}
 		if name == "" && now.Sub(since) >= delay {
-			name = f.firstUsable(now, announcers)
+			name = f.firstUsable(now, announcers, near)
 		}
 	}
 	return name
 }
 
-// announcers returns the sorted names of the settled entries that announce a change
-// under a prefix after a sequence number.
-func (f *fleet) announcers(prefix int, seq uint64) []string {
+// announcers returns the sorted names of the entries that announce a change under a
+// prefix which the copy lacks. They must be settled unless the objects are durable.
+func (f *fleet) announcers(prefix int, known knownCopy) []string {
 	var names []string
 	for name, a := range f.received {
-		if a.settled() && prefix < len(a.Changed) && a.Changed[prefix] > seq {
+		if (a.settled() || known.durable) && prefix < len(a.Changed) && a.Changed[prefix] > known.seq {
 			names = append(names, name)
 		}
 	}
@@ -125,13 +134,18 @@
 }
 
 // firstUsable returns the first of the entries that has not failed to answer
-// recently, in an order that differs from entry to entry so that they do not all
-// ask the same one.
-func (f *fleet) firstUsable(now time.Time, names []string) string {
+// recently. Those in near come first, since sessions to them are open, and otherwise the
+// order differs from entry to entry so that they do not all ask the same one.
+func (f *fleet) firstUsable(now time.Time, names, near []string) string {
+	var first string
 	for _, name := range yuccapeer.RendezvousTop("fetch "+f.self, names, len(names)) {
-		if now.Sub(f.failures[name]) >= fetchRetryDelay {
+		if now.Sub(f.failures[name]) < fetchRetryDelay {
+			continue
+		}
+		if slices.Contains(near, name) {
 			return name
 		}
+		first = cmp.Or(first, name)
 	}
-	return ""
+	return first
 }
--- a/core/yuccareplica/fleet_test.go
+++ b/core/yuccareplica/fleet_test.go
@@ -35,16 +35,16 @@
 		{"another domain's reader has contact", other, func(f *fleet) { f.observe(start, "c", settled(1)) }, false},
 		{"behind for a short time", other, func(f *fleet) {
 			f.observe(start, reader, settled(9))
-			f.behind(start, []uint64{1}, fetchDelay)
+			f.behind(start, []knownCopy{{seq: 1}}, nil, fetchDelay)
 		}, false},
 		{"behind for too long", other, func(f *fleet) {
 			f.observe(start, reader, settled(9))
-			f.behind(start.Add(-stuckTimeout), []uint64{1}, fetchDelay)
+			f.behind(start.Add(-stuckTimeout), []knownCopy{{seq: 1}}, nil, fetchDelay)
 		}, true},
 		{"no longer behind", other, func(f *fleet) {
 			f.observe(start, reader, settled(9))
-			f.behind(start.Add(-stuckTimeout), []uint64{1}, fetchDelay)
-			f.behind(start, []uint64{9}, fetchDelay)
+			f.behind(start.Add(-stuckTimeout), []knownCopy{{seq: 1}}, nil, fetchDelay)
+			f.behind(start, []knownCopy{{seq: 9}}, nil, fetchDelay)
 		}, false},
 	}
 	for _, test := range tests {
@@ -58,7 +58,7 @@
 }
 
 // TestWhomToAsk has changes announced to an entry that knows those up to 5 under one
-// prefix and up to 7 under another.
+// prefix, up to 7 under another and up to 9 of durable objects.
 func TestWhomToAsk(t *testing.T) {
 	tests := []struct {
 		name  string
@@ -66,6 +66,12 @@
 		after time.Duration
 		want  string
 	}{
+		{"an entry of the failure domain announces too", func(f *fleet) {
+			for _, name := range []string{"b", "c", "e", "g", "near"} {
+				f.observe(start, name, settled(6, 7))
+			}
+		}, fetchDelay, "near"},
+		{"durable objects announced without settled contact", func(f *fleet) { f.observe(start, "b", Announcement{Changed: []uint64{5, 7, 10}}) }, fetchDelay, "b"},
 		{"nothing is missing", func(f *fleet) { f.observe(start, "b", settled(5, 7)) }, time.Second, ""},
 		{"missing for a short time", func(f *fleet) { f.observe(start, "b", settled(6, 7)) }, fetchDelay - 1, ""},
 		{"missing under the first prefix", func(f *fleet) { f.observe(start, "b", settled(6, 7)) }, fetchDelay, "b"},
@@ -89,9 +95,10 @@
 		t.Run(test.name, func(t *testing.T) {
 			f := newFleet("a", "d")
 			test.setup(f)
-			known := []uint64{5, 7}
-			qt.Assert(t, f.behind(start, known, fetchDelay), qt.Equals, "")
-			qt.Assert(t, f.behind(start.Add(test.after), known, fetchDelay), qt.Equals, test.want)
+			known := []knownCopy{{5, false}, {7, false}, {9, true}}
+			near := []string{"near"}
+			qt.Assert(t, f.behind(start, known, near, fetchDelay), qt.Equals, "")
+			qt.Assert(t, f.behind(start.Add(test.after), known, near, fetchDelay), qt.Equals, test.want)
 		})
 	}
 }
--- a/core/yuccareplica/replica.go
+++ b/core/yuccareplica/replica.go
@@ -78,6 +78,8 @@
 	mu      sync.Mutex
 	fleet   *fleet
 	contact contact
+	// near are the other live entries of the failure domain.
+	near []string
 	// calling is set while this entry calls the platform itself.
 	calling bool
 	// open is closed while calling is set.
@@ -86,7 +88,9 @@
 
 // watched is a prefix with its watcher and its copy.
 type watched struct {
-	prefix  string
+	prefix string
+	// durable is Settings.Durable of the watcher.
+	durable bool
 	watcher *yuccawatch.Watcher
 	copy    *replicaCopy
 }
@@ -105,7 +109,7 @@
 // Watch returns a watcher that reports its events to handle and takes part in the
 // sharing. All entries watch the same prefixes. Call it before Start.
 func (r *Replica) Watch(settings yuccawatch.Settings, store yuccawatch.Lister, handle func(yuccawatch.Event)) *yuccawatch.Watcher {
-	w := &watched{prefix: settings.Prefix, copy: newCopy()}
+	w := &watched{prefix: settings.Prefix, durable: settings.Durable, copy: newCopy()}
 	settings.Gate = r
 	w.watcher = yuccawatch.New(settings, store, func(event yuccawatch.Event) {
 		r.record(w, event)
@@ -167,7 +171,7 @@
 }
 
 // record applies an event of a watcher to its copy. A settled reader passes changes
-// on to its failure domain.
+// on to its failure domain, any reader those of durable objects.
 func (r *Replica) record(w *watched, event yuccawatch.Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -197,16 +201,23 @@
 
 // passOn publishes the changes after a sequence number to the failure domain, if
 // this entry is in settled contact with the platform. Long changes are left to be
-// fetched.
+// fetched. Durable objects are published as a list, which has no gaps, and at any time.
 func (r *Replica) passOn(w *watched, after uint64, now time.Time) {
-	if after == 0 || r.contactDuration(now) < settleTime {
+	page, ok := w.copy.since(after)
+	if after == 0 || !ok || page.Seq < w.copy.seq {
 		return
 	}
-	page, ok := w.copy.since(after)
-	if !ok || page.Seq < w.copy.seq {
+	var changes *Changes
+	switch {
+	case w.durable:
+		changes = w.list()
+	case r.contactDuration(now) >= settleTime:
+		changes = encodeChanges(w.prefix, after, page)
+	}
+	if changes == nil {
 		return
 	}
-	body, err := proto.Marshal(encodeChanges(w.prefix, after, page))
+	body, err := proto.Marshal(changes)
 	if err != nil {
 		r.log.Error().Err(err).Str("prefix", w.prefix).Msg("changes_not_encoded")
 		return
@@ -265,6 +276,7 @@
 	live := r.live()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.near = live
 	r.fleet.forget(now)
 	calling := r.fleet.calls(now, live)
 	if calling == r.calling {
--- a/core/yuccareplica/replica_test.go
+++ b/core/yuccareplica/replica_test.go
@@ -118,8 +118,10 @@
 	c        *qt.C
 	platform *yuccafake.Platform
 	net      *yuccafake.Net
-	members  []*member
-	group    errgroup.Group
+	// durable is set if the objects do not expire while the platform is unavailable.
+	durable bool
+	members []*member
+	group   errgroup.Group
 }
 
 // runFleet runs a scenario with entries in three failure domains, long after their
@@ -130,8 +132,13 @@
 
 // runFleetAfter runs a scenario a while after the entries have started.
 func runFleetAfter(t *testing.T, perDomain int, age time.Duration, scenario func(f *fleet)) {
+	runFleetOf(t, perDomain, age, false, scenario)
+}
+
+// runFleetOf runs a scenario with objects that are durable or not.
+func runFleetOf(t *testing.T, perDomain int, age time.Duration, durable bool, scenario func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{c: qt.New(t), platform: yuccafake.NewPlatform(), net: yuccafake.NewNet()}
+		f := &fleet{c: qt.New(t), platform: yuccafake.NewPlatform(), net: yuccafake.NewNet(), durable: durable}
 		for i := range 3 * perDomain {
 			f.add(t.Context(), fmt.Sprintf("d%d-%d", i%3, i/3))
 		}
@@ -153,7 +160,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	e := &member{name: name, link: &link{platform: f.platform}, bus: f.net.BusIn(name, domain), stop: stop, known: map[string]bool{}}
 	e.replica = yuccareplica.New(name, domain, e.bus, func() []string { return f.live(e, domain) }, zerolog.Nop())
-	w := e.replica.Watch(yuccawatch.Settings{Prefix: "k/"}, e.link, e.handle)
+	w := e.replica.Watch(yuccawatch.Settings{Prefix: "k/", Durable: f.durable}, e.link, e.handle)
 	e.bus.Handle("beat", func(_ context.Context, from string, body []byte) ([]byte, error) {
 		var a yuccareplica.Announcement
 		err := json.Unmarshal(body, &a)
@@ -421,3 +428,32 @@
 		}
 	})
 }
+
+// TestRestartedReaderPassesDurableObjectsOn restarts the reader of a failure domain, which
+// then misses a part of the history, while the other entries cannot be asked. Changes of
+// durable objects reach its domain at once all the same.
+func TestRestartedReaderPassesDurableObjectsOn(t *testing.T) {
+	runFleetOf(t, 4, 15*time.Second, true, func(f *fleet) {
+		reader := f.callers()[0]
+		domain, _, _ := strings.Cut(reader.name, "-")
+		reader.stop()
+		time.Sleep(100 * time.Millisecond)
+		f.put("other/a")
+		f.members = f.without(reader)
+		f.add(f.c.Context(), reader.name)
+		time.Sleep(300 * time.Millisecond)
+		var near []*member
+		for _, e := range f.members {
+			if strings.HasPrefix(e.name, domain+"-") {
+				near = append(near, e)
+				continue
+			}
+			f.net.SetDisconnected(e.name, true)
+		}
+		f.put("k/new")
+		time.Sleep(200 * time.Millisecond)
+		for _, e := range near {
+			f.c.Assert(e.knows("k/new"), qt.IsTrue, qt.Commentf("%s", e.name))
+		}
+	})
+}
--- a/core/yuccawatch/watcher.go
+++ b/core/yuccawatch/watcher.go
@@ -52,6 +52,10 @@
 	// RelistInterval is the time after which all objects are listed again even if no
 	// error has occurred. Long lists are listed less often.
 	RelistInterval time.Duration
+	// Durable is set if the objects do not expire while the platform is unavailable, as
+	// those that operators write. A list of them that another entry has is then as good
+	// as one from the platform.
+	Durable bool
 	// Breaker is shared by the watchers of one platform. Nil means a separate one.
 	Breaker *Breaker
 	// Gate delays the calls after the first list. Nil means no delay.
@@ -195,12 +199,12 @@
 }
 
 // OfferList reports a list that another entry has, as a Listed event, if there has been
-// no list yet. It returns whether it did. The watcher still lists all objects itself as
-// soon as the platform responds.
+// no list yet or the list is newer and its objects are durable. It returns whether it
+// did. The watcher still lists all objects itself as soon as the platform responds.
 func (f *Watcher) OfferList(page yuccastore.Page) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.seq != 0 || page.Seq == 0 {
+	if page.Seq <= f.seq || f.seq != 0 && !f.settings.Durable {
 		return false
 	}
 	f.advance(page.Seq)
