--- a/core/yuccabalancer/rate_limit_test.go
+++ b/core/yuccabalancer/rate_limit_test.go
@@ -106,18 +106,24 @@
 				}
 			}
 		}
-		for i := range sent {
-			n := 0
-			for _, other := range sent[i:] {
-				if other < sent[i]+limitWindow {
-					n++
-				}
-			}
-			if float64(n) > limitFactor*f.limit*limitWindow.Seconds()+limitSlack {
-				t.Fatalf("%d requests in %v at a limit of %v", n, limitWindow, f.limit)
+		checkLimit(t, sent, f.limit)
+	})
+}
+
+// checkLimit fails the test if the requests of any limitWindow exceed the limit. The
+// argument sent holds the times of all requests, in order.
+func checkLimit(t *rapid.T, sent []time.Duration, limit float64) {
+	for i, first := range sent {
+		n := 0
+		for _, at := range sent[i:] {
+			if at < first+limitWindow {
+				n++
 			}
 		}
-	})
+		if float64(n) > limitFactor*limit*limitWindow.Seconds()+limitSlack {
+			t.Fatalf("%d requests in %v at a limit of %v", n, limitWindow, limit)
+		}
+	}
 }
 
 // TestServerLimitHoldsForUnrelatedLists gives each of many entries a list that has itself
@@ -163,17 +169,7 @@
 				}
 			}
 		}
-		for i := range sent {
-			n := 0
-			for _, other := range sent[i:] {
-				if other < sent[i]+limitWindow {
-					n++
-				}
-			}
-			if float64(n) > limitFactor*limit*limitWindow.Seconds()+limitSlack {
-				t.Fatalf("%d requests in %v at a limit of %v", n, limitWindow, limit)
-			}
-		}
+		checkLimit(t, sent, limit)
 		if len(sent) == 0 {
 			t.Fatalf("the server is not used at a limit of %v", limit)
 		}
--- a/core/yuccanotice/board.go
+++ b/core/yuccanotice/board.go
@@ -94,24 +94,22 @@
 // Own returns the notices whose newest response this entry itself got, by server.
 // Only one entry has the newest response of a server.
 func (b *Board) Own() map[string]yuccabalancer.Notice {
-	own := map[string]yuccabalancer.Notice{}
-	for server, r := range b.notices {
-		if r.own {
-			own[server] = r.Notice
-		}
-	}
-	return own
+	return b.matching(func(r record) bool { return r.own })
 }
 
-// Limited returns the notices of the servers that name a limit.
+// Limited returns the notices of the servers that name a limit, by server.
 func (b *Board) Limited() map[string]yuccabalancer.Notice {
-	limited := map[string]yuccabalancer.Notice{}
+	return b.matching(func(r record) bool { return r.Limited })
+}
+
+func (b *Board) matching(keep func(record) bool) map[string]yuccabalancer.Notice {
+	notices := map[string]yuccabalancer.Notice{}
 	for server, r := range b.notices {
-		if r.Limited {
-			limited[server] = r.Notice
+		if keep(r) {
+			notices[server] = r.Notice
 		}
 	}
-	return limited
+	return notices
 }
 
 // Prune forgets servers that have lifted their limit a while ago and servers that
