--- a/core/yuccatunnel/dialer.go
+++ b/core/yuccatunnel/dialer.go
@@ -35,7 +35,8 @@
 	// verifyServers is how many of them are connected to before the entry counts as cut
 	// off.
 	verifyServers = 3
-	// verifyTimeouts is how many times the timeout of a direct connection that may take.
+	// verifyTimeouts bounds the wait for them, as a multiple of the timeout of a direct
+	// connection.
 	verifyTimeouts = 2
 )
 
