--- a/core/yuccatunnel/tunnel_test.go
+++ b/core/yuccatunnel/tunnel_test.go
@@ -29,6 +29,8 @@
 	dialer *yuccatunnel.Dialer
 	// linkDown makes direct connections of the entry fail.
 	linkDown atomic.Bool
+	// hanging makes direct connections of the entry wait until they are given up.
+	hanging atomic.Bool
 	// refusing holds the addresses of servers to which direct connections fail.
 	refusing map[string]bool
 	// cutOff is the last value that the dialer reported.
@@ -42,6 +44,10 @@
 	settings := yuccatunnel.DialerSettings{Self: "e1", Source: net.IPv4(127, 0, 0, 1), Timeout: 100 * time.Millisecond}
 	w.dialer = yuccatunnel.NewDialer(settings, func() []yuccatunnel.Peer { return w.peers }, func(cutOff bool) { w.cutOff.Store(cutOff) }, zerolog.Nop())
 	w.dialer.SetDirect(func(ctx context.Context, addr string) (net.Conn, error) {
+		if w.hanging.Load() {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
 		if w.linkDown.Load() || w.refusing[addr] {
 			return nil, errLinkDown
 		}
@@ -126,6 +132,25 @@
 	w.c.Assert(string(got), qt.Equals, "hello")
 }
 
+// TestHangingConnectionsShowPartition has the links of an entry swallow all packets: the
+// second server that it cannot connect to is reached through another entry, after the
+// time of four connections.
+func TestHangingConnectionsShowPartition(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.addServer(t, "a", echo), w.addServer(t, "b", echo)
+	w.addPeer(t, "e2")
+	w.hanging.Store(true)
+	began := time.Now()
+	_, err := w.dialer.Dial(t.Context(), a)
+	w.c.Assert(err, qt.IsNotNil)
+	c, err := w.dialer.Dial(t.Context(), b)
+	w.c.Assert(err, qt.IsNil)
+	defer c.Close()
+	w.c.Assert(c.(yuccarelay.Tunnel).Via(), qt.Equals, "e2")
+	w.c.Assert(w.cutOff.Load(), qt.IsTrue)
+	w.c.Assert(time.Since(began) < time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
+
 // TestDeadServersAreNotTakenForPartition stops two servers: no other entry reaches them
 // either, so the entry goes on connecting directly.
 func TestDeadServersAreNotTakenForPartition(t *testing.T) {
