--- a/core/yuccatunnel/tunnel_test.go
+++ b/core/yuccatunnel/tunnel_test.go
@@ -132,7 +132,7 @@
 	w.c.Assert(string(got), qt.Equals, "hello")
 }
 
-// TestHangingConnectionsShowPartition has the links of an entry swallow all packets: the
+// TestHangingConnectionsShowPartition has the links of an entry drop all packets: the
 // second server that it cannot connect to is reached through another entry, after the
 // time of four connections.
 func TestHangingConnectionsShowPartition(t *testing.T) {
