--- a/core/yuccaburn/classify.go
+++ b/core/yuccaburn/classify.go
@@ -19,7 +19,7 @@
 		return Shed
 	case yuccaerror.ExpiredBeforeSend, yuccaerror.ExpiredAfterSend:
 		return Late
-	case yuccaerror.Malformed, yuccaerror.UnknownService, yuccaerror.Canceled, yuccaerror.KeyMismatch, yuccaerror.TooLarge,
+	case yuccaerror.Malformed, yuccaerror.UnknownService, yuccaerror.Unauthorized, yuccaerror.QuotaExceeded, yuccaerror.Canceled, yuccaerror.KeyMismatch, yuccaerror.TooLarge,
 		yuccaerror.KeyInProgress, yuccaerror.ReplayUnavailable, yuccaerror.Quarantined:
 		return Ignored
 	}
--- a/core/yuccaerror/kind.go
+++ b/core/yuccaerror/kind.go
@@ -30,6 +30,11 @@
 	Malformed
 	// UnknownService is a request that matches no configured service or route.
 	UnknownService
+	// Unauthorized is a request without the key of a client account, or with an unknown
+	// one.
+	Unauthorized
+	// QuotaExceeded is a request above the quota of its client account.
+	QuotaExceeded
 	// Unready is an instance that has not received its rules or routes yet.
 	Unready
 	// Shed is a request rejected because the capacity for its service is used up.
@@ -150,6 +155,8 @@
 	None:                {"none", 200, NotRun, 0, LevelDebug, ExitOK},
 	Malformed:           {"malformed", 400, NotRun, 0, LevelInfo, ExitFailure},
 	UnknownService:      {"unknown", 404, NotRun, 0, LevelInfo, ExitFailure},
+	Unauthorized:        {"unauthorized", 401, NotRun, 0, LevelInfo, ExitFailure},
+	QuotaExceeded:       {"quota", 429, NotRun, time.Second, LevelInfo, ExitFailure},
 	Unready:             {"unready", 503, NotRun, 2 * time.Second, LevelWarn, ExitUnreachable},
 	Shed:                {"shed", 503, NotRun, 2 * time.Second, LevelInfo, ExitFailure},
 	NoServer:            {"empty", 503, NotRun, 3 * time.Second, LevelWarn, ExitFailure},
