Client accounts: identification by key, priority and home regions

A config may hold accounts (tenants). The relay finds the account of a request with its route, from the same table, rejects a missing or unknown key with 401 before the body is read, and uses the account's priority and the intersection of its regions with those of the route. An empty intersection is rejected with 503. Servers get the account's name, and neither a name that the caller has set nor the key. Options.Quota takes a token for each request of an account and gets it back from a request that has not run.

The aggregator builds the table of a config before it takes its lock, so that neither requests nor readiness checks wait for it. OnConfig passes on each table that comes into force.

--- a/core/yuccadiscovery/aggregator.go
+++ b/core/yuccadiscovery/aggregator.go
@@ -33,6 +33,11 @@
 	// onChange receives each new topology. It is called with mu held.
 	onChange func(yuccabalancer.Topology)
 	log      zerolog.Logger
+	// onConfig receives the table of each config that comes into force, nil for none. It
+	// is called with mu held.
+	onConfig func(*yuccaroute.Table)
+	// configuring is held while a config is put in force. It is acquired before mu.
+	configuring sync.Mutex
 	// routes is the table of the routes in force, nil before the first.
 	routes atomic.Pointer[yuccaroute.Table]
 
@@ -134,18 +139,30 @@
 	if err := c.Check(); err != nil {
 		return err
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if current := k.routes.Load(); current != nil && current.Version() >= c.Version {
+	k.configuring.Lock()
+	defer k.configuring.Unlock()
+	current := k.routes.Load()
+	if current != nil && current.Version() >= c.Version {
 		return nil
 	}
-	k.routes.Store(yuccaroute.New(c))
+	// A table with many accounts takes long to build, during which mu stays free.
+	table := yuccaroute.NewAfter(current, c)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.routes.Store(table)
 	k.dirty = true
-	k.log.Info().Uint64("version", c.Version).Int("routes", len(c.Routes)).Msg("routes_in_force")
+	k.log.Info().Uint64("version", c.Version).Int("routes", len(c.Routes)).Int("accounts", len(c.Accounts)).Msg("routes_in_force")
+	if k.onConfig != nil {
+		k.onConfig(table)
+	}
 	k.apply()
 	return nil
 }
 
+// OnConfig sets a function that receives the table of each config that comes into force.
+// Call it before Start.
+func (k *Aggregator) OnConfig(f func(*yuccaroute.Table)) { k.onConfig = f }
+
 // apply passes the topology to onChange if it has changed and routes are in force.
 // The caller holds mu.
 func (k *Aggregator) apply() {
--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -97,7 +97,7 @@
 // connect returns a pooled or new connection to the server.
 func (a *attempt) connect() (*conn, error) {
 	t := a.task
-	to := Server{Name: a.ticket.Server, Addr: a.ticket.Addr, Region: a.ticket.Region, Domain: a.ticket.Domain, Regions: t.route.Regions}
+	to := Server{Name: a.ticket.Server, Addr: a.ticket.Addr, Region: a.ticket.Region, Domain: a.ticket.Domain, Regions: t.regions}
 	if a.forceNewConn {
 		return t.relay.pool.open(a.ctx, to, t.deadline)
 	}
@@ -180,7 +180,7 @@
 	t := a.task
 	h := &fasthttp.RequestHeader{}
 	t.header.CopyTo(h)
-	target := Target{Server: a.ticket.Server}
+	target := Target{Server: a.ticket.Server, Account: t.accountName(), HasAccounts: t.accounts != nil}
 	if !t.deadline.IsZero() {
 		target.TimeLeft = max(time.Millisecond, time.Until(t.deadline))
 	}
--- a/core/yuccarelay/ending.go
+++ b/core/yuccarelay/ending.go
@@ -46,6 +46,7 @@
 		t.relay.opt.Picker.Done(*t.reserved, yuccaadmission.Result{Now: time.Now(), Kind: yuccaerror.Canceled})
 	}
 	t.abortLateResponses()
+	t.returnToken()
 	t.endClaim(a)
 }
 
@@ -90,6 +91,7 @@
 		Server:       t.ticket.Server,
 		Reason:       t.ticket.Reason,
 		Route:        t.route,
+		Account:      t.accountName(),
 		RunStatus:    f.RunStatus,
 		RetryAfter:   f.RetryAfter,
 		Cause:        t.err,
--- a/core/yuccarelay/protocol.go
+++ b/core/yuccarelay/protocol.go
@@ -25,7 +25,12 @@
 	// AffinityKey returns a hash of the object that the request is about, zero
 	// if unknown. Requests with the same key prefer the same server.
 	AffinityKey(h *fasthttp.RequestHeader) uint64
-	// PrepareRequest changes a copy of the request header for one attempt.
+	// Credential returns the key of the caller's account, empty if the request has none.
+	// The result is valid until the header changes.
+	Credential(h *fasthttp.RequestHeader) []byte
+	// PrepareRequest changes a copy of the request header for one attempt. No server
+	// may get a name of an account that the caller has set, nor the caller's key if
+	// there are accounts.
 	PrepareRequest(h *fasthttp.RequestHeader, to Target)
 	// ClassifyResponse says what a response header means for the request with
 	// the given id.
@@ -43,6 +48,11 @@
 	Server string
 	// TimeLeft is the time until the request's deadline; zero means no deadline.
 	TimeLeft time.Duration
+	// Account is the name of the caller's account, empty if it has none.
+	Account string
+	// HasAccounts is set if the config in force has accounts. The header that holds the
+	// key has no meaning otherwise.
+	HasAccounts bool
 }
 
 // ErrorResponse is an error response that the relay itself sends.
@@ -75,8 +85,8 @@
 	Invalid
 )
 
-// DefaultProtocol uses the system's own header fields. It reports neither affinity keys
-// nor load.
+// DefaultProtocol uses the system's own header fields. It reports no affinity keys, keys of
+// accounts or load.
 type DefaultProtocol struct{}
 
 // ID returns the trace id of the Traceparent header and adds the header if it
@@ -91,6 +101,9 @@
 // AffinityKey returns zero.
 func (DefaultProtocol) AffinityKey(*fasthttp.RequestHeader) uint64 { return 0 }
 
+// Credential returns nil.
+func (DefaultProtocol) Credential(*fasthttp.RequestHeader) []byte { return nil }
+
 // PrepareRequest sets DeadlineHeader to the time that is left.
 func (DefaultProtocol) PrepareRequest(h *fasthttp.RequestHeader, to Target) {
 	h.Del(DeadlineHeader)
--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -3,7 +3,8 @@
 // streams both bodies.
 //
 // A Relay serves one request as follows. A Router finds the route and the
-// service. Claims, if set, make a request with an idempotency key run at most
+// service, and with them the caller's account. Quota, if set, bounds the requests of
+// each account. Claims, if set, make a request with an idempotency key run at most
 // once. A Picker admits the request and chooses a backend server; Quarantine,
 // if set, rejects requests that have crashed servers. The relay sends the
 // request to that server, which is one attempt, and hedges or retries it on
@@ -92,6 +93,8 @@
 	Reason string
 	// Route is the route that the request matched, nil if none.
 	Route *yuccaroute.Route
+	// Account is the name of the caller's account, empty if it has none.
+	Account string
 	// RunStatus says whether a failed request may have run.
 	RunStatus yuccaerror.RunStatus
 	// RetryAfter is the delay after which the caller of a failed request may
@@ -171,6 +174,8 @@
 	// NonIdempotentIdleTimeout is the longest time that a connection may have
 	// been idle to carry a request that must not run twice; zero means IdleTimeout.
 	NonIdempotentIdleTimeout time.Duration
+	// Quota bounds the requests of each account; nil means no quotas.
+	Quota Quota
 	// Claims makes requests with idempotency keys run at most once; nil ignores
 	// the keys.
 	Claims Claims
--- a/core/yuccarelay/router.go
+++ b/core/yuccarelay/router.go
@@ -6,16 +6,27 @@
 
 	"github.com/valyala/fasthttp"
 
+	"yuccawell.example/core/yuccaaccount"
 	"yuccawell.example/core/yuccaerror"
 	"yuccawell.example/core/yuccaroute"
 )
 
 // Router maps requests to routes and services.
 type Router interface {
-	// Route returns the route of a request and the service that serves it. The
-	// error is of kind Unready before any rules are known, and of kind
-	// UnknownService if no route matches.
-	Route(h *fasthttp.RequestHeader) (*yuccaroute.Route, string, error)
+	// Route returns the route of a request with what belongs to it. The error is of
+	// kind Unready before any rules are known, and of kind UnknownService if no route
+	// matches.
+	Route(h *fasthttp.RequestHeader) (Match, error)
+}
+
+// Match is the route of a request. All fields come from one version of the config.
+type Match struct {
+	// Route is the route.
+	Route *yuccaroute.Route
+	// Service is the name of the service that serves the request.
+	Service string
+	// Accounts are the client accounts, nil if there are none.
+	Accounts *yuccaaccount.Directory
 }
 
 // hostRouter is the Router of the rules in force, which map host names to
@@ -23,17 +34,17 @@
 type hostRouter struct{ source Source }
 
 // Route implements Router.
-func (b hostRouter) Route(h *fasthttp.RequestHeader) (*yuccaroute.Route, string, error) {
+func (b hostRouter) Route(h *fasthttp.RequestHeader) (Match, error) {
 	snapshot := b.source.Snapshot()
 	if !snapshot.Ready() {
-		return nil, "", yuccaerror.New(yuccaerror.Unready, "no rules yet")
+		return Match{}, yuccaerror.New(yuccaerror.Unready, "no rules yet")
 	}
 	host := HostName(string(h.Host()))
 	service, ok := snapshot.Rules.ServiceByHost(host)
 	if !ok {
-		return nil, "", yuccaerror.New(yuccaerror.UnknownService, "no service for host %q", host)
+		return Match{}, yuccaerror.New(yuccaerror.UnknownService, "no service for host %q", host)
 	}
-	return &yuccaroute.Route{Idempotent: isIdempotent(h)}, service.Name, nil
+	return Match{Route: &yuccaroute.Route{Idempotent: isIdempotent(h)}, Service: service.Name}, nil
 }
 
 // NewTableRouter returns a Router that uses a table of routes. The function
@@ -44,17 +55,17 @@
 type tableRouter struct{ tables func() *yuccaroute.Table }
 
 // Route implements Router.
-func (b tableRouter) Route(h *fasthttp.RequestHeader) (*yuccaroute.Route, string, error) {
+func (b tableRouter) Route(h *fasthttp.RequestHeader) (Match, error) {
 	table := b.tables()
 	if table == nil {
-		return nil, "", yuccaerror.New(yuccaerror.Unready, "no routes yet")
+		return Match{}, yuccaerror.New(yuccaerror.Unready, "no routes yet")
 	}
 	host, path := HostName(string(h.Host())), requestPath(string(h.RequestURI()))
 	route, service, ok := table.Find(host, path)
 	if !ok {
-		return nil, "", yuccaerror.New(yuccaerror.UnknownService, "no route for host %q and path %q in version %d", host, path, table.Version())
+		return Match{}, yuccaerror.New(yuccaerror.UnknownService, "no route for host %q and path %q in version %d", host, path, table.Version())
 	}
-	return route, service, nil
+	return Match{Route: route, Service: service, Accounts: table.Accounts()}, nil
 }
 
 // requestPath returns the path of a request target, unchanged. The target may
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"yuccawell.example/core/yuccaaccount"
 	"yuccawell.example/core/yuccaadmission"
 	"yuccawell.example/core/yuccaerror"
 	"yuccawell.example/core/yuccaidempotency"
@@ -39,6 +40,14 @@
 	deadline time.Time
 	service  string
 	route    *yuccaroute.Route
+	// accounts are the client accounts of the route's version, nil if there are none.
+	accounts *yuccaaccount.Directory
+	// account is the caller's account, nil if it has none.
+	account *yuccaaccount.Account
+	// regions are the only regions in which the request may run; none means any.
+	regions []string
+	// tokenTaken is set while the request holds a token of its account's quota.
+	tokenTaken bool
 	// affinityKey is a hash of the object that the request is about, zero if
 	// unknown.
 	affinityKey uint64
@@ -105,8 +114,8 @@
 	return t
 }
 
-// prepare checks the request, finds its route and reads its body as far as it
-// is buffered.
+// prepare checks the request, finds its route and account, and reads its body as far
+// as it is buffered.
 func (t *task) prepare() error {
 	if err := checkRequest(t.ctx.Request.Header.RawHeaders()); err != nil {
 		return err
@@ -114,8 +123,12 @@
 	h, protocol := &t.ctx.Request.Header, t.relay.opt.Protocol
 	t.originRegion = t.relay.opt.Region
 	t.id = protocol.ID(h)
-	var err error
-	if t.route, t.service, err = t.relay.opt.Router.Route(h); err != nil {
+	match, err := t.relay.opt.Router.Route(h)
+	if err != nil {
+		return err
+	}
+	t.route, t.service, t.accounts = match.Route, match.Service, match.Accounts
+	if err = t.identify(); err != nil {
 		return err
 	}
 	if err = t.setDeadline(); err != nil {
@@ -131,7 +144,7 @@
 	t.isHead = t.ctx.IsHead()
 	t.header = requestHead(h, t.body)
 	t.fingerprint = fingerprintOf(t.service, &t.ctx.Request, t.body.buffered)
-	return nil
+	return t.takeToken()
 }
 
 // setDeadline sets the deadline to the earliest of the caller's, the route's and the end
@@ -263,8 +276,8 @@
 		AvoidServers:  t.avoidServers,
 		Deadline:      t.deadline,
 		Object:        t.affinityKey,
-		Regions:       t.route.Regions,
-		Priority:      t.route.Priority,
+		Regions:       t.regions,
+		Priority:      t.account.PriorityOr(t.route.Priority),
 		LatencyBudget: t.latencyBudget(),
 	})
 	if yuccaerror.Is(err, yuccaerror.Shed) {
--- a/core/yuccarelay/trace.go
+++ b/core/yuccarelay/trace.go
@@ -56,6 +56,9 @@
 	if t.route != nil {
 		e = e.Str("route", t.route.Name).Uint64("routes", t.route.Version).Dur("goal", t.route.LatencyTarget)
 	}
+	if t.account != nil {
+		e = e.Str("account", t.account.Name)
+	}
 	if !t.deadline.IsZero() {
 		e = e.Dur("limit", t.deadline.Sub(t.arrived))
 	}
--- a/core/yuccaroute/check.go
+++ b/core/yuccaroute/check.go
@@ -5,6 +5,7 @@
 	"math"
 	"strings"
 
+	"yuccawell.example/core/yuccaaccount"
 	"yuccawell.example/core/yuccaerror"
 )
 
@@ -23,7 +24,7 @@
 			return yuccaerror.New(yuccaerror.Invalid, "route %q: %w", r.Name, err)
 		}
 	}
-	return nil
+	return yuccaerror.Wrap(yuccaerror.Invalid, yuccaaccount.Check(c.Accounts))
 }
 
 func (r Route) check(known map[string]bool) error {
--- a/core/yuccaroute/route.go
+++ b/core/yuccaroute/route.go
@@ -17,6 +17,8 @@
 import (
 	"slices"
 	"time"
+
+	"yuccawell.example/core/yuccaaccount"
 )
 
 // Route is a rule for the requests to one host whose paths begin with a prefix.
@@ -48,6 +50,8 @@
 	// Regions are the only regions in which the requests may run; none means
 	// any.
 	Regions []string
+	// Anonymous says that requests without the key of an account are served too.
+	Anonymous bool
 	// Services are the services between which the requests are split.
 	Services []WeightedService
 }
@@ -95,6 +99,8 @@
 	Services []Service
 	// Limits apply to all callers.
 	Limits Limits
+	// Accounts are the client accounts; none means that requests need no key.
+	Accounts []yuccaaccount.Account
 }
 
 // allows reports whether requests of the route may run in a region.
--- a/core/yuccaroute/table.go
+++ b/core/yuccaroute/table.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+
+	"yuccawell.example/core/yuccaaccount"
 )
 
 // Table finds the routes of requests. It is immutable except for the counters
@@ -15,6 +17,8 @@
 	config   Config
 	hosts    map[string][]*routeState
 	services map[string]Service
+	// accounts is nil if the config has no accounts.
+	accounts *yuccaaccount.Directory
 }
 
 // routeState is a route with the state that splits its requests by weight.
@@ -44,6 +48,20 @@
 	for _, s := range c.Services {
 		t.services[s.Name] = s
 	}
+	if len(c.Accounts) > 0 {
+		t.accounts = yuccaaccount.New(c.Accounts)
+	}
+	return t
+}
+
+// NewAfter returns the table of a config that has passed Check and follows the config of
+// another table, so that its directory of accounts knows which keys were revoked. The
+// previous table may be nil.
+func NewAfter(previous *Table, c Config) *Table {
+	t := New(c)
+	if t.accounts != nil && previous != nil {
+		t.accounts = t.accounts.WithRevoked(previous.accounts, c.Version)
+	}
 	return t
 }
 
@@ -53,6 +71,9 @@
 // Limits returns the limits on what callers may send.
 func (t *Table) Limits() Limits { return t.config.Limits }
 
+// Accounts returns the client accounts, nil if the config has none.
+func (t *Table) Accounts() *yuccaaccount.Directory { return t.accounts }
+
 // Service returns the settings of a service, and false if the config has none.
 func (t *Table) Service(name string) (Service, bool) {
 	s, ok := t.services[name]
