The config's version survives restarts, and keys stay out of copies

A restarted entry took whatever config it read first: from a store that had come back from an older copy, or from an entry with an older one, so that a revoked key became valid again. Heartbeats now announce the version in force.

--- a/core/yuccaaccount/directory.go
+++ b/core/yuccaaccount/directory.go
@@ -1,5 +1,7 @@
 package yuccaaccount
 
+import "yuccawell.example/core/yuccaquota"
+
 // Directory finds accounts by their keys. It is immutable and safe for concurrent use.
 // Create one with New.
 type Directory struct {
@@ -48,8 +50,14 @@
 	return &d.accounts[i], true
 }
 
-// Accounts returns all accounts. The caller must not change them.
-func (d *Directory) Accounts() []Account { return d.accounts }
+// Quotas returns the quota of each account by name.
+func (d *Directory) Quotas() map[string]yuccaquota.Limit {
+	quotas := make(map[string]yuccaquota.Limit, len(d.accounts))
+	for _, a := range d.accounts {
+		quotas[a.Name] = a.Quota
+	}
+	return quotas
+}
 
 // Revoked returns the version of the config that revoked a key, and false if the
 // directory does not know of one.
--- a/core/yuccaliveness/monitor.go
+++ b/core/yuccaliveness/monitor.go
@@ -223,6 +223,7 @@
 		ContactMs:   uint32(announcement.Contact.Milliseconds()),
 		TunnelAddr:  self.TunnelAddr,
 		CutOff:      self.CutOff,
+		Config:      announcement.Config,
 	}
 	for service, v := range s.meanInFlight {
 		heartbeat.InFlight[service] = float32(v)
@@ -260,6 +261,7 @@
 	s.replica.Observe(from, yuccareplica.Announcement{
 		Changed: heartbeat.GetChanged(),
 		Contact: time.Duration(heartbeat.GetContactMs()) * time.Millisecond,
+		Config:  heartbeat.GetConfig(),
 	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/core/yuccareplica/announcement.go
+++ b/core/yuccareplica/announcement.go
@@ -16,6 +16,9 @@
 	// Contact is how long the entry has been in contact with the platform. Zero
 	// means that it is not, or that it leaves the calls to others.
 	Contact time.Duration
+	// Config is the version of the operators' config that is in force at the entry, zero
+	// before the first; see package yuccaversion.
+	Config uint64
 }
 
 // settled reports whether the entry passes on what it reads.
