--- a/core/yuccaexplain/explain.go
+++ b/core/yuccaexplain/explain.go
@@ -22,6 +22,8 @@
 	"entry_leaves":          "the entry was told to stop",
 	"routes_in_force":       "new routes took effect",
 	"routes_refused":        "new routes were rejected",
+	"routes_fetched":        "new routes came from another entry",
+	"routes_not_fetched":    "another entry did not hand on the routes that it announces",
 	"evacuation_changed":    "the evacuated failure domains changed",
 	"platform_lost":         "the platform stopped answering",
 	"platform_back":         "the platform answers again",
@@ -111,6 +113,9 @@
 		fmt.Fprintf(&b, "  The caller was told to come back after %s ms.\n", f["after"])
 	}
 	b.WriteString(describeRoute(f))
+	if f["account"] != "" {
+		fmt.Fprintf(&b, "  Account %s.\n", f["account"])
+	}
 	if f["tries"] == "" {
 		b.WriteString("  It was given to no server.\n")
 	}
--- a/core/yuccaexplain/explain_test.go
+++ b/core/yuccaexplain/explain_test.go
@@ -62,6 +62,27 @@
 	c.Assert(text, qt.Not(qt.Contains), "of version ,")
 }
 
+// TestExplainAccounts explains requests that were rejected because of their account or key.
+// It guards against a cause or an account that the operator cannot see.
+func TestExplainAccounts(t *testing.T) {
+	const lines = `
+time=2026-05-01T17:19:53Z level=info event=request_failed account="acme corp" entry=e1 error="quota: over its quota" kind=quota request=over run=no status=429 took=0.06 tries=
+time=2026-05-01T17:19:53Z level=info event=request_failed entry=e1 error="unauthorized: key revoked in version 5" kind=unauthorized request=revoked run=no status=401 took=0.06 tries=
+time=2026-05-01T17:19:52Z level=info event=routes_fetched entry=e1 from=e2 version=5
+`
+	c := qt.New(t)
+	events, err := yuccaexplain.Read(strings.NewReader(lines))
+	c.Assert(err, qt.IsNil)
+	over := yuccaexplain.Explain(events, "over")
+	c.Assert(over, qt.Contains, "status 429: the client account had used up its quota")
+	c.Assert(over, qt.Contains, "Account acme corp.")
+	c.Assert(over, qt.Contains, "Cause: quota: over its quota.")
+	revoked := yuccaexplain.Explain(events, "revoked")
+	c.Assert(revoked, qt.Contains, "Cause: unauthorized: key revoked in version 5.")
+	c.Assert(revoked, qt.Not(qt.Contains), "Account")
+	c.Assert(revoked, qt.Contains, "new routes came from another entry (version 5)")
+}
+
 // TestEveryKindIsDescribed explains a request that ended with each kind of error.
 func TestEveryKindIsDescribed(t *testing.T) {
 	for _, kind := range yuccaerror.Kinds() {
--- a/core/yuccametrics/recorder.go
+++ b/core/yuccametrics/recorder.go
@@ -26,6 +26,10 @@
 	latency *prometheus.HistogramVec
 	// retries counts the attempts after the first of each request.
 	retries prometheus.Counter
+	// accounts counts ended requests by account and error kind.
+	accounts *prometheus.CounterVec
+	// accountLabels bounds the values of the label account.
+	accountLabels accountLabels
 }
 
 // New returns a Recorder with its own registry, which also has the metrics of the Go
@@ -50,8 +54,12 @@
 			Name: "yucca_retries_total",
 			Help: "Tries beyond the first of each request.",
 		}),
+		accounts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yucca_account_requests_total",
+			Help: "Requests of client accounts that have ended, by account and kind of error. The first 100 accounts have a series of their own, all others share one.",
+		}, []string{"account", "kind"}),
 	}
-	r.registry.MustRegister(r.requests, r.bytes, r.latency, r.retries, collectors.NewGoCollector())
+	r.registry.MustRegister(r.requests, r.bytes, r.latency, r.retries, r.accounts, collectors.NewGoCollector())
 	return r
 }
 
@@ -63,6 +71,9 @@
 	m.requests.WithLabelValues(r.Service, r.ServerRegion, r.Kind.String()).Inc()
 	m.bytes.WithLabelValues(r.Service, r.ServerRegion).Add(float64(r.Bytes))
 	m.latency.WithLabelValues(r.Service).Observe(r.TimeToHeader.Seconds())
+	if r.Account != "" {
+		m.accounts.WithLabelValues(m.accountLabels.label(r.Account), r.Kind.String()).Inc()
+	}
 	if r.Attempts > 1 {
 		m.retries.Add(float64(r.Attempts - 1))
 	}
