--- a/core/yuccafake/bus.go
+++ b/core/yuccafake/bus.go
@@ -144,6 +144,9 @@
 
 // Call implements yuccapeer.Bus.
 func (b *Bus) Call(ctx context.Context, to, topic string, body []byte) ([]byte, error) {
+	if len(body) > yuccapeer.MaxBodyBytes {
+		return nil, yuccaerror.New(yuccaerror.TooLarge, "message on topic %s has %d bytes", topic, len(body))
+	}
 	other, err := b.net.lookup(b.name, to)
 	if err != nil {
 		return nil, err
@@ -154,5 +157,9 @@
 	if !ok {
 		return nil, yuccaerror.New(yuccaerror.Protocol, "entry %s has no handler for topic %s", to, topic)
 	}
-	return h(ctx, b.name, body)
+	reply, err := h(ctx, b.name, body)
+	if err == nil && len(reply) > yuccapeer.MaxBodyBytes {
+		return nil, yuccaerror.New(yuccaerror.TooLarge, "reply on topic %s has %d bytes", topic, len(reply))
+	}
+	return reply, err
 }
