--- a/core/yuccaaccount/account_test.go
+++ b/core/yuccaaccount/account_test.go
@@ -100,6 +100,16 @@
 	c.Assert(remembered, qt.Equals, 10_000)
 }
 
+// TestQuotas guards against quotas that get lost or belong to another account.
+func TestQuotas(t *testing.T) {
+	c := qt.New(t)
+	a := account("a", "k")
+	a.Quota = yuccaquota.Limit{Rate: 2, Burst: 3}
+	c.Assert(yuccaaccount.New([]yuccaaccount.Account{a, account("b")}).Quotas(), qt.DeepEquals, map[string]yuccaquota.Limit{"a": a.Quota, "b": {}})
+	var none *yuccaaccount.Directory
+	c.Assert(none.Quotas(), qt.HasLen, 0)
+}
+
 // TestCheck rejects invalid accounts with errors that name accounts and no keys.
 func TestCheck(t *testing.T) {
 	limit := func(rate, burst float64) yuccaaccount.Account {
--- a/core/yuccaaccount/directory.go
+++ b/core/yuccaaccount/directory.go
@@ -50,8 +50,11 @@
 	return &d.accounts[i], true
 }
 
-// Quotas returns the quota of each account by name.
+// Quotas returns the quota of each account by name. The directory may be nil.
 func (d *Directory) Quotas() map[string]yuccaquota.Limit {
+	if d == nil {
+		return map[string]yuccaquota.Limit{}
+	}
 	quotas := make(map[string]yuccaquota.Limit, len(d.accounts))
 	for _, a := range d.accounts {
 		quotas[a.Name] = a.Quota
--- a/core/yuccaversion/exchange.go
+++ b/core/yuccaversion/exchange.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// topicAnnouncement is the topic of Announcements.
+	topicAnnouncement = "config.version"
 	// topicFetch is the topic of calls for a part of the config in force.
 	topicFetch = "config.fetch"
 	// tickInterval is the time between two decisions.
@@ -23,6 +25,9 @@
 	partBytes = yuccapeer.MaxBodyBytes - 4<<10
 	// maxConfigBytes is the length of the longest config that is fetched.
 	maxConfigBytes = 64 << 20
+	// longConfigBytes is the length from which a config is announced at once. Shorter
+	// ones reach the other entries with the objects of the platform.
+	longConfigBytes = 64 << 10
 	// callTimeout bounds the call for one part.
 	callTimeout = 2 * time.Second
 )
@@ -31,6 +36,8 @@
 type Bus interface {
 	// Handle registers the handler of the messages on a topic.
 	Handle(topic string, h yuccapeer.Handler)
+	// Publish sends a message to all other entries.
+	Publish(topic string, body []byte)
 	// Call sends a message to one entry and waits for its reply.
 	Call(ctx context.Context, to, topic string, body []byte) ([]byte, error)
 }
@@ -74,6 +81,7 @@
 func New(self string, bus Bus, decode func(value []byte) (Candidate, error), log zerolog.Logger) *Exchange {
 	x := &Exchange{bus: bus, decode: decode, log: log, state: NewState(self, time.Now())}
 	x.Worker = yuccakernel.NewWorker(x.run)
+	bus.Handle(topicAnnouncement, x.handleAnnouncement)
 	bus.Handle(topicFetch, x.handleFetch)
 	return x
 }
@@ -122,12 +130,30 @@
 		return err
 	}
 	x.mu.Lock()
-	defer x.mu.Unlock()
 	x.state.SetInForce(c.Version)
 	x.value = c.Value
+	x.mu.Unlock()
+	if len(c.Value) < longConfigBytes {
+		return nil
+	}
+	body, err := proto.Marshal(&Announcement{Version: c.Version})
+	if err != nil {
+		return yuccaerror.Wrap(yuccaerror.Internal, err)
+	}
+	x.bus.Publish(topicAnnouncement, body)
 	return nil
 }
 
+// handleAnnouncement records the version that another entry announces.
+func (x *Exchange) handleAnnouncement(_ context.Context, from string, body []byte) ([]byte, error) {
+	var a Announcement
+	if err := proto.Unmarshal(body, &a); err != nil {
+		return nil, yuccaerror.New(yuccaerror.Protocol, "decode announcement of entry %s: %w", from, err)
+	}
+	x.Observe(from, a.GetVersion())
+	return nil, nil
+}
+
 // takePending returns the pending config if it may be put in force now, else nil.
 func (x *Exchange) takePending() *Candidate {
 	x.mu.Lock()
--- a/core/yuccaversion/exchange_test.go
+++ b/core/yuccaversion/exchange_test.go
@@ -133,6 +133,21 @@
 	}
 }
 
+// TestLongConfigIsAnnouncedAtOnce has an entry get a long config while no heartbeats come.
+// It guards against entries that go on with the version before for the time between two
+// heartbeats.
+func TestLongConfigIsAnnouncedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 2)
+		f.entries[0].UpdateList(nil)
+		f.entries[1].UpdateList([]string{"e0"})
+		f.entries[0].propose(f.c, config(5, 100_000))
+		time.Sleep(400 * time.Millisecond)
+		f.c.Assert(f.entries[1].InForce(), qt.Equals, uint64(5))
+		f.stop()
+	})
+}
+
 // TestAllEntriesRestart has all entries restart with a platform that has an older config.
 // It guards against entries that wait for a version that nobody has any more.
 func TestAllEntriesRestart(t *testing.T) {
