--- a/core/yuccaversion/state.go
+++ b/core/yuccaversion/state.go
@@ -33,8 +33,8 @@
 	// restoredHoldTimeout is holdTimeout if the platform has come back from an older
 	// copy, which may lack other entries.
 	restoredHoldTimeout = 3 * time.Second
-	// fetchDelay is how long a newer version must have been announced before it is
-	// fetched. Short configs usually arrive sooner another way.
+	// fetchDelay is how long a newer version must have been announced before an entry with
+	// a config fetches it. Short configs usually arrive sooner another way.
 	fetchDelay = 250 * time.Millisecond
 	// fetchRetryDelay is how long an entry that did not deliver is not asked again.
 	fetchRetryDelay = time.Second
@@ -190,7 +190,7 @@
 	if s.behindSince.IsZero() {
 		s.behindSince = now
 	}
-	if now.Sub(s.behindSince) < fetchDelay {
+	if s.inForce > 0 && now.Sub(s.behindSince) < fetchDelay {
 		return "", 0, false
 	}
 	var names []string
