Directories name the entries that carry the region's callers

Lookups named all live entries of a region alike, so that an entry with 0.112 of a core got as many callers as one with 0.8. Entries announce their capacity in the heartbeat and the list, and their utilization in the heartbeat. The pure package yuccacapacity decides from these which entries are named: the large ones while they carry the demand with a reserve, more otherwise, all where the entries are alike or a capacity is unknown.

--- /dev/null
+++ b/core/yuccacapacity/choice.go
@@ -0,0 +1,319 @@
+package yuccacapacity
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// unevenFactor is how many times the capacity of an entry the largest one has where
+	// the entry counts as small. Where no entry is small, all are named.
+	unevenFactor = 4
+	// reserveShare is the share of the capacity of the named entries that the demand may
+	// take. Demand grows by up to 55% within seconds, which leaves 0.22 of the capacity.
+	reserveShare = 0.5
+	// lossShare is the share of the capacity of the other named entries that the demand
+	// may take after the loss of the largest one.
+	lossShare = 0.8
+	// shrinkMargin is the factor by which the demand may grow before entries that are
+	// left out are named again.
+	shrinkMargin = 1.25
+	// shrinkDelay is how long the remaining entries must have had room for the demand
+	// before others are left out, as their callers reconnect. It is longer than the
+	// usual swing of the demand between regions.
+	shrinkDelay = 20 * time.Second
+	// saturatedFactor is the share of its capacity that a saturated entry counts for.
+	saturatedFactor = 0.5
+)
+
+// Entry is an entry of a region that accepts callers.
+type Entry struct {
+	// Name identifies the entry.
+	Name string
+	// Domain is the failure domain that the entry runs in.
+	Domain string
+	// Capacity is what the entry can carry, the zero value if it is unknown.
+	Capacity Capacity
+	// Utilization is what the entry carries at present.
+	Utilization Utilization
+}
+
+// Choice is the decision which entries of a region lookups name. It addresses a region
+// of few large and many small entries: equal shares of the callers would saturate the
+// small ones while the large ones idle. Small entries are named in addition at once when
+// the large ones do not carry the demand with a reserve, and are left out again when they
+// have not been needed for a while. It is immutable; the zero value is that of a
+// directory that has not decided.
+type Choice struct {
+	// settled is set when a decision has been based on all capacities before.
+	settled bool
+	// named holds the named entries, largest first, or by name if all are named alike.
+	named []member
+	// alike is set if every lookup names all entries.
+	alike bool
+	// extras holds the small entries that are named.
+	extras map[string]bool
+	// roomySince is since when fewer extras have been enough, zero if they are not.
+	roomySince time.Time
+	// local holds the failure domains whose callers use the entries of their own domain.
+	local map[string]bool
+	// localSince is since when each other domain could have become local.
+	localSince map[string]time.Time
+	// demand and capacity are the requests per second of the region and what the named
+	// entries can carry.
+	demand, capacity float64
+}
+
+// member is an entry with its capacity.
+type member struct {
+	Entry
+	// rate is how many requests per second the entry can carry, and usable what counts
+	// of that now.
+	rate, usable float64
+}
+
+// Next returns the decision at now for the entries of the region, which follows c.
+func (c Choice) Next(now time.Time, all []Entry) Choice {
+	if !decidable(all) {
+		return nameAll(all, c.settled)
+	}
+	members := rank(all)
+	smallest := members[0].rate / unevenFactor
+	split := slices.IndexFunc(members, func(m member) bool { return m.rate <= smallest })
+	if split < 0 {
+		return nameAll(all, true)
+	}
+	large, small := members[:split], members[split:]
+	n := Choice{settled: true, demand: demandOf(members)}
+	n.extras, n.roomySince = c.nextExtras(now, n.demand, large, small)
+	n.named = slices.Clone(large)
+	for _, m := range small {
+		if n.extras[m.Name] {
+			n.named = append(n.named, m)
+		}
+	}
+	for _, m := range n.named {
+		n.capacity += m.usable
+	}
+	n.local, n.localSince = c.nextLocal(now, n.demand, members, large, len(n.extras) > 0)
+	return n
+}
+
+// decidable reports whether the capacity of every entry is known and no figure is absurd.
+func decidable(all []Entry) bool {
+	return len(all) > 0 && !slices.ContainsFunc(all, func(e Entry) bool {
+		return !e.Capacity.Known() || !e.Utilization.plausible()
+	})
+}
+
+// nameAll returns the decision to name all entries in each response.
+func nameAll(all []Entry, settled bool) Choice {
+	c := Choice{settled: settled, alike: true}
+	for _, e := range all {
+		c.named = append(c.named, member{Entry: e})
+	}
+	return c
+}
+
+// rank returns the entries with their capacities, largest first. Directories that receive
+// the same heartbeats rank alike.
+func rank(all []Entry) []member {
+	each := meanCost(all)
+	var members []member
+	for _, e := range all {
+		m := member{Entry: e, rate: e.Capacity.requestRate(each)}
+		m.usable = m.rate
+		if e.Utilization.Saturated {
+			m.usable *= saturatedFactor
+		}
+		members = append(members, m)
+	}
+	slices.SortFunc(members, func(a, b member) int {
+		return cmp.Or(cmp.Compare(b.rate, a.rate), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
+	})
+	return members
+}
+
+func demandOf(members []member) float64 {
+	demand := 0.0
+	for _, m := range members {
+		demand += m.Utilization.Rate
+	}
+	return demand
+}
+
+// nextExtras returns the small entries that are named besides the large ones, and since
+// when fewer of them have been enough.
+func (c Choice) nextExtras(now time.Time, demand float64, large, small []member) (extras map[string]bool, roomySince time.Time) {
+	kept := func(m member) bool { return c.alike || c.extras[m.Name] }
+	roomy := leastExtras(demand*shrinkMargin, large, small, func(member) bool { return false })
+	if !c.settled {
+		return roomy, time.Time{}
+	}
+	extras = leastExtras(demand, large, small, kept)
+	if len(roomy) >= len(extras) {
+		return extras, time.Time{}
+	}
+	if c.roomySince.IsZero() {
+		return extras, now
+	}
+	if now.Sub(c.roomySince) < shrinkDelay {
+		return extras, c.roomySince
+	}
+	return roomy, time.Time{}
+}
+
+// leastExtras returns the small entries that kept selects and as many more as it takes to
+// carry the demand, the largest first. If the large entries are all in one failure
+// domain, it includes every small entry of the other domains, which share the part of the
+// callers that each lookup sends there.
+func leastExtras(demand float64, large, small []member, kept func(member) bool) map[string]bool {
+	extras := map[string]bool{}
+	var total, largest float64
+	add := func(m member) { total, largest = total+m.usable, max(largest, m.usable) }
+	for _, m := range large {
+		add(m)
+	}
+	oneDomain := !slices.ContainsFunc(large, func(m member) bool { return m.Domain != large[0].Domain })
+	for _, m := range small {
+		if kept(m) || oneDomain && m.Domain != large[0].Domain {
+			extras[m.Name] = true
+			add(m)
+		}
+	}
+	for _, m := range small {
+		if carries(demand, total, largest) {
+			break
+		}
+		if !extras[m.Name] {
+			extras[m.Name] = true
+			add(m)
+		}
+	}
+	return extras
+}
+
+// carries reports whether entries with the given total and largest capacity carry a
+// demand with a reserve, also after the loss of the largest one.
+func carries(demand, total, largest float64) bool {
+	return total > largest && demand <= reserveShare*total && demand <= lossShare*(total-largest)
+}
+
+// nextLocal returns the failure domains whose large entries carry the callers of their
+// domain with a reserve, and since when the other domains could have become such.
+// Heartbeats do not tell where callers are. The demand of a domain counts as its equal
+// part of the region's, or as what its entries carry where that is more. While small
+// entries are needed, all callers share all entries.
+func (c Choice) nextLocal(now time.Time, demand float64, members, large []member, needExtras bool) (local map[string]bool, since map[string]time.Time) {
+	if needExtras {
+		return nil, nil
+	}
+	measured := map[string]float64{}
+	for _, m := range members {
+		measured[m.Domain] += m.Utilization.Rate
+	}
+	local, since = map[string]bool{}, map[string]time.Time{}
+	for domain, d := range measured {
+		d = max(d, demand/float64(len(measured)))
+		var total, largest float64
+		for _, m := range large {
+			if m.Domain == domain {
+				total, largest = total+m.usable, max(largest, m.usable)
+			}
+		}
+		if c.local[domain] {
+			local[domain] = carries(d, total, largest)
+			continue
+		}
+		if !carries(d*shrinkMargin, total, largest) {
+			continue
+		}
+		since[domain] = now
+		if earlier, ok := c.localSince[domain]; ok {
+			since[domain] = earlier
+		}
+		local[domain] = !c.settled || now.Sub(since[domain]) >= shrinkDelay
+	}
+	return local, since
+}
+
+// Named returns the sorted names of the entries that lookups name.
+func (c Choice) Named() []string {
+	var names []string
+	for _, m := range c.named {
+		names = append(names, m.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Uneven reports whether the entries of the region differ so much that lookups do not
+// name all of them alike.
+func (c Choice) Uneven() bool { return c.settled && !c.alike }
+
+// Demand returns the requests per second of the region, 0 unless it is uneven.
+func (c Choice) Demand() float64 { return c.demand }
+
+// Capacity returns how many requests per second the named entries can carry, 0 unless the
+// region is uneven.
+func (c Choice) Capacity() float64 { return c.capacity }
+
+// LocalDomains returns the sorted failure domains whose callers use the entries of their
+// own domain.
+func (c Choice) LocalDomains() []string {
+	domains := slices.Sorted(maps.Keys(c.local))
+	return slices.DeleteFunc(domains, func(d string) bool { return !c.local[d] })
+}
+
+// Answer returns the names of the entries for a caller of the given failure domain, the
+// largest first. Callers spread their connections evenly over the entries of a response,
+// so an entry is in a part of the responses: its capacity as a share of the largest one.
+// The key selects the part; callers that use the same key again keep their entries. Each
+// response has entries of two failure domains if the named entries have.
+func (c Choice) Answer(domain string, key uint64) []string {
+	eligible := func(m member) bool { return !c.local[domain] || m.Domain == domain }
+	largest := 0.0
+	for _, m := range c.named {
+		if eligible(m) {
+			largest = max(largest, m.usable)
+		}
+	}
+	var names []string
+	domains := map[string]bool{}
+	for _, m := range c.named {
+		if c.alike || eligible(m) && position(m.Name, key)*largest < m.usable {
+			names = append(names, m.Name)
+			domains[m.Domain] = true
+		}
+	}
+	if c.alike || len(domains) > 1 {
+		return names
+	}
+	return append(names, c.another(domains, key)...)
+}
+
+// another returns the name of an entry of another failure domain than the given ones, none
+// if there is none. Over all keys, each entry is chosen in proportion to its capacity.
+func (c Choice) another(domains map[string]bool, key uint64) []string {
+	var best []string
+	var bestScore float64
+	for _, m := range c.named {
+		score := -math.Log(position(m.Name, key)) / m.usable
+		if !domains[m.Domain] && (best == nil || score < bestScore) {
+			best, bestScore = []string{m.Name}, score
+		}
+	}
+	return best
+}
+
+// position returns a uniformly distributed number in [0, 1) for an entry and a key.
+func position(name string, key uint64) float64 {
+	d := xxhash.NewWithSeed(key)
+	_, _ = d.WriteString(name)
+	return float64(d.Sum64()>>11) / (1 << 53)
+}
--- a/core/yuccaliveness/monitor.go
+++ b/core/yuccaliveness/monitor.go
@@ -9,8 +9,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"yuccawell.example/core/yuccabalancer"
+	"yuccawell.example/core/yuccacapacity"
 	"yuccawell.example/core/yuccaerror"
 	"yuccawell.example/core/yuccakernel"
+	"yuccawell.example/core/yuccalog"
 	"yuccawell.example/core/yuccapeer"
 	"yuccawell.example/core/yuccareplica"
 )
@@ -56,6 +58,12 @@
 	Observe(from string, a yuccareplica.Announcement)
 }
 
+// Load measures what the entry carries.
+type Load interface {
+	// Utilization returns the utilization at now. It is called once per Interval.
+	Utilization(now time.Time) yuccacapacity.Utilization
+}
+
 // Monitor is the service that publishes this entry's heartbeats and tracks those
 // of the other entries. Create one with New.
 type Monitor struct {
@@ -64,26 +72,36 @@
 	bus      Bus
 	balancer Balancer
 	replica  Replica
+	load     Load
 	log      zerolog.Logger
+	// changes is the logger of changes to the entries that lookups name.
+	changes zerolog.Logger
 
-	// mu guards state and meanInFlight.
+	// mu guards the fields below.
 	mu sync.Mutex
 	// state combines the platform's list with the heartbeats.
 	state *State
 	// meanInFlight is the EWMA of this entry's requests in flight by service.
 	meanInFlight map[string]float64
+	// regions holds the entries that lookups name by region.
+	regions map[string]*regionChoice
+	// changeCount is how often the named entries of a region have changed.
+	changeCount uint64
 }
 
 // New returns the monitor of the entry self and registers its heartbeat handler on
 // the bus.
-func New(self Entry, bus Bus, balancer Balancer, replica Replica, log zerolog.Logger) *Monitor {
+func New(self Entry, bus Bus, balancer Balancer, replica Replica, load Load, log zerolog.Logger) *Monitor {
 	s := &Monitor{
 		bus:          bus,
 		balancer:     balancer,
 		replica:      replica,
+		load:         load,
 		log:          log,
+		changes:      log.Sample(yuccalog.NewRateSampler(changeLinesPerSecond)),
 		state:        NewState(self, time.Now()),
 		meanInFlight: map[string]float64{},
+		regions:      map[string]*regionChoice{},
 	}
 	s.Worker = yuccakernel.NewWorker(s.run)
 	bus.Handle(Topic, s.handleHeartbeat)
@@ -95,6 +113,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.UpdateList(time.Now(), entries)
+	s.expireChoices()
 }
 
 // Alive returns the entries that accept new clients, sorted by name. State.Alive
@@ -146,10 +165,18 @@
 	s.publishHeartbeat()
 }
 
+// SetCapacity replaces the capacity of this entry.
+func (s *Monitor) SetCapacity(c yuccacapacity.Capacity) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.SetCapacity(c)
+}
+
 // Leave marks this entry as draining and announces it with a heartbeat at once.
 func (s *Monitor) Leave() {
 	s.mu.Lock()
 	s.state.Leave()
+	s.expireChoices()
 	s.mu.Unlock()
 	s.publishHeartbeat()
 }
@@ -162,6 +189,7 @@
 		select {
 		case now := <-tick.C:
 			s.updateMeanInFlight(now)
+			s.updateUtilization(now)
 			s.publishHeartbeat()
 			s.balancer.Rebalance(s.demand(now), min(now.Sub(lastRebalance), 2*Interval))
 			lastRebalance = now
@@ -201,6 +229,14 @@
 	}
 }
 
+// updateUtilization measures what this entry carries.
+func (s *Monitor) updateUtilization(now time.Time) {
+	u := s.load.Utilization(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.SetUtilization(u)
+}
+
 // demand returns the demand for each service by region.
 func (s *Monitor) demand(now time.Time) map[string]yuccabalancer.Demand {
 	s.mu.Lock()
@@ -223,6 +259,8 @@
 		ContactMs:   uint32(announcement.Contact.Milliseconds()),
 		TunnelAddr:  self.TunnelAddr,
 		CutOff:      self.CutOff,
+		Capacity:    encodeCapacity(self.Capacity),
+		Utilization: encodeUtilization(self.Utilization),
 	}
 	for service, v := range s.meanInFlight {
 		heartbeat.InFlight[service] = float32(v)
@@ -256,6 +294,8 @@
 		CutOff:      heartbeat.GetCutOff(),
 		Incarnation: heartbeat.GetIncarnation(),
 		Leaving:     heartbeat.GetLeaving(),
+		Capacity:    decodeCapacity(heartbeat.GetCapacity()),
+		Utilization: decodeUtilization(heartbeat.GetUtilization()),
 	}
 	s.replica.Observe(from, yuccareplica.Announcement{
 		Changed: heartbeat.GetChanged(),
@@ -264,5 +304,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.RecordHeartbeat(time.Now(), e, inFlight)
+	if e.Leaving {
+		s.expireChoices()
+	}
 	return nil, nil
 }
--- a/core/yuccaliveness/state.go
+++ b/core/yuccaliveness/state.go
@@ -1,7 +1,7 @@
 // Package yuccaliveness detects which entries are alive. An entry is a proxy
 // instance of the system. Each entry publishes heartbeats with its address, its
-// drain status and the number of requests that its clients have in flight for
-// each service.
+// drain status, the number of requests that its clients have in flight for each
+// service, its capacity and its utilization.
 //
 // State combines the platform's list of entries with the heartbeats of the other
 // entries. It has no clock and does no I/O. Monitor is the service around it: it
@@ -10,7 +10,7 @@
 //
 //	monitor := yuccaliveness.New(self, peers, picker, replica, log)
 //	monitor.UpdateList(entries) // whenever the platform's list changes
-//	nearby := yuccaliveness.InRegion(monitor.Alive(), region)
+//	nearby := monitor.Lookup(caller, ready)
 package yuccaliveness
 
 import (
@@ -20,6 +20,7 @@
 	"time"
 
 	"yuccawell.example/core/yuccabalancer"
+	"yuccawell.example/core/yuccacapacity"
 	"yuccawell.example/core/yuccapeer"
 )
 
@@ -61,6 +62,11 @@
 	Incarnation uint64
 	// Leaving marks an entry that drains and accepts no new clients.
 	Leaving bool
+	// Capacity is what the entry can carry, the zero value if it is unknown.
+	Capacity yuccacapacity.Capacity
+	// Utilization is what the entry carries at present. It comes from heartbeats; the
+	// platform's list does not carry it.
+	Utilization yuccacapacity.Utilization
 }
 
 // State is an entry's view of the other entries. The caller passes the current
@@ -129,6 +135,12 @@
 	s.heartbeats[e.Name] = heartbeatRecord{e, now, inFlight}
 }
 
+// SetCapacity replaces the capacity of this entry.
+func (s *State) SetCapacity(c yuccacapacity.Capacity) { s.self.Capacity = c }
+
+// SetUtilization replaces the utilization of this entry.
+func (s *State) SetUtilization(u yuccacapacity.Utilization) { s.self.Utilization = u }
+
 // SetCutOff marks whether this entry itself reaches no backend server.
 func (s *State) SetCutOff(cutOff bool) { s.self.CutOff = cutOff }
 
@@ -186,7 +198,8 @@
 // entry without a heartbeat of its present incarnation counts as alive until
 // Timeout after it was first listed. An entry that receives no heartbeats at all
 // is probably disconnected from its peers. It relies on the list and returns every
-// listed entry that is not leaving.
+// listed entry that is not leaving, without capacities, since nothing recent is known of
+// them.
 func (s *State) Alive(now time.Time) []Entry {
 	var all []Entry
 	if !s.self.Leaving {
@@ -200,7 +213,17 @@
 		newlyListed := !ok && now.Sub(r.firstListed) < Timeout
 		leaving := r.Leaving || ok && h.Leaving
 		if name != s.self.Name && !leaving && (recent || newlyListed || isolated) {
-			all = append(all, r.Entry)
+			e := r.Entry
+			if ok {
+				e.Utilization = h.Utilization
+			}
+			if ok && h.Capacity != (yuccacapacity.Capacity{}) {
+				e.Capacity = h.Capacity
+			}
+			if isolated {
+				e.Capacity = yuccacapacity.Capacity{}
+			}
+			all = append(all, e)
 		}
 	}
 	slices.SortFunc(all, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
