Large entries share the rates of starting and limited servers

Three entries share the rate of a server in slow start or with a limit. Where lookups name 12 of 110 entries, most of the three had no callers, and such a server would get next to nothing. The three are now chosen among the entries that are large by the list, which all entries agree on at any load. Nothing changes where entries are alike or a capacity is unknown.

--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -119,7 +119,7 @@
 // keep their statistics and in-flight counts.
 func (c *Core) Update(w Topology) {
 	c.topology = w
-	c.division = c.division.WithEntries(w.Entries)
+	c.division = c.division.WithEntries(w.Entries).WithCandidates(w.Large)
 	servers := map[string]*serverState{}
 	byName := map[string][]*serverState{}
 	pools := map[string]*pool{}
--- a/core/yuccabalancer/core_test.go
+++ b/core/yuccabalancer/core_test.go
@@ -169,7 +169,7 @@
 
 // TestSlowStartRate lets up to 40 entries send as many requests as they can to a
 // server in slow start. Each holds one of two lists of the entries, as after a change
-// that only some have learned of. In no second may the server get more than 1.5
+// that only some have learned of; a list may tell which entries are large. In no second may the server get more than 1.5
 // times the rate plus 5 requests.
 func TestSlowStartRate(t *testing.T) {
 	const (
@@ -180,7 +180,7 @@
 		entries := rapid.IntRange(1, 40).Draw(t, "entries")
 		rate := rapid.Float64Range(1, 30).Draw(t, "rate")
 		step := time.Duration(rapid.IntRange(1, 50).Draw(t, "ms")) * time.Millisecond
-		var lists [2][]string
+		var lists, large [2][]string
 		var cores []*yuccabalancer.Core
 		for i := range entries {
 			name := fmt.Sprint("e", i)
@@ -188,14 +188,22 @@
 			for l := range lists {
 				if rapid.Bool().Draw(t, fmt.Sprint(name, " in list ", l)) {
 					lists[l] = append(lists[l], name)
+					if i%3 == l {
+						large[l] = append(large[l], name)
+					}
 				}
 			}
 		}
+		uneven := [2]bool{rapid.Bool().Draw(t, "first list uneven"), rapid.Bool().Draw(t, "second list uneven")}
 		for i, c := range cores {
 			w := topology(1, 1000, "a")
 			w.Servers[0].SlowStartUntil = start.Add(time.Hour)
 			w.SlowStartRates = map[string]float64{"s": rate}
-			w.Entries = lists[rapid.IntRange(0, 1).Draw(t, fmt.Sprint("list of e", i))]
+			l := rapid.IntRange(0, 1).Draw(t, fmt.Sprint("list of e", i))
+			w.Entries = lists[l]
+			if uneven[l] {
+				w.Large = large[l]
+			}
 			c.Update(w)
 		}
 		sent := sendAll(cores, step)
@@ -252,6 +260,26 @@
 	})
 }
 
+// TestSlowStartServerGetsRequestsOfLargeEntries has 2 of 40 entries get all callers. It guards
+// against a server in slow start whose rate is shared by entries without callers.
+func TestSlowStartServerGetsRequestsOfLargeEntries(t *testing.T) {
+	c := qt.New(t)
+	w := topology(1, 1000, "a")
+	w.Servers[0].SlowStartUntil = start.Add(time.Hour)
+	w.SlowStartRates = map[string]float64{"s": 10}
+	w.Large = []string{"e7", "e30"}
+	for i := range 40 {
+		w.Entries = append(w.Entries, fmt.Sprint("e", i))
+	}
+	var cores []*yuccabalancer.Core
+	for _, name := range w.Large {
+		core := yuccabalancer.NewCore(yuccabalancer.Location{Entry: name, Region: "a", Domain: "a1"})
+		core.Update(w)
+		cores = append(cores, core)
+	}
+	c.Assert(len(sendAll(cores, 50*time.Millisecond)) >= 15, qt.IsTrue)
+}
+
 // TestFreeSlotIsNeverRejected sends requests with a deadline close to the
 // expected latency to servers with free slots. The request may take less
 // than the mean, so only a wait for a slot is a reason to reject it.
--- a/core/yuccabalancer/topology.go
+++ b/core/yuccabalancer/topology.go
@@ -70,4 +70,7 @@
 	SlowStartRates map[string]float64
 	// Entries are the names of the listed entries, which may send requests.
 	Entries []string
+	// Large are the names of the entries that callers mostly use, where entries differ in
+	// capacity; empty means all of Entries.
+	Large []string
 }
--- a/core/yuccacapacity/choice.go
+++ b/core/yuccacapacity/choice.go
@@ -75,6 +75,8 @@
 	// rate is how many requests per second the entry can carry, and usable what counts
 	// of that now.
 	rate, usable float64
+	// hash orders entries of the same capacity.
+	hash uint64
 }
 
 // Next returns the decision at now for the entries of the region, which follows c.
@@ -82,13 +84,11 @@
 	if !decidable(all) {
 		return nameAll(all, c.settled)
 	}
-	members := rank(all)
-	smallest := members[0].rate / unevenFactor
-	split := slices.IndexFunc(members, func(m member) bool { return m.rate <= smallest })
-	if split < 0 {
+	members := rank(all, meanCost(all))
+	large, small := split(members)
+	if len(small) == 0 {
 		return nameAll(all, true)
 	}
-	large, small := members[:split], members[split:]
 	n := Choice{settled: true, demand: demandOf(members)}
 	n.extras, n.roomySince = c.nextExtras(now, n.demand, large, small)
 	n.named = slices.Clone(large)
@@ -113,20 +113,46 @@
 
 // nameAll returns the decision to name all entries in each response.
 func nameAll(all []Entry, settled bool) Choice {
-	c := Choice{settled: settled, alike: true}
+	c := Choice{settled: settled, alike: true, named: make([]member, 0, len(all))}
 	for _, e := range all {
 		c.named = append(c.named, member{Entry: e})
 	}
 	return c
 }
 
-// rank returns the entries with their capacities, largest first. Directories that receive
-// the same heartbeats rank alike.
-func rank(all []Entry) []member {
-	each := meanCost(all)
-	var members []member
+// Large returns the names of the entries of a region that are not small, judged by their
+// capacities alone, or all names if a capacity is unknown. Lookups name these entries at any
+// load.
+func Large(all []Entry) []string {
+	var names []string
+	if !decidable(all) {
+		for _, e := range all {
+			names = append(names, e.Name)
+		}
+		return names
+	}
+	large, _ := split(rank(all, cost{priorCores, priorMegabits}))
+	for _, m := range large {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+// split divides the ranked members of a region into large and small ones.
+func split(members []member) (large, small []member) {
+	i := slices.IndexFunc(members, func(m member) bool { return m.rate <= members[0].rate/unevenFactor })
+	if i < 0 {
+		return members, nil
+	}
+	return members[:i], members[i:]
+}
+
+// rank returns the entries with their capacities for requests of the given cost, largest
+// first. Directories that receive the same heartbeats rank alike.
+func rank(all []Entry, each cost) []member {
+	members := make([]member, 0, len(all))
 	for _, e := range all {
-		m := member{Entry: e, rate: e.Capacity.requestRate(each)}
+		m := member{Entry: e, rate: e.Capacity.requestRate(each), hash: xxhash.Sum64String(e.Name)}
 		m.usable = m.rate
 		if e.Utilization.Saturated {
 			m.usable *= saturatedFactor
@@ -134,7 +160,7 @@
 		members = append(members, m)
 	}
 	slices.SortFunc(members, func(a, b member) int {
-		return cmp.Or(cmp.Compare(b.rate, a.rate), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(b.rate, a.rate), cmp.Compare(a.hash, b.hash), cmp.Compare(a.Name, b.Name))
 	})
 	return members
 }
@@ -276,6 +302,13 @@
 // The key selects the part; callers that use the same key again keep their entries. Each
 // response has entries of two failure domains if the named entries have.
 func (c Choice) Answer(domain string, key uint64) []string {
+	names := make([]string, 0, len(c.named))
+	if c.alike {
+		for _, m := range c.named {
+			names = append(names, m.Name)
+		}
+		return names
+	}
 	eligible := func(m member) bool { return !c.local[domain] || m.Domain == domain }
 	largest := 0.0
 	for _, m := range c.named {
@@ -283,15 +316,14 @@
 			largest = max(largest, m.usable)
 		}
 	}
-	var names []string
 	domains := map[string]bool{}
 	for _, m := range c.named {
-		if c.alike || eligible(m) && position(m.Name, key)*largest < m.usable {
+		if eligible(m) && position(m.Name, key)*largest < m.usable {
 			names = append(names, m.Name)
 			domains[m.Domain] = true
 		}
 	}
-	if c.alike || len(domains) > 1 {
+	if len(domains) > 1 {
 		return names
 	}
 	return append(names, c.another(domains, key)...)
--- a/core/yuccadiscovery/aggregator.go
+++ b/core/yuccadiscovery/aggregator.go
@@ -28,8 +28,8 @@
 
 	servers     *ServerSet
 	evacuations *EvacuationSet
-	// entryNames returns the names of the entries that may be sending requests.
-	entryNames func() []string
+	// names tells which entries may be sending requests.
+	names EntryNames
 	// onChange receives each new topology. It is called with mu held.
 	onChange func(yuccabalancer.Topology)
 	log      zerolog.Logger
@@ -40,8 +40,8 @@
 	mu sync.Mutex
 	// evacuated holds the failure domains that get no new requests.
 	evacuated map[string]bool
-	// entries is the last result of entryNames.
-	entries []string
+	// entries and large are the last results of names.
+	entries, large []string
 	// appliedVersion is the version of servers in the last topology.
 	appliedVersion uint64
 	// dirty is set when something other than servers has changed since the last
@@ -51,10 +51,18 @@
 	lastUpdate time.Time
 }
 
+// EntryNames tells which entries there are.
+type EntryNames interface {
+	// Names returns the names of all entries that may be sending requests.
+	Names() []string
+	// LargeNames returns the names of the listed ones that callers mostly use, all listed
+	// ones if that is not known.
+	LargeNames() []string
+}
+
 // NewAggregator returns an aggregator that passes each new topology to onChange.
-// entryNames returns the names of all entries that may be sending requests.
-func NewAggregator(servers *ServerSet, evacuations *EvacuationSet, entryNames func() []string, onChange func(yuccabalancer.Topology), log zerolog.Logger) *Aggregator {
-	k := &Aggregator{servers: servers, evacuations: evacuations, entryNames: entryNames, onChange: onChange, log: log}
+func NewAggregator(servers *ServerSet, evacuations *EvacuationSet, names EntryNames, onChange func(yuccabalancer.Topology), log zerolog.Logger) *Aggregator {
+	k := &Aggregator{servers: servers, evacuations: evacuations, names: names, onChange: onChange, log: log}
 	k.Worker = yuccakernel.NewWorker(k.run)
 	return k
 }
@@ -149,9 +157,9 @@
 // apply passes the topology to onChange if it has changed and routes are in force.
 // The caller holds mu.
 func (k *Aggregator) apply() {
-	names := k.entryNames()
-	if !slices.Equal(names, k.entries) {
-		k.entries, k.dirty = names, true
+	names, large := k.names.Names(), k.names.LargeNames()
+	if !slices.Equal(names, k.entries) || !slices.Equal(large, k.large) {
+		k.entries, k.large, k.dirty = names, large, true
 	}
 	routes := k.routes.Load()
 	if routes == nil || !k.dirty && k.appliedVersion == k.servers.Version() {
@@ -165,8 +173,8 @@
 			slowStartRates[s.Service] = service.SlowStartRate
 		}
 	}
-	k.log.Info().Int("servers", len(servers)).Int("entries", len(names)).Uint64("routes", routes.Version()).Msg("world_changed")
-	k.onChange(yuccabalancer.Topology{Servers: servers, Evacuated: k.evacuated, SlowStartRates: slowStartRates, Entries: names})
+	k.log.Info().Int("servers", len(servers)).Int("entries", len(names)).Int("large", len(large)).Uint64("routes", routes.Version()).Msg("world_changed")
+	k.onChange(yuccabalancer.Topology{Servers: servers, Evacuated: k.evacuated, SlowStartRates: slowStartRates, Entries: names, Large: large})
 }
 
 func (k *Aggregator) run(ctx context.Context) {
--- a/core/yuccadiscovery/aggregator_test.go
+++ b/core/yuccadiscovery/aggregator_test.go
@@ -18,7 +18,7 @@
 // version seen so far stays in force, also after an invalid config.
 func TestRouteVersionNeverDecreases(t *testing.T) {
 	c := qt.New(t)
-	k := yuccadiscovery.NewAggregator(yuccadiscovery.NewServerSet("servers/", decode), yuccadiscovery.NewEvacuationSet("evacuations/"), func() []string { return nil }, func(yuccabalancer.Topology) {}, zerolog.Nop())
+	k := yuccadiscovery.NewAggregator(yuccadiscovery.NewServerSet("servers/", decode), yuccadiscovery.NewEvacuationSet("evacuations/"), fixedEntries{}, func(yuccabalancer.Topology) {}, zerolog.Nop())
 	c.Assert(k.Routes(), qt.IsNil)
 	c.Assert(k.Ready(), qt.IsFalse)
 	highest := uint64(0)
@@ -43,3 +43,24 @@
 	k.UpdateServers(yuccawatch.Listed{At: start, Page: page(1, "a=ready")})
 	c.Assert(k.Ready(), qt.IsTrue)
 }
+
+// TestTopologyNamesEntries checks that the load balancer learns which entries there are, and
+// which of them are large, also if only that has changed.
+func TestTopologyNamesEntries(t *testing.T) {
+	c := qt.New(t)
+	var last yuccabalancer.Topology
+	names := &fixedEntries{names: []string{"a", "b"}}
+	k := yuccadiscovery.NewAggregator(yuccadiscovery.NewServerSet("servers/", decode), yuccadiscovery.NewEvacuationSet("evacuations/"), names, func(w yuccabalancer.Topology) { last = w }, zerolog.Nop())
+	c.Assert(k.Configure(yuccaroute.Config{Version: 1}), qt.IsNil)
+	c.Assert(last.Entries, qt.DeepEquals, []string{"a", "b"})
+	c.Assert(last.Large, qt.HasLen, 0)
+	names.large = []string{"b"}
+	k.UpdateServers(yuccawatch.Unreachable{})
+	c.Assert(last.Large, qt.DeepEquals, []string{"b"})
+}
+
+// fixedEntries is a list of entries.
+type fixedEntries struct{ names, large []string }
+
+func (e fixedEntries) Names() []string      { return e.names }
+func (e fixedEntries) LargeNames() []string { return e.large }
--- a/core/yuccadiscovery/serverset.go
+++ b/core/yuccadiscovery/serverset.go
@@ -15,7 +15,7 @@
 //
 //	servers := yuccadiscovery.NewServerSet("servers/", decode)
 //	evacuations := yuccadiscovery.NewEvacuationSet("evacuations/")
-//	aggregator := yuccadiscovery.NewAggregator(servers, evacuations, monitor.Names, picker.Update, log)
+//	aggregator := yuccadiscovery.NewAggregator(servers, evacuations, monitor, picker.Update, log)
 //	watcher := yuccawatch.New(settings, store, aggregator.UpdateServers, log)
 package yuccadiscovery
 
--- a/core/yuccaliveness/lookup.go
+++ b/core/yuccaliveness/lookup.go
@@ -10,7 +10,7 @@
 const (
 	// choiceTTL is how long the choice of a region's entries is used. It bounds the
 	// processor time of many lookups.
-	choiceTTL = 100 * time.Millisecond
+	choiceTTL = 200 * time.Millisecond
 	// changeLinesPerSecond limits the log lines about changes to the named entries.
 	changeLinesPerSecond = 5
 )
@@ -43,8 +43,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.choose(time.Now(), caller.Region, ready)
-	var all []Entry
-	for _, name := range r.Answer(caller.Domain, caller.Key) {
+	names := r.Answer(caller.Domain, caller.Key)
+	all := make([]Entry, 0, len(names))
+	for _, name := range names {
 		all = append(all, r.entries[name])
 	}
 	return all
@@ -96,8 +97,8 @@
 
 // decide makes the choice for a region and its alive entries.
 func (s *Monitor) decide(now time.Time, region string, r *regionChoice, alive []Entry) {
-	var all []yuccacapacity.Entry
-	r.entries = map[string]Entry{}
+	all := make([]yuccacapacity.Entry, 0, len(alive))
+	r.entries = make(map[string]Entry, len(alive))
 	for _, e := range alive {
 		r.entries[e.Name] = e
 		all = append(all, yuccacapacity.Entry{Name: e.Name, Domain: e.Domain, Capacity: e.Capacity, Utilization: e.Utilization})
--- a/core/yuccaliveness/monitor.go
+++ b/core/yuccaliveness/monitor.go
@@ -140,6 +140,14 @@
 	return s.state.Names(time.Now())
 }
 
+// LargeNames returns the sorted names of the listed entries that callers mostly use.
+// State.LargeNames has the rules.
+func (s *Monitor) LargeNames() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.LargeNames()
+}
+
 // ToDeregister returns the names of the silent entries that this entry has to
 // remove from the platform's list.
 func (s *Monitor) ToDeregister() []string {
--- a/core/yuccaliveness/state.go
+++ b/core/yuccaliveness/state.go
@@ -78,6 +78,8 @@
 	createdAt time.Time
 	// listed holds the entries in the platform's list by name.
 	listed map[string]listedEntry
+	// large holds the sorted names of the listed entries that are large in their region.
+	large []string
 	// heartbeats holds the last heartbeat of each other entry by name.
 	heartbeats map[string]heartbeatRecord
 }
@@ -115,6 +117,7 @@
 		}
 		s.listed[e.Name] = listedEntry{e, firstListed}
 	}
+	s.large = s.largeNames()
 	for name, h := range s.heartbeats {
 		if _, ok := s.listed[name]; !ok && now.Sub(h.receivedAt) > forgetTimeout {
 			delete(s.heartbeats, name)
@@ -194,6 +197,25 @@
 	return slices.Sorted(maps.Keys(names))
 }
 
+// LargeNames returns the sorted names of the listed entries that are large in their
+// region, by yuccacapacity.Large. It depends on the list only, so that all entries agree,
+// whatever the load.
+func (s *State) LargeNames() []string { return s.large }
+
+// largeNames returns the sorted names of the listed entries that are large in their region.
+func (s *State) largeNames() []string {
+	regions := map[string][]yuccacapacity.Entry{}
+	for name, e := range s.listed {
+		regions[e.Region] = append(regions[e.Region], yuccacapacity.Entry{Name: name, Capacity: e.Capacity})
+	}
+	var names []string
+	for _, all := range regions {
+		names = append(names, yuccacapacity.Large(all)...)
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Alive returns the entries that accept new clients, sorted by name. A listed
 // entry without a heartbeat of its present incarnation counts as alive until
 // Timeout after it was first listed. An entry that receives no heartbeats at all
--- a/core/yuccaquota/division.go
+++ b/core/yuccaquota/division.go
@@ -35,10 +35,13 @@
 	self string
 	// entries are the names of the listed entries.
 	entries []string
+	// candidates are the names of the entries that may share a rate by ToSenders; empty
+	// means all of entries.
+	candidates []string
 }
 
 // New returns the division of the entry self by a list of entries, itself included.
-func New(self string, entries []string) Division { return Division{self, entries} }
+func New(self string, entries []string) Division { return Division{self: self, entries: entries} }
 
 // WithEntries returns the division by another list of entries.
 func (d Division) WithEntries(entries []string) Division {
@@ -46,15 +49,31 @@
 	return d
 }
 
+// WithCandidates returns the division with other entries that may share a rate by
+// ToSenders: those that callers mostly use, as the parts of the others stay unused. None
+// means all listed ones.
+func (d Division) WithCandidates(names []string) Division {
+	d.candidates = names
+	return d
+}
+
 // With returns the division among the listed entries and others that are not listed.
 func (d Division) With(others []string) Division {
-	all := slices.Clone(d.entries)
+	if len(d.candidates) > 0 {
+		d.candidates = union(d.candidates, others)
+	}
+	return d.WithEntries(union(d.entries, others))
+}
+
+// union returns the names and those of the others that are not among them.
+func union(names, others []string) []string {
+	all := slices.Clone(names)
 	for _, name := range others {
 		if !slices.Contains(all, name) {
 			all = append(all, name)
 		}
 	}
-	return d.WithEntries(all)
+	return all
 }
 
 // Evenly returns this entry's part of a rate that is divided among all listed entries.
@@ -75,7 +94,11 @@
 // senders or fewer. Senders that tell one another of themselves use With, so that the
 // best placed ones remain, whatever the lists.
 func (d Division) ToSenders(key string, rate float64) float64 {
-	chosen := yuccapeer.RendezvousTop(key, d.entries, senders)
+	candidates := d.candidates
+	if len(candidates) == 0 {
+		candidates = d.entries
+	}
+	chosen := yuccapeer.RendezvousTop(key, candidates, senders)
 	if !slices.Contains(chosen, d.self) {
 		return 0
 	}
--- a/core/yuccaquota/quota_test.go
+++ b/core/yuccaquota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -44,6 +45,30 @@
 	}
 }
 
+// TestCandidatesShareTheRate guards against parts for entries that callers do not use, which
+// would leave most of the rate of a server unused. Rates that all entries need are still
+// divided among all.
+func TestCandidatesShareTheRate(t *testing.T) {
+	c := qt.New(t)
+	var names []string
+	for i := range 110 {
+		names = append(names, fmt.Sprint("e", i))
+	}
+	for server := range 20 {
+		key, sum := fmt.Sprint("i-", server), 0.0
+		for _, name := range names {
+			d := yuccaquota.New(name, names).WithCandidates(names[:12])
+			part := d.ToSenders(key, 10)
+			c.Assert(part == 0 || slices.Contains(names[:12], name), qt.IsTrue)
+			sum += part
+			c.Assert(d.Evenly(110), qt.Equals, 1.0)
+		}
+		c.Assert(sum > 6-1e-6 && sum < 6+1e-6, qt.IsTrue, qt.Commentf("%v", sum))
+	}
+	with := yuccaquota.New("e50", names).WithCandidates(names[:2]).With([]string{"e50"})
+	c.Assert(with.ToSenders("i-1", 10) > 0, qt.IsTrue)
+}
+
 // TestUnlistedEntryHasNoPart asks for an entry that is not in its own list.
 func TestUnlistedEntryHasNoPart(t *testing.T) {
 	d := yuccaquota.New("e9", []string{"e1", "e2"})
