--- a/core/yuccacapacity/choice.go
+++ b/core/yuccacapacity/choice.go
@@ -296,11 +296,11 @@
 	return slices.DeleteFunc(domains, func(d string) bool { return !c.local[d] })
 }
 
-// Answer returns the names of the entries for a caller of the given failure domain, the
-// largest first. Callers spread their connections evenly over the entries of a response,
-// so an entry is in a part of the responses: its capacity as a share of the largest one.
-// The key selects the part; callers that use the same key again keep their entries. Each
-// response has entries of two failure domains if the named entries have.
+// Answer returns the names of the entries for a caller of the given failure domain. Callers
+// spread their connections evenly over the entries of a response, so an entry is in a part
+// of the responses: its capacity as a share of the largest one. The key selects the part;
+// callers that use the same key again keep their entries. Each response has entries of two
+// failure domains if the named entries have.
 func (c Choice) Answer(domain string, key uint64) []string {
 	names := make([]string, 0, len(c.named))
 	if c.alike {
@@ -326,7 +326,7 @@
 	if len(domains) > 1 {
 		return names
 	}
-	return append(names, c.another(domains, key)...)
+	return append(c.another(domains, key), names...)
 }
 
 // another returns the name of an entry of another failure domain than the given ones, none
--- a/core/yuccacapacity/choice_test.go
+++ b/core/yuccacapacity/choice_test.go
@@ -177,6 +177,18 @@
 	f.assertNamed(c, 12, 0)
 }
 
+// TestIdleRegion has next to no callers, while every entry seems to spend some processor time
+// on requests. It guards against small entries that are named because of such noise.
+func TestIdleRegion(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(3, 97, 2)
+	for i := range f.entries {
+		f.entries[i].Utilization = yuccacapacity.Utilization{Rate: 0.02, Cores: 0.02}
+	}
+	f.choice = f.choice.Next(f.now, f.entries)
+	f.assertNamed(c, 3, 0)
+}
+
 // TestSmallEntriesAreAddedAsDemandRises guards against large entries that are saturated
 // while small ones idle, and against small ones that get more than they carry.
 func TestSmallEntriesAreAddedAsDemandRises(t *testing.T) {
--- a/core/yuccacapacity/meter.go
+++ b/core/yuccacapacity/meter.go
@@ -67,8 +67,13 @@
 	megabits := float64(t.Bytes-m.last.Bytes) * 8 / 1e6 / elapsed
 	m.last, m.at = t, now
 
-	if requests == 0 {
+	switch {
+	case requests == 0:
 		m.idle += (processor - m.idle) * idleWeight
+	case processor < m.idle:
+		// The estimate is wrong, since idle work is a part of all work: a start takes far
+		// more than what follows.
+		m.idle = 0
 	}
 	m.busy += (processor - m.busy) * meterWeight
 	m.present.Rate += (requests/elapsed - m.present.Rate) * meterWeight
--- a/core/yuccacapacity/meter_test.go
+++ b/core/yuccacapacity/meter_test.go
@@ -49,6 +49,16 @@
 	c.Assert(math.Abs(u.Rate-20) < 1 && math.Abs(u.Cores-0.02) < 0.005 && math.Abs(u.Megabits-0.16) < 0.01, qt.IsTrue, qt.Commentf("%v", u))
 }
 
+// TestMeterForgetsTheStart guards against the work of a start that hides what the requests
+// cost, on an entry that has callers from then on.
+func TestMeterForgetsTheStart(t *testing.T) {
+	c := qt.New(t)
+	r := newMeterRun(largeCapacity)
+	r.run(time.Second, 0, 0.8, 0)
+	u := r.run(20*time.Second, 100, 0.12, 0)
+	c.Assert(u.Cores > 0.11, qt.IsTrue, qt.Commentf("%v", u))
+}
+
 // TestMeterShowsSurge has the demand grow to the two and a half fold: the other entries see
 // most of that within a second.
 func TestMeterShowsSurge(t *testing.T) {
