A directory that starts first names large entries at once

With 18 entries (6 large, random faults), the entries that started first named all 12 entries of their region for 20 s: while they knew few entries, or had heard from none, their choice to name all counted as a decision to follow. Now the wait before small entries are left out begins with the first uneven decision, and keeps only those that were named.

The choice of the own region is renewed with each heartbeat, so that it is logged also where no caller asks.

--- a/core/yuccacapacity/choice.go
+++ b/core/yuccacapacity/choice.go
@@ -50,14 +50,12 @@
 // have not been needed for a while. It is immutable; the zero value is that of a
 // directory that has not decided.
 type Choice struct {
-	// settled is set when a decision has been based on all capacities before.
+	// settled is set when the region has been uneven before.
 	settled bool
 	// named holds the named entries, largest first, or by name if all are named alike.
 	named []member
 	// alike is set if every lookup names all entries.
 	alike bool
-	// extras holds the small entries that are named.
-	extras map[string]bool
 	// roomySince is since when fewer extras have been enough, zero if they are not.
 	roomySince time.Time
 	// local holds the failure domains whose callers use the entries of their own domain.
@@ -87,20 +85,21 @@
 	members := rank(all, meanCost(all))
 	large, small := split(members)
 	if len(small) == 0 {
-		return nameAll(all, true)
+		return nameAll(all, c.settled)
 	}
 	n := Choice{settled: true, demand: demandOf(members)}
-	n.extras, n.roomySince = c.nextExtras(now, n.demand, large, small)
+	var extras map[string]bool
+	extras, n.roomySince = c.nextExtras(now, n.demand, large, small)
 	n.named = slices.Clone(large)
 	for _, m := range small {
-		if n.extras[m.Name] {
+		if extras[m.Name] {
 			n.named = append(n.named, m)
 		}
 	}
 	for _, m := range n.named {
 		n.capacity += m.usable
 	}
-	n.local, n.localSince = c.nextLocal(now, n.demand, members, large, len(n.extras) > 0)
+	n.local, n.localSince = c.nextLocal(now, n.demand, members, large, len(extras) > 0)
 	return n
 }
 
@@ -176,7 +175,9 @@
 // nextExtras returns the small entries that are named besides the large ones, and since
 // when fewer of them have been enough.
 func (c Choice) nextExtras(now time.Time, demand float64, large, small []member) (extras map[string]bool, roomySince time.Time) {
-	kept := func(m member) bool { return c.alike || c.extras[m.Name] }
+	kept := func(m member) bool {
+		return slices.ContainsFunc(c.named, func(n member) bool { return n.Name == m.Name })
+	}
 	roomy := leastExtras(demand*shrinkMargin, large, small, func(member) bool { return false })
 	if !c.settled {
 		return roomy, time.Time{}
--- a/core/yuccacapacity/choice_test.go
+++ b/core/yuccacapacity/choice_test.go
@@ -453,6 +453,39 @@
 	c.Assert(restarted.Answer("d0", 7), qt.DeepEquals, f.choice.Answer("d0", 7))
 }
 
+// TestDirectoryStartsFirst guards against a directory that names all entries for a while since
+// it knew few of them at first, or heard from none.
+func TestDirectoryStartsFirst(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(12, 98, 4)
+	all := f.entries
+	f.entries = all[:2]
+	f.run(time.Second, 10)
+	f.entries = nil
+	for _, e := range all {
+		f.entries = append(f.entries, yuccacapacity.Entry{Name: e.Name, Domain: e.Domain})
+	}
+	f.choice = f.choice.Next(f.now, f.entries)
+	f.assertNamed(c, 12, 98)
+	f.entries = all
+	f.choice = f.choice.Next(f.now, f.entries)
+	f.assertNamed(c, 12, 0)
+}
+
+// TestNewcomersAreNotNamed has small entries join a region whose large ones carry the demand.
+func TestNewcomersAreNotNamed(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(4, 30, 2)
+	all := f.entries
+	f.run(time.Second, 300)
+	f.entries = all[:4]
+	f.run(time.Second, 300)
+	c.Assert(f.choice.Uneven(), qt.IsFalse)
+	f.entries = all
+	f.run(time.Second, 300)
+	f.assertNamed(c, 4, 0)
+}
+
 // TestEveryResponseIsUsable checks for arbitrary regions that a response names entries of
 // the region, of two failure domains if there are two, and none twice, and that nothing is
 // left out which the demand needs.
--- a/core/yuccaliveness/lookup_test.go
+++ b/core/yuccaliveness/lookup_test.go
@@ -191,6 +191,17 @@
 	})
 }
 
+// TestChoiceIsLoggedWithoutLookups has callers that use other directories.
+func TestChoiceIsLoggedWithoutLookups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMonitors(t, 0.8, 0.8, 0.1)
+		m.updateLists()
+		time.Sleep(settleTime)
+		synctest.Wait()
+		qt.Assert(t, m.log.String(), qt.Contains, `"named":2`)
+	})
+}
+
 // TestStaleCapacityIsUnknown guards against a directory that leaves entries out by what it
 // heard before it lost contact with all others.
 func TestStaleCapacityIsUnknown(t *testing.T) {
--- a/core/yuccaliveness/monitor.go
+++ b/core/yuccaliveness/monitor.go
@@ -240,13 +240,15 @@
 	}
 }
 
-// updateLocal records the state of this entry for its heartbeats.
+// updateLocal records the state of this entry for its heartbeats. It also renews the choice
+// for this entry's region, so that its log lines do not depend on lookups.
 func (s *Monitor) updateLocal(now time.Time) {
 	u, ready := s.local.Utilization(now), s.local.Ready()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.SetUtilization(u)
 	s.state.SetReady(ready)
+	s.choose(now, s.state.Self().Region, ready)
 }
 
 // demand returns the demand for each service by region.
