--- a/core/yuccadiscovery/configure_test.go
+++ b/core/yuccadiscovery/configure_test.go
@@ -37,7 +37,7 @@
 func TestManyKeysDoNotBlockRequests(t *testing.T) {
 	const rounds = 8
 	c := qt.New(t)
-	k := yuccadiscovery.NewAggregator(yuccadiscovery.NewServerSet("servers/", decode), yuccadiscovery.NewEvacuationSet("evacuations/"), func() []string { return nil }, func(yuccabalancer.Topology) {}, zerolog.Nop())
+	k := yuccadiscovery.NewAggregator(yuccadiscovery.NewServerSet("servers/", decode), yuccadiscovery.NewEvacuationSet("evacuations/"), fixedEntries{}, func(yuccabalancer.Topology) {}, zerolog.Nop())
 	var inForce uint64
 	k.OnConfig(func(table *yuccaroute.Table) { inForce = table.Version() })
 	c.Assert(k.Configure(manyAccounts(1, 1000)), qt.IsNil)
--- a/core/yuccaliveness/monitor.go
+++ b/core/yuccaliveness/monitor.go
@@ -9,8 +9,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"yuccawell.example/core/yuccabalancer"
+	"yuccawell.example/core/yuccacapacity"
 	"yuccawell.example/core/yuccaerror"
 	"yuccawell.example/core/yuccakernel"
+	"yuccawell.example/core/yuccalog"
 	"yuccawell.example/core/yuccapeer"
 	"yuccawell.example/core/yuccareplica"
 )
@@ -56,6 +58,14 @@
 	Observe(from string, a yuccareplica.Announcement)
 }
 
+// Local tells the state of this entry.
+type Local interface {
+	// Utilization returns the utilization at now. It is called once per Interval.
+	Utilization(now time.Time) yuccacapacity.Utilization
+	// Ready reports whether the entry can serve requests.
+	Ready() bool
+}
+
 // Monitor is the service that publishes this entry's heartbeats and tracks those
 // of the other entries. Create one with New.
 type Monitor struct {
@@ -64,27 +74,38 @@
 	bus      Bus
 	balancer Balancer
 	replica  Replica
+	local    Local
 	log      zerolog.Logger
+	// changes is the logger of changes to the entries that lookups name.
+	changes zerolog.Logger
 
-	// mu guards state and meanInFlight.
+	// mu guards the fields below.
 	mu sync.Mutex
 	// state combines the platform's list with the heartbeats.
 	state *State
 	// meanInFlight is the EWMA of this entry's requests in flight by service.
 	meanInFlight map[string]float64
+	// regions holds the entries that lookups name by region.
+	regions map[string]*regionChoice
+	// changeCount is how often the named entries of a region have changed.
+	changeCount uint64
 }
 
 // New returns the monitor of the entry self and registers its heartbeat handler on
 // the bus.
-func New(self Entry, bus Bus, balancer Balancer, replica Replica, log zerolog.Logger) *Monitor {
+func New(self Entry, bus Bus, balancer Balancer, replica Replica, local Local, log zerolog.Logger) *Monitor {
 	s := &Monitor{
 		bus:          bus,
 		balancer:     balancer,
 		replica:      replica,
+		local:        local,
 		log:          log,
+		changes:      log.Sample(yuccalog.NewRateSampler(changeLinesPerSecond)),
 		state:        NewState(self, time.Now()),
 		meanInFlight: map[string]float64{},
+		regions:      map[string]*regionChoice{},
 	}
+	s.state.SetReady(false)
 	s.Worker = yuccakernel.NewWorker(s.run)
 	bus.Handle(Topic, s.handleHeartbeat)
 	return s
@@ -95,6 +116,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.UpdateList(time.Now(), entries)
+	s.expireChoices()
 }
 
 // Alive returns the entries that accept new clients, sorted by name. State.Alive
@@ -121,6 +143,14 @@
 	return s.state.Names(time.Now())
 }
 
+// LargeNames returns the sorted names of the listed entries that callers mostly use.
+// State.LargeNames has the rules.
+func (s *Monitor) LargeNames() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.LargeNames()
+}
+
 // ToDeregister returns the names of the silent entries that this entry has to
 // remove from the platform's list.
 func (s *Monitor) ToDeregister() []string {
@@ -146,10 +176,18 @@
 	s.publishHeartbeat()
 }
 
+// SetCapacity replaces the capacity of this entry.
+func (s *Monitor) SetCapacity(c yuccacapacity.Capacity) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.SetCapacity(c)
+}
+
 // Leave marks this entry as draining and announces it with a heartbeat at once.
 func (s *Monitor) Leave() {
 	s.mu.Lock()
 	s.state.Leave()
+	s.expireChoices()
 	s.mu.Unlock()
 	s.publishHeartbeat()
 }
@@ -162,6 +200,7 @@
 		select {
 		case now := <-tick.C:
 			s.updateMeanInFlight(now)
+			s.updateLocal(now)
 			s.publishHeartbeat()
 			s.balancer.Rebalance(s.demand(now), min(now.Sub(lastRebalance), 2*Interval))
 			lastRebalance = now
@@ -201,6 +240,17 @@
 	}
 }
 
+// updateLocal records the state of this entry for its heartbeats. It also renews the choice
+// for this entry's region, so that its log lines do not depend on lookups.
+func (s *Monitor) updateLocal(now time.Time) {
+	u, ready := s.local.Utilization(now), s.local.Ready()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.SetUtilization(u)
+	s.state.SetReady(ready)
+	s.choose(now, s.state.Self().Region, ready)
+}
+
 // demand returns the demand for each service by region.
 func (s *Monitor) demand(now time.Time) map[string]yuccabalancer.Demand {
 	s.mu.Lock()
@@ -224,6 +274,9 @@
 		TunnelAddr:  self.TunnelAddr,
 		CutOff:      self.CutOff,
 		Config:      announcement.Config,
+		Capacity:    encodeCapacity(self.Capacity),
+		Utilization: encodeUtilization(self.Utilization),
+		Starting:    self.Starting,
 	}
 	for service, v := range s.meanInFlight {
 		heartbeat.InFlight[service] = float32(v)
@@ -257,6 +310,9 @@
 		CutOff:      heartbeat.GetCutOff(),
 		Incarnation: heartbeat.GetIncarnation(),
 		Leaving:     heartbeat.GetLeaving(),
+		Starting:    heartbeat.GetStarting(),
+		Capacity:    decodeCapacity(heartbeat.GetCapacity()),
+		Utilization: decodeUtilization(heartbeat.GetUtilization()),
 	}
 	s.replica.Observe(from, yuccareplica.Announcement{
 		Changed: heartbeat.GetChanged(),
@@ -266,5 +322,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.RecordHeartbeat(time.Now(), e, inFlight)
+	if e.Leaving {
+		s.expireChoices()
+	}
 	return nil, nil
 }
--- a/core/yuccaliveness/state.go
+++ b/core/yuccaliveness/state.go
@@ -1,7 +1,7 @@
 // Package yuccaliveness detects which entries are alive. An entry is a proxy
 // instance of the system. Each entry publishes heartbeats with its address, its
-// drain status and the number of requests that its clients have in flight for
-// each service.
+// drain status, the number of requests that its clients have in flight for each
+// service, its capacity and its utilization.
 //
 // State combines the platform's list of entries with the heartbeats of the other
 // entries. It has no clock and does no I/O. Monitor is the service around it: it
@@ -10,7 +10,7 @@
 //
 //	monitor := yuccaliveness.New(self, peers, picker, replica, log)
 //	monitor.UpdateList(entries) // whenever the platform's list changes
-//	nearby := yuccaliveness.InRegion(monitor.Alive(), region)
+//	nearby := monitor.Lookup(caller)
 package yuccaliveness
 
 import (
@@ -20,6 +20,7 @@
 	"time"
 
 	"yuccawell.example/core/yuccabalancer"
+	"yuccawell.example/core/yuccacapacity"
 	"yuccawell.example/core/yuccapeer"
 )
 
@@ -61,6 +62,13 @@
 	Incarnation uint64
 	// Leaving marks an entry that drains and accepts no new clients.
 	Leaving bool
+	// Starting marks an entry that cannot serve requests yet. It comes from heartbeats.
+	Starting bool
+	// Capacity is what the entry can carry, the zero value if it is unknown.
+	Capacity yuccacapacity.Capacity
+	// Utilization is what the entry carries at present. It comes from heartbeats; the
+	// platform's list does not carry it.
+	Utilization yuccacapacity.Utilization
 }
 
 // State is an entry's view of the other entries. The caller passes the current
@@ -72,6 +80,8 @@
 	createdAt time.Time
 	// listed holds the entries in the platform's list by name.
 	listed map[string]listedEntry
+	// large holds the sorted names of the listed entries that are large in their region.
+	large []string
 	// heartbeats holds the last heartbeat of each other entry by name.
 	heartbeats map[string]heartbeatRecord
 }
@@ -109,6 +119,7 @@
 		}
 		s.listed[e.Name] = listedEntry{e, firstListed}
 	}
+	s.large = s.largeNames()
 	for name, h := range s.heartbeats {
 		if _, ok := s.listed[name]; !ok && now.Sub(h.receivedAt) > forgetTimeout {
 			delete(s.heartbeats, name)
@@ -129,6 +140,15 @@
 	s.heartbeats[e.Name] = heartbeatRecord{e, now, inFlight}
 }
 
+// SetCapacity replaces the capacity of this entry.
+func (s *State) SetCapacity(c yuccacapacity.Capacity) { s.self.Capacity = c }
+
+// SetUtilization replaces the utilization of this entry.
+func (s *State) SetUtilization(u yuccacapacity.Utilization) { s.self.Utilization = u }
+
+// SetReady records whether this entry can serve requests.
+func (s *State) SetReady(ready bool) { s.self.Starting = !ready }
+
 // SetCutOff marks whether this entry itself reaches no backend server.
 func (s *State) SetCutOff(cutOff bool) { s.self.CutOff = cutOff }
 
@@ -182,11 +202,31 @@
 	return slices.Sorted(maps.Keys(names))
 }
 
+// LargeNames returns the sorted names of the listed entries that are large in their
+// region, by yuccacapacity.Large. It depends on the list only, so that all entries agree,
+// whatever the load.
+func (s *State) LargeNames() []string { return s.large }
+
+// largeNames returns the sorted names of the listed entries that are large in their region.
+func (s *State) largeNames() []string {
+	regions := map[string][]yuccacapacity.Entry{}
+	for name, e := range s.listed {
+		regions[e.Region] = append(regions[e.Region], yuccacapacity.Entry{Name: name, Capacity: e.Capacity})
+	}
+	var names []string
+	for _, all := range regions {
+		names = append(names, yuccacapacity.Large(all)...)
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Alive returns the entries that accept new clients, sorted by name. A listed
 // entry without a heartbeat of its present incarnation counts as alive until
 // Timeout after it was first listed. An entry that receives no heartbeats at all
 // is probably disconnected from its peers. It relies on the list and returns every
-// listed entry that is not leaving.
+// listed entry that is not leaving, without capacities, since nothing recent is known of
+// them.
 func (s *State) Alive(now time.Time) []Entry {
 	var all []Entry
 	if !s.self.Leaving {
@@ -200,7 +240,17 @@
 		newlyListed := !ok && now.Sub(r.firstListed) < Timeout
 		leaving := r.Leaving || ok && h.Leaving
 		if name != s.self.Name && !leaving && (recent || newlyListed || isolated) {
-			all = append(all, r.Entry)
+			e := r.Entry
+			if ok {
+				e.Utilization, e.Starting = h.Utilization, h.Starting
+			}
+			if ok && h.Capacity != (yuccacapacity.Capacity{}) {
+				e.Capacity = h.Capacity
+			}
+			if isolated {
+				e.Capacity = yuccacapacity.Capacity{}
+			}
+			all = append(all, e)
 		}
 	}
 	slices.SortFunc(all, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
