Pipelined idempotent requests run concurrently

Cause: an entry handled the requests of a connection one after the other, so that a pipelined request waited for the one before it.

Change: core/yuccapipeline stands between the listening socket and fasthttp. While a request is in progress and its connection is watched, requests behind it are read ahead and served on in-memory connections; their responses are held back until it is their turn. The close of the caller's connection is seen behind unread bytes too (core/yuccasocket).

--- a/core/yuccafront/listener.go
+++ b/core/yuccafront/listener.go
@@ -25,6 +25,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"yuccawell.example/core/yuccapipeline"
 	"yuccawell.example/core/yuccasleep"
 )
 
@@ -45,6 +46,9 @@
 	// Full reports whether an entry has no free slot of a service. Lookup responses
 	// name such entries last. Nil means that no entry is full.
 	Full func(service, entry string) bool
+	// Concurrent reports whether a request without a body may run before the requests
+	// before it on the same connection have ended. Nil means that none may.
+	Concurrent func(h *fasthttp.RequestHeader) bool
 }
 
 const (
@@ -67,6 +71,8 @@
 	handler  fasthttp.RequestHandler
 	log      zerolog.Logger
 	server   *fasthttp.Server
+	// pipeline is nil if no requests run concurrently.
+	pipeline *yuccapipeline.Pipeline
 	socket   net.Listener
 	leaving  atomic.Bool
 	done     chan struct{}
@@ -100,11 +106,14 @@
 		ReadBufferSize:                maxHeaderBytes,
 		MaxRequestBodySize:            maxBodyBytes,
 		IdleTimeout:                   idleTimeout,
-		CloseOnShutdown:               true,
+		CloseOnShutdown:               settings.Concurrent == nil,
 		ErrorHandler:                  handleReadError,
 		ConnState:                     f.trackConn,
 		Logger:                        discardLogger{},
 	}
+	if settings.Concurrent != nil {
+		f.pipeline = yuccapipeline.New(settings.Concurrent, f.server.ServeConn)
+	}
 	return f
 }
 
@@ -117,6 +126,9 @@
 	}
 	f.log.Info().Str("addr", l.Addr().String()).Msg("listening")
 	f.socket = l
+	if f.pipeline != nil {
+		l = f.pipeline.Listener(l)
+	}
 	group.Go(func() error { return f.server.Serve(l) })
 	return nil
 }
@@ -137,14 +149,24 @@
 		ctx, cancel = context.WithTimeout(ctx, f.settings.DrainTimeout)
 		defer cancel()
 	}
-	if err := f.server.ShutdownWithContext(ctx); !errors.Is(err, net.ErrClosed) {
+	if err := f.server.ShutdownWithContext(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
+	if f.pipeline != nil {
+		f.pipeline.Wait()
+	}
 	return nil
 }
 
-// trackConn keeps newConns up to date.
+// trackConn keeps newConns up to date and tells the pipeline of the change.
 func (f *Listener) trackConn(c net.Conn, state fasthttp.ConnState) {
+	f.updateNewConns(c, state)
+	if f.pipeline != nil {
+		f.pipeline.SetState(c, state)
+	}
+}
+
+func (f *Listener) updateNewConns(c net.Conn, state fasthttp.ConnState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if state == fasthttp.StateNew {
@@ -171,12 +193,18 @@
 
 // serve handles one request. While the listener drains, each response has the
 // header Connection: close, so that clients do not mistake the end of the
-// connection for a failure.
+// connection for a failure. Of pipelined requests in progress only the last has it.
 func (f *Listener) serve(ctx *fasthttp.RequestCtx) {
-	f.handler(ctx)
-	if f.leaving.Load() {
-		ctx.SetConnectionClose()
+	if f.pipeline == nil {
+		f.handler(ctx)
+		if f.leaving.Load() {
+			ctx.SetConnectionClose()
+		}
+		return
 	}
+	f.pipeline.Begin(ctx)
+	f.handler(ctx)
+	f.pipeline.End(ctx, f.leaving.Load())
 }
 
 // discardLogger drops the log output of fasthttp, since every failure is logged as
--- /dev/null
+++ b/core/yuccafront/pipeline_test.go
@@ -0,0 +1,485 @@
+package yuccafront_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
+
+	"yuccawell.example/core/yuccafront"
+	"yuccawell.example/core/yuccarelay"
+)
+
+// gatedHandler is a handler that watches its caller like the relay. The path of a
+// request is its token; the response is the token, and with ?size=N a body of N bytes
+// that the token determines. A path that starts with /gate waits for release.
+type gatedHandler struct {
+	mu sync.Mutex
+	// started and canceled are the tokens of the requests in the order of these events.
+	started, canceled []string
+	gates             map[string]chan struct{}
+	arrivals          map[string]time.Time
+	// produced is the number of body bytes that the server has taken.
+	produced atomic.Int64
+}
+
+func newGatedHandler() *gatedHandler {
+	return &gatedHandler{gates: map[string]chan struct{}{}, arrivals: map[string]time.Time{}}
+}
+
+func (g *gatedHandler) serve(ctx *fasthttp.RequestCtx) {
+	token := string(ctx.Path())
+	conn := ctx.Conn().(yuccarelay.CallerConn)
+	gone := make(chan struct{})
+	arrived := conn.ArrivedAt()
+	if arrived.IsZero() {
+		arrived = time.Now()
+	}
+	g.mu.Lock()
+	g.started = append(g.started, token)
+	g.arrivals[token] = arrived
+	g.mu.Unlock()
+	if len(ctx.Request.Body()) == 0 {
+		stop := conn.WatchClose(ctx.IsGet() || ctx.IsHead(), func() { close(gone) })
+		defer stop()
+	}
+	wait := time.Duration(ctx.QueryArgs().GetUintOrZero("us")) * time.Microsecond
+	opened := make(chan struct{})
+	if strings.HasPrefix(token, "/gate") {
+		opened = g.gate(token)
+		wait = time.Minute
+	}
+	select {
+	case <-gone:
+		g.mu.Lock()
+		g.canceled = append(g.canceled, token)
+		g.mu.Unlock()
+	case <-opened:
+	case <-time.After(wait):
+	}
+	size := ctx.QueryArgs().GetUintOrZero("size")
+	switch {
+	case ctx.QueryArgs().Has("cut"):
+		ctx.SetBodyStream(io.MultiReader(strings.NewReader(strings.Repeat("x", cutBytes)), failingReader{}), 2*cutBytes)
+	case size > 0:
+		ctx.SetBodyStream(&countingReader{io.LimitReader(&tokenReader{token: token}, int64(size)), &g.produced}, size)
+	default:
+		ctx.SetBodyString(token)
+	}
+}
+
+func (g *gatedHandler) gate(token string) chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.gates[token] == nil {
+		g.gates[token] = make(chan struct{})
+	}
+	return g.gates[token]
+}
+
+func (g *gatedHandler) release(token string) { close(g.gate(token)) }
+
+func (g *gatedHandler) startedCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.started)
+}
+
+func (g *gatedHandler) canceledCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.canceled)
+}
+
+// tokenReader is an endless body that repeats a token.
+type tokenReader struct {
+	token string
+	next  int
+}
+
+func (r *tokenReader) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = r.token[r.next%len(r.token)]
+		r.next++
+	}
+	return len(p), nil
+}
+
+type countingReader struct {
+	io.Reader
+	count *atomic.Int64
+}
+
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.count.Add(int64(n))
+	return n, err
+}
+
+// cutBytes is the length of a body that is cut short. It does not fit in the server's
+// write buffer.
+const cutBytes = 10_000
+
+type failingReader struct{}
+
+func (failingReader) Read([]byte) (int, error) { return 0, errors.New("server gone") }
+
+// pipelineFixture is a listener that handles pipelined GET and HEAD requests
+// concurrently.
+type pipelineFixture struct {
+	*gatedHandler
+	addr string
+	stop func() error
+}
+
+func newPipelineFixture(t testing.TB) *pipelineFixture {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	f := &pipelineFixture{gatedHandler: newGatedHandler(), addr: socket.Addr().String()}
+	_ = socket.Close()
+	settings := yuccafront.Settings{Addr: f.addr, DrainTimeout: 10 * time.Second, Concurrent: func(h *fasthttp.RequestHeader) bool { return h.IsGet() || h.IsHead() }}
+	listener := yuccafront.NewWithHandler(settings, f.serve, func(ctx *fasthttp.RequestCtx, _ error) { ctx.SetStatusCode(400) }, zerolog.Nop())
+	group := &errgroup.Group{}
+	qt.Assert(t, listener.Start(context.Background(), group), qt.IsNil)
+	f.stop = sync.OnceValue(func() error { return errors.Join(listener.Stop(context.Background()), group.Wait()) })
+	t.Cleanup(func() { qt.Check(t, f.stop(), qt.IsNil) })
+	return f
+}
+
+// send opens a connection and sends bytes on it.
+func (f *pipelineFixture) send(t testing.TB, segments ...string) (net.Conn, *bufio.Reader) {
+	conn, err := net.Dial("tcp", f.addr)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = conn.Close() })
+	for i, s := range segments {
+		if i > 0 {
+			time.Sleep(20 * time.Millisecond)
+		}
+		_, err = io.WriteString(conn, s)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	return conn, bufio.NewReader(conn)
+}
+
+// get returns pipelined GET requests for paths.
+func get(paths ...string) string {
+	var b strings.Builder
+	for _, p := range paths {
+		fmt.Fprintf(&b, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", p)
+	}
+	return b.String()
+}
+
+func waitUntil(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("timed out waiting until %s", what)
+		}
+	}
+}
+
+// settle is how long a request that must not start gets to start nevertheless.
+const settle = 30 * time.Millisecond
+
+// readBodies reads responses and returns their bodies.
+func readBodies(t testing.TB, r *bufio.Reader, n int) []string {
+	t.Helper()
+	var bodies []string
+	for range n {
+		var resp fasthttp.Response
+		qt.Assert(t, resp.Read(r), qt.IsNil)
+		bodies = append(bodies, string(resp.Body()))
+	}
+	return bodies
+}
+
+// TestPipelinedRequestsRunConcurrently guards against a request that waits for the one
+// before it, and against responses in the order of their completion.
+func TestPipelinedRequestsRunConcurrently(t *testing.T) {
+	post := "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+	chunked := "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	tests := []struct {
+		name     string
+		segments []string
+		bodies   []string
+	}{
+		{"one segment", []string{get("/gate1", "/a", "/b")}, nil},
+		{"one by one", []string{get("/gate1"), get("/a"), get("/b")}, nil},
+		{"split head", []string{get("/gate1") + get("/a")[:9], get("/a")[9:] + get("/b")}, nil},
+		{"after a body", []string{post, get("/gate1", "/a", "/b")}, []string{"/p"}},
+		{"after a chunked body", []string{chunked, get("/gate1"), get("/a", "/b")}, []string{"/p"}},
+		{"after a body in a segment", []string{post + get("/x"), get("/gate1", "/a", "/b")}, []string{"/p", "/x"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newPipelineFixture(t)
+			_, r := f.send(t, test.segments...)
+			waitUntil(t, "all requests have started", func() bool { return f.startedCount() == len(test.bodies)+3 })
+			f.release("/gate1")
+			qt.Assert(t, readBodies(t, r, len(test.bodies)+3), qt.DeepEquals, append(test.bodies, "/gate1", "/a", "/b"))
+		})
+	}
+}
+
+// TestRequestsThatMustWait guards against a request that starts before all responses
+// before it have been written, although it is not idempotent, has a body, cannot be
+// parsed, or follows one of these or the last request of the connection.
+func TestRequestsThatMustWait(t *testing.T) {
+	tests := []struct {
+		name string
+		// before are further requests that start at once.
+		before, request string
+		// statuses are those of all responses.
+		statuses []int
+	}{
+		{"not idempotent", get("/a"), "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", []int{200, 200, 200, 200}},
+		{"body", get("/a"), "GET /p HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody", []int{200, 200, 200, 200}},
+		{"chunked body", get("/a"), "GET /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", []int{200, 200, 200, 200}},
+		{"malformed", get("/a"), "GET\r\n\r\n", []int{200, 200, 400}},
+		{"header too large", get("/a"), "GET /p HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 30<<10) + "\r\n\r\n", []int{200, 200, 400}},
+		{"old version", get("/a"), "GET /p HTTP/1.0\r\nHost: h\r\n\r\n", []int{200, 200, 200}},
+		{"behind a close", "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", get("/p"), []int{200, 200}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newPipelineFixture(t)
+			_, r := f.send(t, get("/gate1")+test.before+test.request+get("/last"))
+			waitUntil(t, "the requests before have started", func() bool { return f.startedCount() == 2 })
+			time.Sleep(settle)
+			c.Assert(f.startedCount(), qt.Equals, 2)
+			f.release("/gate1")
+			for _, status := range test.statuses {
+				var resp fasthttp.Response
+				c.Assert(resp.Read(r), qt.IsNil)
+				c.Assert(resp.StatusCode(), qt.Equals, status)
+			}
+			if last := test.statuses[len(test.statuses)-1]; len(test.statuses) < 4 {
+				_, err := r.ReadByte()
+				c.Assert(err, qt.Equals, io.EOF, qt.Commentf("after %d", last))
+			}
+		})
+	}
+	for _, request := range []string{
+		"POST /gate1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
+		"GET /gate1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx",
+	} {
+		t.Run("behind "+request[:4], func(t *testing.T) {
+			f := newPipelineFixture(t)
+			_, r := f.send(t, request+get("/a"))
+			waitUntil(t, "the first has started", func() bool { return f.startedCount() == 1 })
+			time.Sleep(settle)
+			qt.Assert(t, f.startedCount(), qt.Equals, 1)
+			f.release("/gate1")
+			qt.Assert(t, readBodies(t, r, 2), qt.DeepEquals, []string{"/gate1", "/a"})
+		})
+	}
+}
+
+// TestPipelinedResponsesKeepTheirOrder sends random requests on several connections and
+// guards against responses that are out of order, incomplete or mixed.
+func TestPipelinedResponsesKeepTheirOrder(t *testing.T) {
+	f := newPipelineFixture(t)
+	var next atomic.Int64
+	rapid.Check(t, func(rt *rapid.T) {
+		group := &errgroup.Group{}
+		for range 4 {
+			type request struct {
+				token string
+				size  int
+				head  bool
+			}
+			var all bytes.Buffer
+			var requests []request
+			for range rapid.IntRange(1, 30).Draw(rt, "requests") {
+				q := request{token: fmt.Sprint("/", next.Add(1)), size: rapid.SampledFrom([]int{0, 0, 100, 5000, 100_000}).Draw(rt, "size")}
+				method := rapid.SampledFrom([]string{"GET", "GET", "GET", "HEAD", "POST"}).Draw(rt, "method")
+				q.head = method == "HEAD"
+				body := ""
+				if method == "POST" {
+					body = rapid.StringMatching(`[a-z\r\n]{0,20}`).Draw(rt, "body")
+				}
+				fmt.Fprintf(&all, "%s %s?size=%d&us=%d HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", method, q.token, q.size,
+					rapid.SampledFrom([]int{0, 500, 3000}).Draw(rt, "us"), len(body), body)
+				requests = append(requests, q)
+			}
+			cut := rapid.IntRange(0, all.Len()).Draw(rt, "cut")
+			group.Go(func() error {
+				conn, err := net.Dial("tcp", f.addr)
+				if err != nil {
+					return err
+				}
+				defer func() { _ = conn.Close() }()
+				_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+				sender := &errgroup.Group{}
+				sender.Go(func() error {
+					if _, err := conn.Write(all.Bytes()[:cut]); err != nil {
+						return err
+					}
+					time.Sleep(2 * time.Millisecond)
+					_, err := conn.Write(all.Bytes()[cut:])
+					return err
+				})
+				r := bufio.NewReader(conn)
+				for i, q := range requests {
+					var resp fasthttp.Response
+					resp.SkipBody = q.head
+					if err := resp.Read(r); err != nil {
+						return fmt.Errorf("response %d of %d: %w", i, len(requests), err)
+					}
+					want := []byte(q.token)
+					if q.size > 0 {
+						want = make([]byte, q.size)
+						_, _ = (&tokenReader{token: q.token}).Read(want)
+					}
+					if !q.head && !bytes.Equal(resp.Body(), want) || q.head && resp.Header.ContentLength() != len(want) {
+						return fmt.Errorf("response %d is not that of %s", i, q.token)
+					}
+				}
+				return sender.Wait()
+			})
+		}
+		if err := group.Wait(); err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+// TestStopAnswersPipelinedRequests guards against a planned stop that cuts off requests
+// that have been read ahead, announces the close before the last of them, or runs a
+// request that is unread behind them.
+func TestStopAnswersPipelinedRequests(t *testing.T) {
+	for _, order := range [][]string{{"/gate1", "/gate2", "/gate3"}, {"/gate3", "/gate2", "/gate1"}} {
+		c := qt.New(t)
+		f := newPipelineFixture(t)
+		_, r := f.send(t, get("/gate1", "/gate2", "/gate3")+"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+		waitUntil(t, "all have started", func() bool { return f.startedCount() == 3 })
+		group := &errgroup.Group{}
+		group.Go(f.stop)
+		for _, token := range order {
+			time.Sleep(150 * time.Millisecond)
+			f.release(token)
+		}
+		for i, token := range []string{"/gate1", "/gate2", "/gate3"} {
+			var resp fasthttp.Response
+			c.Assert(resp.Read(r), qt.IsNil)
+			c.Assert(string(resp.Body()), qt.Equals, token)
+			c.Assert(resp.ConnectionClose(), qt.Equals, i == 2, qt.Commentf("%s", token))
+		}
+		_, err := r.ReadByte()
+		c.Assert(err, qt.Equals, io.EOF)
+		c.Assert(group.Wait(), qt.IsNil)
+		c.Assert(f.startedCount(), qt.Equals, 3)
+	}
+}
+
+// TestCallerCloseCancelsPipelinedRequests guards against requests that go on after the
+// caller has closed its connection, also behind bytes that stay unread.
+func TestCallerCloseCancelsPipelinedRequests(t *testing.T) {
+	unread := "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 50_000)
+	for _, behind := range []string{"", unread} {
+		f := newPipelineFixture(t)
+		conn, _ := f.send(t, get("/gate1", "/gate2", "/gate3")+behind)
+		waitUntil(t, "all have started", func() bool { return f.startedCount() == 3 })
+		time.Sleep(settle)
+		_ = conn.Close()
+		waitUntil(t, "all are canceled", func() bool { return f.canceledCount() == 3 })
+	}
+}
+
+// TestCutResponseEndsConnection guards against further responses behind one that was cut
+// short, and against requests that go on behind it.
+func TestCutResponseEndsConnection(t *testing.T) {
+	for _, paths := range [][]string{{"/gate1?cut=1", "/gate2", "/gate3"}, {"/gate0", "/gate1?cut=1", "/gate2", "/gate3"}} {
+		c := qt.New(t)
+		f := newPipelineFixture(t)
+		_, r := f.send(t, get(paths...))
+		waitUntil(t, "all have started", func() bool { return f.startedCount() == len(paths) })
+		f.release("/gate1")
+		if len(paths) == 4 {
+			f.release("/gate0")
+			c.Assert(readBodies(t, r, 1), qt.DeepEquals, []string{"/gate0"})
+		}
+		all, err := io.ReadAll(r)
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(all), qt.Matches, `HTTP/1.1 200 OK\r\n(.*: .*\r\n)*\r\nx+`)
+		waitUntil(t, "the others are canceled", func() bool { return f.canceledCount() == 2 })
+	}
+}
+
+// TestReadAheadIsBounded guards against more requests in progress than the limit, and
+// against requests that are not started when there is room again.
+func TestReadAheadIsBounded(t *testing.T) {
+	const limit, total = 9, 14
+	f := newPipelineFixture(t)
+	var paths []string
+	for i := range total {
+		paths = append(paths, fmt.Sprintf("/gate%d?pad=%s", i, strings.Repeat("x", 3000)))
+	}
+	_, r := f.send(t, get(paths...))
+	for i := range total {
+		// The first request is not one that was read ahead.
+		started := min(total, limit+max(0, i-1))
+		waitUntil(t, fmt.Sprintf("%d have started", started), func() bool { return f.startedCount() == started })
+		time.Sleep(settle / 10)
+		qt.Assert(t, f.startedCount(), qt.Equals, started)
+		token := fmt.Sprint("/gate", i)
+		f.release(token)
+		qt.Assert(t, readBodies(t, r, 1), qt.DeepEquals, []string{token})
+	}
+}
+
+// TestWaitingResponsesAreBounded has a caller that reads nothing, with large responses,
+// and guards against responses that are taken from servers without bound.
+func TestWaitingResponsesAreBounded(t *testing.T) {
+	const size = 8 << 20
+	const bound = 1 << 20
+	c := qt.New(t)
+	f := newPipelineFixture(t)
+	paths := []string{"/gate1"}
+	for i := range 6 {
+		paths = append(paths, fmt.Sprintf("/%d?size=%d", i, size))
+	}
+	_, r := f.send(t, get(paths...))
+	waitUntil(t, "all have started", func() bool { return f.startedCount() == 7 })
+	time.Sleep(10 * settle)
+	c.Assert(f.produced.Load() < bound, qt.IsTrue, qt.Commentf("%d bytes", f.produced.Load()))
+	f.release("/gate1")
+	c.Assert(readBodies(t, r, 1), qt.DeepEquals, []string{"/gate1"})
+	want := make([]byte, size)
+	for i := range 6 {
+		_, _ = (&tokenReader{token: fmt.Sprint("/", i)}).Read(want)
+		c.Assert(readBodies(t, r, 1)[0] == string(want), qt.IsTrue, qt.Commentf("response %d", i))
+	}
+}
+
+// TestArrivalOfWaitingRequest guards against a deadline that counts only from the moment
+// when the responses before the request have been written.
+func TestArrivalOfWaitingRequest(t *testing.T) {
+	const wait = 100 * time.Millisecond
+	f := newPipelineFixture(t)
+	_, r := f.send(t, get("/gate1")+"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+	waitUntil(t, "the first has started", func() bool { return f.startedCount() == 1 })
+	time.Sleep(wait)
+	released := time.Now()
+	f.release("/gate1")
+	readBodies(t, r, 2)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	qt.Assert(t, released.Sub(f.arrivals["/p"]) >= wait*9/10, qt.IsTrue)
+}
--- a/core/yuccarelay/ending.go
+++ b/core/yuccarelay/ending.go
@@ -34,7 +34,9 @@
 // key, if any, ends with a as the response for replays; nil means none. It is
 // called once.
 func (t *task) end(a *yuccaidempotency.Response) {
-	t.callerWatch.stop()
+	if t.stopCallerWatch != nil {
+		t.stopCallerWatch()
+	}
 	t.cancel()
 	for _, timer := range []*time.Timer{t.hedgeTimer, t.watchTimer} {
 		if timer != nil {
--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -251,6 +251,13 @@
 	t.run()
 }
 
+// Concurrent reports whether a request without a body may run while other requests of
+// its caller are in progress, which its route decides.
+func (r *Relay) Concurrent(h *fasthttp.RequestHeader) bool {
+	route, _, err := r.opt.Router.Route(h)
+	return err == nil && route.Idempotent
+}
+
 // StopAt bounds the deadlines of all further requests, so that those for which a server
 // does not answer in time get a response before the entry exits.
 func (r *Relay) StopAt(at time.Time) { r.stopAt.Store(&at) }
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -74,9 +74,10 @@
 	workCtx context.Context
 	cancel  context.CancelFunc
 	// callerGone is closed when the caller has closed its connection.
-	callerGone  chan struct{}
-	callerWatch *closeWatch
-	group       errgroup.Group
+	callerGone chan struct{}
+	// stopCallerWatch ends the watch of the caller's connection, nil if there is none.
+	stopCallerWatch func()
+	group           errgroup.Group
 	// outcomes has room for every attempt, so that none blocks on it.
 	outcomes chan outcome
 	attempts []*attempt
@@ -97,7 +98,7 @@
 	t := &task{
 		relay:      r,
 		ctx:        ctx,
-		arrived:    time.Now(),
+		arrived:    arrivalTime(ctx.Conn()),
 		callerGone: make(chan struct{}),
 		outcomes:   make(chan outcome, yuccalifecycle.MaxPicks),
 	}
@@ -219,10 +220,12 @@
 }
 
 // watchCaller starts to watch the caller's connection, unless the request body
-// is still being read from it.
+// is still being read from it. Requests behind one that is not idempotent or has a body
+// must not start before it has ended.
 func (t *task) watchCaller() {
-	if t.callerWatch == nil && t.body.inMemory() {
-		t.callerWatch = newCloseWatch(t.ctx.Conn(), t.onCallerClose)
+	if t.stopCallerWatch == nil && t.body.inMemory() {
+		concurrent := t.idempotent && len(t.body.buffered) == 0
+		t.stopCallerWatch = watchClose(t.ctx.Conn(), concurrent, t.onCallerClose)
 	}
 }
 
--- a/core/yuccarelay/watch.go
+++ b/core/yuccarelay/watch.go
@@ -1,14 +1,50 @@
 package yuccarelay
 
 import (
-	"errors"
 	"net"
 	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccasocket"
 )
 
+// CallerConn is a caller's connection that tells the relay when it closes and when a
+// request arrived. The relay watches other connections itself.
+type CallerConn interface {
+	// ArrivedAt returns when the head of the request in progress was read; the zero
+	// time means just before its handler started.
+	ArrivedAt() time.Time
+	// WatchClose calls onClose, at most once, when the caller closes its connection.
+	// Until stop is called, further requests on the connection may be started if
+	// concurrent is set. The function stop must be called before the request ends.
+	WatchClose(concurrent bool, onClose func()) (stop func())
+}
+
+// arrivalTime returns when the request in progress on a connection arrived.
+func arrivalTime(c net.Conn) time.Time {
+	if c, ok := c.(CallerConn); ok {
+		if at := c.ArrivedAt(); !at.IsZero() {
+			return at
+		}
+	}
+	return time.Now()
+}
+
+// watchClose calls onClose, at most once, when the peer closes the connection. The
+// function stop ends the watch; without it the connection must not be read. It is nil if
+// the connection gives no access to its socket.
+func watchClose(c net.Conn, concurrent bool, onClose func()) (stop func()) {
+	if c, ok := c.(CallerConn); ok {
+		return c.WatchClose(concurrent, onClose)
+	}
+	if w := newCloseWatch(c, onClose); w != nil {
+		return w.stop
+	}
+	return nil
+}
+
 // closeWatch waits for the caller to close its connection while its request is
 // being handled. It only peeks at the socket, so that a pipelined request stays
 // unread.
@@ -30,7 +66,7 @@
 	}
 	w := &closeWatch{conn: c}
 	w.group.Go(func() error {
-		if waitForClose(raw) {
+		if yuccasocket.WaitForClose(raw) {
 			onClose()
 		}
 		return nil
@@ -40,52 +76,11 @@
 
 // stop ends the watch, after which the connection can be read again.
 func (w *closeWatch) stop() {
-	if w == nil {
-		return
-	}
 	_ = w.conn.SetReadDeadline(time.Unix(1, 0))
 	_ = w.group.Wait()
 	_ = w.conn.SetReadDeadline(time.Time{})
 }
 
-// waitForClose waits until the socket is readable and reports whether that is
-// the end of the connection.
-func waitForClose(raw syscall.RawConn) bool {
-	isClosed := false
-	err := raw.Read(func(fd uintptr) bool {
-		state := peekSocket(fd)
-		isClosed = state == peerClosed
-		return state != noData
-	})
-	return err == nil && isClosed
-}
-
-// socketState is what a read from a socket would return at once.
-type socketState uint8
-
-const (
-	noData socketState = iota
-	peerClosed
-	dataReady
-)
-
-// peekSocket returns the state of a socket without consuming bytes.
-func peekSocket(fd uintptr) socketState {
-	var b [1]byte
-	for {
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case errors.Is(err, syscall.EINTR):
-			continue
-		case errors.Is(err, syscall.EAGAIN):
-			return noData
-		case err != nil || n == 0:
-			return peerClosed
-		}
-		return dataReady
-	}
-}
-
 // isIdleAndOpen reports whether a connection is open and no bytes wait on it.
 func isIdleAndOpen(c net.Conn) bool {
 	s, ok := c.(syscall.Conn)
@@ -96,10 +91,10 @@
 	if err != nil {
 		return false
 	}
-	state := peerClosed
+	state := yuccasocket.Closed
 	err = raw.Read(func(fd uintptr) bool {
-		state = peekSocket(fd)
+		state = yuccasocket.Peek(fd)
 		return true
 	})
-	return err == nil && state == noData
+	return err == nil && state == yuccasocket.NoData
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -80,6 +80,7 @@
 		LookupTTL:  time.Duration(cfg.LookupTTL),
 		DrainDelay: time.Duration(cfg.DrainTime),
 		Full:       picker.HasQueued,
+		Concurrent: relay.Concurrent,
 	}, syncer, relay.Serve, log)
 
 	pages := map[string]yuccaadmin.Page{
