--- a/core/yuccafront/pipeline_test.go
+++ b/core/yuccafront/pipeline_test.go
@@ -276,18 +276,24 @@
 			}
 		})
 	}
-	for _, request := range []string{
-		"POST /gate1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
-		"GET /gate1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx",
+	for _, first := range []struct {
+		request string
+		bodies  []string
+	}{
+		{"POST /gate1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", []string{"/gate1", "/a"}},
+		{"GET /gate1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx", []string{"/gate1", "/a"}},
+		{"GET /gate1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", []string{"/gate1"}},
+		{"GET /gate1 HTTP/1.0\r\nHost: h\r\n\r\n", []string{"/gate1"}},
 	} {
-		t.Run("behind "+request[:4], func(t *testing.T) {
+		t.Run("behind "+strings.ReplaceAll(first.request, "\r\n", " "), func(t *testing.T) {
 			f := newPipelineFixture(t)
-			_, r := f.send(t, request+get("/a"))
+			_, r := f.send(t, first.request+get("/a"))
 			waitUntil(t, "the first has started", func() bool { return f.startedCount() == 1 })
 			time.Sleep(settle)
 			qt.Assert(t, f.startedCount(), qt.Equals, 1)
 			f.release("/gate1")
-			qt.Assert(t, readBodies(t, r, 2), qt.DeepEquals, []string{"/gate1", "/a"})
+			qt.Assert(t, readBodies(t, r, len(first.bodies)), qt.DeepEquals, first.bodies)
+			qt.Assert(t, f.startedCount(), qt.Equals, len(first.bodies))
 		})
 	}
 }
--- a/core/yuccapipeline/frame.go
+++ b/core/yuccapipeline/frame.go
@@ -127,7 +127,7 @@
 		return false
 	}
 	return h.IsHTTP11() &&
-		h.ContentLength() <= 0 && h.ContentLength() != chunkedLength &&
+		h.ContentLength() <= 0 &&
 		len(h.Peek(fasthttp.HeaderTransferEncoding)) == 0 &&
 		len(h.Peek(fasthttp.HeaderExpect)) == 0 &&
 		len(h.Peek(fasthttp.HeaderUpgrade)) == 0
