--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -259,8 +259,7 @@
 // Concurrent reports whether a request without a body may run while other requests of
 // its caller are in progress, which its route decides.
 func (r *Relay) Concurrent(h *fasthttp.RequestHeader) bool {
-	route, _, err := r.opt.Router.Route(h)
-	return err == nil && route.Idempotent
+	return r.opt.Router.Idempotent(h)
 }
 
 // StopAt bounds the deadlines of all further requests, so that those for which a server
--- a/core/yuccarelay/router.go
+++ b/core/yuccarelay/router.go
@@ -17,6 +17,9 @@
 	// kind Unready before any rules are known, and of kind UnknownService if no route
 	// matches.
 	Route(h *fasthttp.RequestHeader) (Match, error)
+	// Idempotent reports whether a request has a route that allows it to run more than
+	// once. It counts no request.
+	Idempotent(h *fasthttp.RequestHeader) bool
 }
 
 // Match is the route of a request. All fields come from one version of the config.
@@ -47,6 +50,9 @@
 	return Match{Route: &yuccaroute.Route{Idempotent: isIdempotent(h)}, Service: service.Name}, nil
 }
 
+// Idempotent implements Router.
+func (b hostRouter) Idempotent(h *fasthttp.RequestHeader) bool { return isIdempotent(h) }
+
 // NewTableRouter returns a Router that uses a table of routes. The function
 // tables returns the table in force, nil before any is known.
 func NewTableRouter(tables func() *yuccaroute.Table) Router { return tableRouter{tables} }
@@ -60,7 +66,7 @@
 	if table == nil {
 		return Match{}, yuccaerror.New(yuccaerror.Unready, "no routes yet")
 	}
-	host, path := HostName(string(h.Host())), requestPath(string(h.RequestURI()))
+	host, path := hostAndPath(h)
 	route, service, ok := table.Find(host, path)
 	if !ok {
 		return Match{}, yuccaerror.New(yuccaerror.UnknownService, "no route for host %q and path %q in version %d", host, path, table.Version())
@@ -68,6 +74,21 @@
 	return Match{Route: route, Service: service, Accounts: table.Accounts()}, nil
 }
 
+// Idempotent implements Router.
+func (b tableRouter) Idempotent(h *fasthttp.RequestHeader) bool {
+	table := b.tables()
+	if table == nil {
+		return false
+	}
+	route, ok := table.Peek(hostAndPath(h))
+	return ok && route.Idempotent
+}
+
+// hostAndPath returns the host and the path that a request's route depends on.
+func hostAndPath(h *fasthttp.RequestHeader) (host, path string) {
+	return HostName(string(h.Host())), requestPath(string(h.RequestURI()))
+}
+
 // requestPath returns the path of a request target, unchanged. The target may
 // be in absolute form.
 func requestPath(target string) string {
--- a/core/yuccaroute/route_test.go
+++ b/core/yuccaroute/route_test.go
@@ -94,3 +94,18 @@
 		})
 	}
 }
+
+// TestPeekKeepsSplit guards against requests that are looked up twice and thereby shift
+// the split between services.
+func TestPeekKeepsSplit(t *testing.T) {
+	c := qt.New(t)
+	services := []yuccaroute.WeightedService{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}}
+	peeked, plain := yuccaroute.New(config(route("r", "/", services...))), yuccaroute.New(config(route("r", "/", services...)))
+	for range 20 {
+		r, ok := peeked.Peek("a.example", "/x")
+		c.Assert(ok && r.Name == "r", qt.IsTrue)
+		_, got, _ := peeked.Find("a.example", "/x")
+		_, want, _ := plain.Find("a.example", "/x")
+		c.Assert(got, qt.Equals, want)
+	}
+}
--- a/core/yuccaroute/table.go
+++ b/core/yuccaroute/table.go
@@ -94,12 +94,30 @@
 // Find returns the route of the host with the longest prefix of the path, and
 // the service chosen for this request. It returns false if no route matches.
 func (t *Table) Find(host, path string) (*Route, string, bool) {
+	e, ok := t.match(host, path)
+	if !ok {
+		return nil, "", false
+	}
+	return &e.Route, e.nextService(), true
+}
+
+// Peek returns the route that Find would return. As it chooses no service, it leaves the
+// split of the requests as it is.
+func (t *Table) Peek(host, path string) (*Route, bool) {
+	e, ok := t.match(host, path)
+	if !ok {
+		return nil, false
+	}
+	return &e.Route, true
+}
+
+func (t *Table) match(host, path string) (*routeState, bool) {
 	for _, e := range t.hosts[strings.ToLower(host)] {
 		if strings.HasPrefix(path, e.Prefix) {
-			return &e.Route, e.nextService(), true
+			return e, true
 		}
 	}
-	return nil, "", false
+	return nil, false
 }
 
 // nextService chooses a service by the fractional parts of the multiples of the
