Entries remember the address of a peer that the list lacks

TestEntryStartsWithoutStore: an entry that restarts while the store is away knows no peers, so the others must dial it. They read the list of entries at most every 2 s (entriesBatchDelay) and knew the entry only by a session that it had opened itself, without its address: when the store was lost in that time, nobody dialed and the entry stayed without routes until the store came back.

Hello carries the address (new field, ignored by older builds). It is kept until the list names the entry, or for a minute after the last session.

Mutant: nothing remembered; fails TestUnlistedEntryIsDialedAfterRestart.

--- a/core/yuccapeer/connect.go
+++ b/core/yuccapeer/connect.go
@@ -64,8 +64,8 @@
 }
 
 // members returns the entries that take part in the bus: the known ones that have a peer
-// address, and those that have opened a session before the list named them. The latter
-// come without an address. The caller holds mu.
+// address, and those that the list does not name but that have opened a session. The
+// latter come without an address if they did not give it. The caller holds mu.
 func (p *Peers) members() []yuccastore.Instance {
 	var all []yuccastore.Instance
 	known := map[string]bool{}
@@ -75,6 +75,10 @@
 			all = append(all, e)
 		}
 	}
+	for name, u := range p.unlisted {
+		known[name] = true
+		all = append(all, yuccastore.Instance{Name: name, Kind: yuccastore.KindEntry, Domain: u.domain, Peer: u.addr})
+	}
 	for name, s := range p.sessions {
 		if !known[name] {
 			all = append(all, yuccastore.Instance{Name: name, Kind: yuccastore.KindEntry, Domain: s.peer.Domain})
@@ -93,7 +97,14 @@
 
 // hello returns this entry's Hello.
 func (p *Peers) hello() *Hello {
-	return &Hello{Lowest: lowestVersion, Highest: highestVersion, Name: p.settings.Name, Domain: p.settings.Domain, Incarnation: p.settings.Incarnation}
+	return &Hello{
+		Lowest:      lowestVersion,
+		Highest:     highestVersion,
+		Name:        p.settings.Name,
+		Domain:      p.settings.Domain,
+		Incarnation: p.settings.Incarnation,
+		Addr:        p.ownAddr(),
+	}
 }
 
 // listen accepts connections, at most maxSessions at a time, until the bus
@@ -170,7 +181,8 @@
 		old.close()
 	}
 	p.sessions[s.peer.Name] = s
-	if p.addr(s.peer.Name) == "" {
+	if !p.isListed(s.peer.Name) {
+		p.remember(s.peer)
 		p.rebuildMesh()
 	}
 	return true
@@ -193,6 +205,7 @@
 	defer p.mu.Unlock()
 	if p.sessions[s.peer.Name] == s {
 		delete(p.sessions, s.peer.Name)
+		p.markLost(s.peer.Name, time.Now())
 	}
 }
 
@@ -250,5 +263,5 @@
 			return e.Peer
 		}
 	}
-	return ""
+	return p.unlisted[name].addr
 }
--- a/core/yuccapeer/dial.go
+++ b/core/yuccapeer/dial.go
@@ -62,6 +62,9 @@
 func (p *Peers) dialDue(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.forgetUnlisted(now) {
+		p.rebuildMesh()
+	}
 	wanted := map[string]string{}
 	for _, group := range []map[string]string{p.mesh.domainPeers, p.mesh.gatewayPeers} {
 		for name, addr := range group {
--- a/core/yuccapeer/export_test.go
+++ b/core/yuccapeer/export_test.go
@@ -21,3 +21,11 @@
 	}
 	return ctx.Err()
 }
+
+// Remembers reports whether the entry is remembered although the list lacks it.
+func (p *Peers) Remembers(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.unlisted[name]
+	return ok
+}
--- a/core/yuccapeer/peers.go
+++ b/core/yuccapeer/peers.go
@@ -61,7 +61,9 @@
 	mu sync.Mutex
 	// entries are the known entries, as given to Update.
 	entries []yuccastore.Instance
-	// mesh is derived from entries and the state of the sessions and dials.
+	// unlisted maps the name of an entry that the list lacks to what its Hello said.
+	unlisted map[string]unlistedPeer
+	// mesh is derived from entries, unlisted and the state of the sessions and dials.
 	mesh mesh
 	// sessions maps the name of a peer to the open session.
 	sessions map[string]*session
@@ -99,6 +101,7 @@
 		cancel:      cancel,
 		log:         log,
 		handlers:    map[string]Handler{},
+		unlisted:    map[string]unlistedPeer{},
 		mesh:        newMesh(settings.Name, settings.Domain, nil, nil),
 		sessions:    map[string]*session{},
 		targets:     map[string]*target{},
@@ -150,6 +153,9 @@
 func (p *Peers) Update(entries []yuccastore.Instance) {
 	p.mu.Lock()
 	p.entries = slices.Clone(entries)
+	for _, e := range entries {
+		delete(p.unlisted, e.Name)
+	}
 	p.mu.Unlock()
 	p.updateMesh()
 }
--- a/core/yuccapeer/peers_test.go
+++ b/core/yuccapeer/peers_test.go
@@ -173,9 +173,6 @@
 	}
 }
 
-// TestInvalidInputEndsOnlyItsConnection sends bytes that violate the protocol.
-// Their connections are closed and logged; the session between the entries goes
-// on.
 // TestEntryThatIsNotListedYetGetsMessages has an entry join whose name is not in the
 // lists of the others yet: it gets what they publish as soon as it is connected.
 func TestEntryThatIsNotListedYetGetsMessages(t *testing.T) {
@@ -225,6 +222,45 @@
 	}
 }
 
+// TestUnlistedEntryIsDialedAfterRestart restarts an entry that knows no peers, as while
+// the store is unavailable. The other entry's list does not name it yet: without the
+// address from the earlier session neither would ever dial the other.
+func TestUnlistedEntryIsDialedAfterRestart(t *testing.T) {
+	for _, name := range []string{"a1", "a3", "b1"} {
+		t.Run(name, func(t *testing.T) {
+			f := newCluster("a2", name)
+			f.start(t)
+			f.peers[name].Update(f.list)
+			f.await(t, "a2", name)
+			addr := f.peers[name].Addr()
+			qt.Assert(t, f.peers[name].Stop(context.Background()), qt.IsNil)
+			<-f.peers[name].Done()
+			again := yuccapeer.New(yuccapeer.Settings{Name: name, Domain: name[:1], Addr: addr, Incarnation: 10}, zerolog.Nop())
+			qt.Assert(t, again.Start(context.Background(), &f.group), qt.IsNil)
+			t.Cleanup(func() { _ = again.Stop(context.Background()) })
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			qt.Assert(t, again.Await(ctx, "a2"), qt.IsNil)
+		})
+	}
+}
+
+// TestUnlistedEntryIsForgotten checks that an entry which the list has named once is
+// not dialed after it has left the list.
+func TestUnlistedEntryIsForgotten(t *testing.T) {
+	f := newCluster("a1", "a2")
+	f.start(t)
+	f.peers["a2"].Update(f.list)
+	f.await(t, "a1", "a2")
+	qt.Assert(t, f.peers["a1"].Remembers("a2"), qt.IsTrue)
+	f.update()
+	f.peers["a1"].Update(nil)
+	qt.Assert(t, f.peers["a1"].Remembers("a2"), qt.IsFalse)
+}
+
+// TestInvalidInputEndsOnlyItsConnection sends bytes that violate the protocol.
+// Their connections are closed and logged; the session between the entries goes
+// on.
 func TestInvalidInputEndsOnlyItsConnection(t *testing.T) {
 	f := newCluster("a1", "a2")
 	f.peers["a2"].Handle("echo", func(_ context.Context, _ string, body []byte) ([]byte, error) { return body, nil })
