A test for servers that fail often and keep their objects

failsOften in affinityServer could be removed without a failing test: where cold objects take less than four times as long, the cost of a failing server alone sends requests elsewhere. With a larger ratio its objects stayed, as they count as warm there. The new test replays that load: 25 requests at most in 10 s.

--- a/core/yuccabalancer/bounds_test.go
+++ b/core/yuccabalancer/bounds_test.go
@@ -1,6 +1,7 @@
 package yuccabalancer_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -68,6 +69,43 @@
 	c.Assert(failed > 0 && failed <= maxProbes, qt.IsTrue, qt.Commentf("%d requests", failed))
 }
 
+// TestFailingServerGetsNoObjects has a server fail every request while objects take much
+// longer where they are cold. It guards against a server whose objects stay with it since
+// they count as warm there: even a response that is assumed to take several times as
+// long is then cheaper than a cold one elsewhere.
+func TestFailingServerGetsNoObjects(t *testing.T) {
+	const (
+		interval = 10 * time.Millisecond
+		length   = 10 * time.Second
+		warm     = 20 * time.Millisecond
+		cold     = 20 * warm
+		// maxProbes allows a request each half second, and the first failures.
+		maxProbes = int(length/(500*time.Millisecond)) + 5
+	)
+	c := qt.New(t)
+	core := newCore(topology(4, 4, "a"))
+	cached := map[string]bool{}
+	failed := 0
+	for at := time.Duration(0); at < length; at += interval {
+		a := request(at, firstObject+uint64(at/interval)/4)
+		a.LatencyBudget = 0
+		choice := core.Choose(a)
+		took := cold
+		if key := fmt.Sprint(choice.Server(), a.Object); cached[key] {
+			took = warm
+		} else {
+			cached[key] = true
+		}
+		result := yuccaadmission.Result{Now: a.Now, Succeeded: true, TimeToHeader: took}
+		if choice.Server() == "a0" {
+			failed++
+			result = yuccaadmission.Result{Now: a.Now, Failed: true, TimeToHeader: took}
+		}
+		core.Done(choice, result)
+	}
+	c.Assert(failed > 0 && failed <= maxProbes, qt.IsTrue, qt.Commentf("%d requests", failed))
+}
+
 // TestSlowServerIsTriedAgain has a server be slow, and then name a limit for a while, so
 // that its objects are cached by other servers. When it is quick again and names no
 // limit, it gets its objects back.
