Silent links: entries probe servers and use tunnels

An entry whose connections to servers are accepted and then stay silent saw nothing fail: requests waited for their deadline, and none went through another entry. Overloaded servers look the same from the requests alone.

Two servers that leave requests unanswered for 0.5 s, with no response on a connection as new, now make the entry verify its links, at most once a second: it ends its side of a new connection without sending a byte and waits for the server to end the other, and has two other entries do the same (field probe of OpenRequest). It is cut off if it reaches none of three servers and others reach two. Idempotent requests on silent connections are then sent again within the budget; others wait for their own response. The end of a partition is probed in the same way, as a link that resets connections late, under load, looked mended. Entries of builds without probes leave things as they were.

TestOverloadIsNotTakenForPartition is unchanged.

--- a/core/yuccafake/partition.go
+++ b/core/yuccafake/partition.go
@@ -17,6 +17,9 @@
 	NotPartitioned Partition = iota
 	// PartitionHang holds all bytes back until the partition ends.
 	PartitionHang
+	// PartitionHangNew accepts new connections and holds all their bytes back until the
+	// partition ends. Open ones work.
+	PartitionHangNew
 	// PartitionReset resets the open connections, and new ones as soon as they are
 	// accepted.
 	PartitionReset
@@ -50,10 +53,10 @@
 	return l.partitions[source]
 }
 
-// awaitPath waits while the connections from a source hang. It returns false if ctx
-// ends first.
-func (l *TCPProxy) awaitPath(ctx context.Context, source string) bool {
-	for l.partition(source) == PartitionHang {
+// awaitPath waits while the connections from a source hang: open ones, or one that has
+// just been accepted. It returns false if ctx ends first.
+func (l *TCPProxy) awaitPath(ctx context.Context, source string, accepted bool) bool {
+	for p := l.partition(source); p == PartitionHang || accepted && p == PartitionHangNew; p = l.partition(source) {
 		if !yuccasleep.For(ctx, partitionPollInterval) {
 			return false
 		}
--- a/core/yuccafake/tcpproxy.go
+++ b/core/yuccafake/tcpproxy.go
@@ -157,7 +157,7 @@
 		resetConn(client)
 		return
 	}
-	if !yuccasleep.For(ctx, l.currentConditions().Delay) || !l.awaitPath(ctx, source) {
+	if !yuccasleep.For(ctx, l.currentConditions().Delay) || !l.awaitPath(ctx, source, true) {
 		return
 	}
 	upstream, err := net.Dial("tcp", l.target)
@@ -226,7 +226,7 @@
 			if blackholed {
 				<-ctx.Done()
 			}
-			if l.awaitPath(ctx, source) {
+			if l.awaitPath(ctx, source, false) {
 				closeWrite(to)
 			}
 			return nil
@@ -245,7 +245,7 @@
 func (l *TCPProxy) writeQueued(ctx context.Context, queue <-chan delayedChunk, source string, from, to net.Conn, direction int) error {
 	failed := false
 	for p := range queue {
-		if failed || !yuccasleep.For(ctx, time.Until(p.due)) || !l.awaitPath(ctx, source) {
+		if failed || !yuccasleep.For(ctx, time.Until(p.due)) || !l.awaitPath(ctx, source, false) {
 			continue
 		}
 		l.mu.Lock()
--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -87,7 +87,7 @@
 	if t.update(yuccalifecycle.SendStarted{}).Final() {
 		return a.fail(yuccaerror.Canceled, context.Canceled)
 	}
-	a.exchange = newExchange(c, a.bodyEnded)
+	a.exchange = newExchange(c, a.bodyEnded, a.silent)
 	if err := a.send(); err != nil {
 		return a.fail(yuccaerror.ConnectionLost, err)
 	}
@@ -168,6 +168,14 @@
 	return err
 }
 
+// silent tells the path that the server sends nothing. It reports whether the attempt is
+// to be given up: its connection is lost, and another server may run the request. One
+// that must not run twice may have run, so that only its own response can help.
+func (a *attempt) silent() bool {
+	lost := a.task.relay.opt.Path.Silent(a.conn.Conn, a.ticket.Server, a.conn.openedAt)
+	return lost && a.task.body.canResend() && a.task.mayRepeat()
+}
+
 // isConnBroken reports whether the connection was closed or reset, as happens
 // when the server process dies.
 func isConnBroken(err error) bool {
@@ -201,7 +209,12 @@
 	if k != yuccaerror.Canceled && a.conn != nil && !a.reusedConn && isConnBroken(err) && a.noResponseBytes() {
 		a.task.relay.opt.Path.Broken(a.conn.Conn, a.ticket.Server)
 	}
-	a.abort(yuccaadmission.Result{Kind: k, NoResponse: k != yuccaerror.Canceled && a.serverUnreachable(err), Failed: k != yuccaerror.Canceled})
+	a.abort(yuccaadmission.Result{
+		Kind:       k,
+		NoResponse: k != yuccaerror.Canceled && a.serverUnreachable(err),
+		// A lost link says nothing about the server.
+		Failed: k != yuccaerror.Canceled && !errors.Is(err, errLinkLost),
+	})
 	if !a.task.relay.opt.NoHedge && a.noResponseBytes() && (isTimeout(err) || a.superseded.Load()) {
 		a.task.relay.pool.discardSuspects(a.conn)
 	}
--- a/core/yuccarelay/exchange.go
+++ b/core/yuccarelay/exchange.go
@@ -15,6 +15,12 @@
 const (
 	// stallTimeout bounds the wait for the next byte to or from a server.
 	stallTimeout = 30 * time.Second
+	// silenceDelay is how long a server may take for the first byte of a response before
+	// the path is told. It is longer than most requests take, and leaves time to find
+	// another way within the few seconds that callers wait.
+	silenceDelay = 500 * time.Millisecond
+	// silenceInterval is the time between two further reports of the same silence.
+	silenceInterval = 250 * time.Millisecond
 	// maxInterimResponses is the number of 1xx responses that may precede the
 	// final one.
 	maxInterimResponses = 8
@@ -51,6 +57,7 @@
 	errStalled        = errors.New("server sends no data or is too slow")
 	errCallerBody     = errors.New("request body from the caller is incomplete")
 	errWrongResponse  = errors.New("response is invalid or belongs to another request")
+	errLinkLost       = errors.New("no response, and the link brings no bytes")
 )
 
 // exchange is one request and its response on one connection. It is the reader
@@ -80,10 +87,13 @@
 	// onEnd is called once, with the length of the body and the error that
 	// ended the exchange, nil if the body is complete.
 	onEnd func(n int64, err error)
+	// onSilent is called while the server sends no byte of a response. It reports
+	// whether the exchange is to be given up.
+	onSilent func() bool
 }
 
-func newExchange(c *conn, end func(int64, error)) *exchange {
-	return &exchange{conn: c, bodyLeft: -1, readTimeout: stallTimeout, onEnd: end}
+func newExchange(c *conn, end func(int64, error), silent func() bool) *exchange {
+	return &exchange{conn: c, bodyLeft: -1, readTimeout: stallTimeout, onEnd: end, onSilent: silent}
 }
 
 // send writes the request and reads the response header. It skips responses
@@ -94,7 +104,7 @@
 	}
 	x.deadline = t.deadline
 	for range maxResponsesRead {
-		if err := x.conn.SetReadDeadline(x.readDeadline()); err != nil {
+		if err := x.awaitResponse(); err != nil {
 			return err
 		}
 		if err := x.readHead(); err != nil {
@@ -111,6 +121,27 @@
 	return errWrongResponse
 }
 
+// awaitResponse waits for the first byte of a response and sets the deadline for reading
+// its header.
+func (x *exchange) awaitResponse() error {
+	end := x.readDeadline()
+	for wait := silenceDelay; x.conn.r.Buffered() == 0; wait = silenceInterval {
+		next := time.Now().Add(wait)
+		if !next.Before(end) {
+			break
+		}
+		if err := x.conn.SetReadDeadline(next); err != nil {
+			return err
+		}
+		if _, err := x.conn.r.Peek(1); err != nil && !isTimeout(err) {
+			return err
+		} else if err != nil && x.onSilent() {
+			return errLinkLost
+		}
+	}
+	return x.conn.SetReadDeadline(end)
+}
+
 // skipBody reads the body of a response that belongs to another request. It
 // fails if the body has no known end or is too long.
 func (x *exchange) skipBody() error {
--- a/core/yuccarelay/pool.go
+++ b/core/yuccarelay/pool.go
@@ -46,6 +46,9 @@
 // Broken implements Path.
 func (tcpPath) Broken(net.Conn, string) {}
 
+// Silent implements Path.
+func (tcpPath) Silent(net.Conn, string, time.Time) bool { return false }
+
 // conn is a connection to a backend server.
 type conn struct {
 	net.Conn
--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -129,6 +129,10 @@
 	// Broken records that a new connection to a server broke before any byte of a
 	// response.
 	Broken(c net.Conn, server string)
+	// Silent records that no byte of a response has come for a while on a connection to
+	// a server, which was opened at a time. It is called again while that goes on. It
+	// reports whether the connection is lost, because the path brings no bytes.
+	Silent(c net.Conn, server string, openedAt time.Time) (lost bool)
 }
 
 // Tunnel is a connection that goes through another entry.
--- a/core/yuccarelay/silence_test.go
+++ b/core/yuccarelay/silence_test.go
@@ -1,9 +1,12 @@
 package yuccarelay_test
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -122,3 +125,53 @@
 		})
 	}
 }
+
+// lostPath is a path whose connections are lost as soon as they are silent.
+type lostPath struct {
+	yuccarelay.Path
+	silences atomic.Int64
+}
+
+func (*lostPath) Dial(ctx context.Context, to yuccarelay.Server) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", to.Addr)
+}
+
+func (*lostPath) Usable(net.Conn, time.Time) bool { return true }
+
+func (*lostPath) Responded(net.Conn, time.Time) {}
+
+func (p *lostPath) Silent(net.Conn, string, time.Time) bool {
+	p.silences.Add(1)
+	return true
+}
+
+// TestRequestIsSentAgainAfterLostLink has all links hang for a while. An idempotent
+// request is sent again as soon as its connection counts as lost. Another one may have
+// run: it is sent once, and its response is delivered, however late.
+func TestRequestIsSentAgainAfterLostLink(t *testing.T) {
+	c := qt.New(t)
+	path := &lostPath{}
+	w, proxies := newProxied(t, yuccarelay.Options{Path: path, NoHedge: true}, 4, yuccafake.Behaviour{Slots: 4, Work: time.Millisecond}, yuccafake.LinkConditions{})
+	setAll := func(p yuccafake.Partition) {
+		for _, l := range proxies {
+			l.SetPartition("127.0.0.1", p)
+		}
+	}
+	for _, test := range []struct {
+		method string
+		runs   int
+	}{{fasthttp.MethodGet, 2}, {fasthttp.MethodPost, 1}} {
+		setAll(yuccafake.PartitionHang)
+		timer := time.AfterFunc(900*time.Millisecond, func() { setAll(yuccafake.NotPartitioned) })
+		_, failed := w.load(t, 1, 1, test.method, test.method, 5*time.Second)
+		timer.Stop()
+		c.Check(failed, qt.Equals, 0, qt.Commentf(test.method))
+		// The bytes that a link has held arrive when it works again.
+		for end := time.Now().Add(time.Second); w.executions.Times(test.method+"0-0") < test.runs && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			continue
+		}
+		c.Check(w.executions.Times(test.method+"0-0"), qt.Equals, test.runs, qt.Commentf(test.method))
+	}
+	c.Check(path.silences.Load() >= 2, qt.IsTrue)
+}
--- a/core/yuccatunnel/dialer.go
+++ b/core/yuccatunnel/dialer.go
@@ -77,6 +77,8 @@
 	log      zerolog.Logger
 	// failing lets responses pass without a lock while nothing has failed.
 	failing atomic.Bool
+	// suspected has a value when silent links are to be verified.
+	suspected chan struct{}
 	// verifying is set while one caller finds out whether the entry is cut off.
 	verifying atomic.Bool
 	// tunnels counts the tunnels that were opened.
@@ -85,19 +87,20 @@
 	// mu guards the fields below.
 	mu       sync.Mutex
 	detector Detector
-	// recent holds the addresses of servers that were lately connected to.
-	recent []string
+	// recent holds servers that were lately connected to.
+	recent []yuccarelay.Server
 }
 
 // NewDialer returns a dialer that asks peers for the entries that may carry tunnels.
 func NewDialer(settings DialerSettings, peers func() []Peer, onChange func(cutOff bool), log zerolog.Logger) *Dialer {
 	direct := newServerDialer(settings.Source)
 	d := &Dialer{
-		settings: settings,
-		direct:   func(ctx context.Context, addr string) (net.Conn, error) { return direct.DialContext(ctx, "tcp", addr) },
-		peers:    peers,
-		onChange: onChange,
-		log:      log,
+		settings:  settings,
+		direct:    func(ctx context.Context, addr string) (net.Conn, error) { return direct.DialContext(ctx, "tcp", addr) },
+		peers:     peers,
+		onChange:  onChange,
+		log:       log,
+		suspected: make(chan struct{}, 1),
 	}
 	d.Worker = yuccakernel.NewWorker(d.run)
 	return d
@@ -125,7 +128,7 @@
 // Dial implements yuccarelay.Path. While the entry is cut off, it opens a tunnel. When
 // a direct connection fails and no server can be reached, it tries one too.
 func (d *Dialer) Dial(ctx context.Context, to yuccarelay.Server) (net.Conn, error) {
-	d.remember(to.Addr)
+	d.remember(to)
 	cutOff := d.CutOff()
 	if cutOff {
 		if c, err := d.tunnel(ctx, to); !errors.Is(err, errCutOff) {
@@ -222,18 +225,29 @@
 	return d.detector.Suspects()
 }
 
-// remember keeps the address of a server for probes.
-func (d *Dialer) remember(addr string) {
+// remember keeps a server for probes. These carry no request, so that they may go
+// through entries of any region.
+func (d *Dialer) remember(s yuccarelay.Server) {
+	s.Regions = nil
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if slices.Contains(d.recent, addr) {
+	if slices.ContainsFunc(d.recent, func(r yuccarelay.Server) bool { return r.Addr == s.Addr }) {
 		return
 	}
 	if len(d.recent) < maxRecentServers {
-		d.recent = append(d.recent, addr)
+		d.recent = append(d.recent, s)
 		return
 	}
-	d.recent[rand.IntN(len(d.recent))] = addr
+	d.recent[rand.IntN(len(d.recent))] = s
+}
+
+// someRecent returns up to n different servers that were lately connected to.
+func (d *Dialer) someRecent(n int) []yuccarelay.Server {
+	d.mu.Lock()
+	servers := slices.Clone(d.recent)
+	d.mu.Unlock()
+	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+	return servers[:min(n, len(servers))]
 }
 
 // reachesNone reports whether the entry's own links are suspected and no server accepts
@@ -272,17 +286,12 @@
 func (d *Dialer) anyReachable() (addr string, ok bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), verifyTimeouts*d.settings.Timeout)
 	defer cancel()
-	d.mu.Lock()
-	addrs := slices.Clone(d.recent)
-	d.mu.Unlock()
-	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	addrs = addrs[:min(verifyServers, len(addrs))]
 	reachable := make(chan string, verifyServers)
 	group := &errgroup.Group{}
-	for _, addr := range addrs {
+	for _, s := range d.someRecent(verifyServers) {
 		group.Go(func() error {
-			if d.accepts(ctx, addr) {
-				reachable <- addr
+			if d.accepts(ctx, s.Addr) {
+				reachable <- s.Addr
 			}
 			return nil
 		})
@@ -296,16 +305,6 @@
 	}
 }
 
-// accepts reports whether a server accepts a direct connection and keeps it open.
-func (d *Dialer) accepts(ctx context.Context, addr string) bool {
-	c, err := d.direct(ctx, addr)
-	if err != nil {
-		return false
-	}
-	defer c.Close()
-	return staysOpen(c)
-}
-
 // reached records that a direct connection works again.
 func (d *Dialer) reached(addr string) {
 	d.mu.Lock()
@@ -338,48 +337,59 @@
 
 // tunnelVia opens a tunnel through one entry.
 func (d *Dialer) tunnelVia(ctx context.Context, p Peer, server string) (net.Conn, error) {
+	c, _, err := d.ask(ctx, p, &OpenRequest{Server: server, From: d.settings.Self})
+	if err != nil {
+		return nil, err
+	}
+	return &tunnelConn{c, p.Name}, nil
+}
+
+// ask connects to another entry, sends it a request and reads the reply.
+func (d *Dialer) ask(ctx context.Context, p Peer, request *OpenRequest) (*net.TCPConn, *OpenReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, tunnelTimeout)
 	defer cancel()
 	dialer := net.Dialer{KeepAliveConfig: keepAlive}
 	raw, err := dialer.DialContext(ctx, "tcp", p.Addr)
 	if err != nil {
-		return nil, yuccaerror.New(yuccaerror.Unreachable, "tunnel through %s: %w", p.Name, err)
+		return nil, nil, yuccaerror.New(yuccaerror.Unreachable, "tunnel through %s: %w", p.Name, err)
 	}
 	c, ok := raw.(*net.TCPConn)
 	if !ok {
 		_ = raw.Close()
-		return nil, yuccaerror.New(yuccaerror.Internal, "tunnel through %s is no TCP connection", p.Name)
+		return nil, nil, yuccaerror.New(yuccaerror.Internal, "tunnel through %s is no TCP connection", p.Name)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	err = d.openTunnel(c, server)
+	reply, err := openTunnel(c, request)
 	if !stop() || err != nil {
 		_ = c.Close()
-		return nil, yuccaerror.New(yuccaerror.Unreachable, "tunnel through %s: %w", p.Name, errors.Join(err, ctx.Err()))
+		return nil, nil, yuccaerror.New(yuccaerror.Unreachable, "tunnel through %s: %w", p.Name, errors.Join(err, ctx.Err()))
 	}
-	return &tunnelConn{c, p.Name}, nil
+	return c, reply, nil
 }
 
 // openTunnel asks the other entry for the server and reads the reply.
-func (d *Dialer) openTunnel(c net.Conn, server string) error {
-	if err := writeMessage(c, &OpenRequest{Server: server, From: d.settings.Self}); err != nil {
-		return err
+func openTunnel(c net.Conn, request *OpenRequest) (*OpenReply, error) {
+	if err := writeMessage(c, request); err != nil {
+		return nil, err
 	}
-	var reply OpenReply
-	if err := readMessage(c, &reply); err != nil {
-		return err
+	reply := &OpenReply{}
+	if err := readMessage(c, reply); err != nil {
+		return nil, err
 	}
 	if kind := reply.GetKind(); kind != "" {
-		return errors.New("the other entry has no connection to the server: " + kind)
+		return nil, errors.New("the other entry has no connection to the server: " + kind)
 	}
-	return nil
+	return reply, nil
 }
 
-// run probes while the entry is cut off.
+// run verifies silent links, and probes while the entry is cut off.
 func (d *Dialer) run(ctx context.Context) {
 	tick := time.NewTicker(probeInterval)
 	defer tick.Stop()
 	for {
 		select {
+		case <-d.suspected:
+			d.verifySilence(ctx)
 		case <-tick.C:
 			if d.CutOff() {
 				d.probe(ctx)
@@ -390,19 +400,24 @@
 	}
 }
 
-// probe opens a direct connection to a server that was lately connected to.
+// probe opens a direct connection to a server that was lately connected to. After
+// silence, the server must respond to the end of the connection.
 func (d *Dialer) probe(ctx context.Context) {
-	d.mu.Lock()
-	if len(d.recent) == 0 {
-		d.mu.Unlock()
+	servers := d.someRecent(1)
+	if len(servers) == 0 {
 		return
 	}
-	addr := d.recent[rand.IntN(len(d.recent))]
+	d.mu.Lock()
+	silent := d.detector.SilentlyCutOff()
 	d.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, d.settings.Timeout)
+	reaches := d.accepts
+	if silent {
+		reaches = d.closes
+	}
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeouts*d.settings.Timeout)
 	defer cancel()
-	if d.accepts(ctx, addr) {
-		d.reached(addr)
+	if reaches(ctx, servers[0].Addr) {
+		d.reached(servers[0].Addr)
 	}
 }
 
@@ -413,6 +428,5 @@
 	}
 	var b [1]byte
 	_, err := c.Read(b[:])
-	var timeout interface{ Timeout() bool }
-	return errors.As(err, &timeout) && timeout.Timeout() && c.SetReadDeadline(time.Time{}) == nil
+	return isTimeout(err) && c.SetReadDeadline(time.Time{}) == nil
 }
--- a/core/yuccatunnel/listener.go
+++ b/core/yuccatunnel/listener.go
@@ -162,12 +162,12 @@
 		return
 	}
 	defer l.untrack(caller)
-	server, err := l.open(ctx, caller)
-	reply := &OpenReply{}
+	server, probed, err := l.open(ctx, caller)
+	reply := &OpenReply{Probed: probed}
 	if err != nil {
 		reply.Kind = yuccaerror.KindOf(err).String()
 	}
-	if replyErr := writeMessage(caller, reply); err != nil || replyErr != nil {
+	if replyErr := writeMessage(caller, reply); err != nil || replyErr != nil || server == nil {
 		if server != nil {
 			_ = server.Close()
 		}
@@ -182,27 +182,36 @@
 	carry(caller, server)
 }
 
-// open reads the request and connects to its server.
-func (l *Listener) open(ctx context.Context, caller *net.TCPConn) (*net.TCPConn, error) {
+// open reads the request and connects to its server. For a probe it returns no
+// connection, and whether the server responded to it.
+func (l *Listener) open(ctx context.Context, caller *net.TCPConn) (server *net.TCPConn, probed bool, err error) {
 	_ = caller.SetKeepAliveConfig(keepAlive)
 	_ = caller.SetReadDeadline(time.Now().Add(openTimeout))
 	var req OpenRequest
 	if err := readMessage(caller, &req); err != nil {
-		return nil, yuccaerror.New(yuccaerror.Protocol, "read request for a tunnel: %w", err)
+		return nil, false, yuccaerror.New(yuccaerror.Protocol, "read request for a tunnel: %w", err)
 	}
 	_ = caller.SetReadDeadline(time.Time{})
 	addr := l.serverAddr(req.GetServer())
 	if addr == "" {
-		return nil, yuccaerror.New(yuccaerror.NoServer, "server %q is not known or takes no requests", req.GetServer())
+		return nil, false, yuccaerror.New(yuccaerror.NoServer, "server %q is not known or takes no requests", req.GetServer())
 	}
-	ctx, cancel := context.WithTimeout(ctx, l.settings.DialTimeout)
+	timeout := l.settings.DialTimeout
+	if req.GetProbe() {
+		timeout = peerProbeTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c, err := l.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		l.log.Debug().Err(err).Str("server", req.GetServer()).Str("from", req.GetFrom()).Msg("tunnel_not_opened")
-		return nil, yuccaerror.Wrap(yuccaerror.Unreachable, err)
+		return nil, false, yuccaerror.Wrap(yuccaerror.Unreachable, err)
+	}
+	if req.GetProbe() {
+		defer c.Close()
+		return nil, endConn(ctx, c) == endedByServer, nil
 	}
-	return c.(*net.TCPConn), nil
+	return c.(*net.TCPConn), false, nil
 }
 
 // carry copies the bytes of both directions until both have ended. The end of the
--- a/core/yuccatunnel/tunnel_test.go
+++ b/core/yuccatunnel/tunnel_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -37,6 +38,8 @@
 	cutOff  atomic.Bool
 	peers   []yuccatunnel.Peer
 	servers map[string]string
+	// redirects maps the addresses that direct connections ask for to those that they get.
+	redirects sync.Map
 }
 
 func newWorld(t *testing.T) *world {
@@ -51,6 +54,9 @@
 		if w.linkDown.Load() || w.refusing[addr] {
 			return nil, errLinkDown
 		}
+		if to, ok := w.redirects.Load(addr); ok {
+			addr = to.(string)
+		}
 		var d net.Dialer
 		return d.DialContext(ctx, "tcp", addr)
 	})
