--- a/core/yuccarelay/account_test.go
+++ b/core/yuccarelay/account_test.go
@@ -201,6 +201,9 @@
 // Broken implements yuccarelay.Path.
 func (*recordingPath) Broken(net.Conn, string) {}
 
+// Silent implements yuccarelay.Path.
+func (*recordingPath) Silent(net.Conn, string, time.Time) bool { return false }
+
 // TestAccountPriorityAndRegions checks what the picker and the way to the server get, at
 // first tries and at retries. It guards against an account's priority or regions that are
 // ignored, and against tunnels through regions that only the route allows.
