Quotas of all entries together: even parts that are lent by claims

Each entry owns an even part of an account's rate and lends what it has no use for. Entries publish what they claim of each account; claims are met by max-min fairness among the entries that hear one another and the same others, so the parts add up to the rate also while entries cannot reach each other.

--- /dev/null
+++ b/core/yuccaquota/evaluation_test.go
@@ -0,0 +1,141 @@
+package yuccaquota_test
+
+import (
+	"testing"
+	"time"
+
+	"yuccawell.example/core/yuccaquota"
+)
+
+// scenario is a load with faults.
+type scenario struct {
+	name string
+	// from and to bound the time in which the use is measured.
+	from, to time.Duration
+	// use is the least use that the chosen decision must reach.
+	use  float64
+	edit func(s *sim)
+}
+
+const warm = 15 * time.Second
+
+func only(entries ...int) func(time.Duration, int) float64 {
+	return func(_ time.Duration, i int) float64 {
+		for _, e := range entries {
+			if e == i {
+				return 2 / float64(len(entries))
+			}
+		}
+		return 0
+	}
+}
+
+func scenarios() []scenario {
+	return []scenario{
+		{"one entry", warm, warm + 15*time.Second, 0.9, func(s *sim) { s.load = only(0) }},
+		{"all entries", warm, warm + 15*time.Second, 0.9, func(s *sim) {
+			s.load = func(time.Duration, int) float64 { return 2 / float64(s.entries) }
+		}},
+		{"all entries, 0.9 of the rate", warm, warm + 15*time.Second, 0.9, func(s *sim) {
+			s.load = func(time.Duration, int) float64 { return 0.9 / float64(s.entries) }
+		}},
+		{"move within 2 s", warm, warm + 10*time.Second, 0.9, func(s *sim) {
+			third := float64(s.entries / 3)
+			s.load = func(at time.Duration, i int) float64 {
+				moved := min(1, max(0, (at-warm).Seconds()/2))
+				if float64(i) < third {
+					return 2 * (1 - moved) / third
+				}
+				return 2 * moved / (float64(s.entries) - third)
+			}
+		}},
+		{"surge of 7.5 at all", warm, warm + 10*time.Second, 0.9, func(s *sim) {
+			s.load = func(at time.Duration, _ int) float64 {
+				if at < warm {
+					return 0.8 / float64(s.entries)
+				}
+				return 6 / float64(s.entries)
+			}
+		}},
+		{"surge from one to all", warm, warm + 10*time.Second, 0.85, func(s *sim) {
+			s.load = func(at time.Duration, i int) float64 {
+				if at < warm {
+					return only(0)(at, i)
+				}
+				return 7.5 / float64(s.entries)
+			}
+		}},
+		{"surge after silence", warm, warm + 10*time.Second, 0.85, func(s *sim) {
+			s.load = func(at time.Duration, _ int) float64 {
+				if at < warm {
+					return 0
+				}
+				return 7.5 / float64(s.entries)
+			}
+		}},
+		{"partition and surge", warm, warm + 10*time.Second, 0, func(s *sim) {
+			s.load = func(at time.Duration, i int) float64 {
+				if at < warm {
+					return only(0)(at, i)
+				}
+				return 7.5
+			}
+			s.cut = func(at time.Duration, a, b int) bool { return at >= warm && at < warm+6*time.Second && a%2 != b%2 }
+		}},
+		{"flapping partitions", warm, warm + 10*time.Second, 0, func(s *sim) {
+			s.load = func(at time.Duration, i int) float64 {
+				if int(at/(700*time.Millisecond))%2 == i%2 {
+					return 7.5
+				}
+				return 0
+			}
+			s.cut = func(at time.Duration, a, b int) bool { return at >= warm && int(at/(700*time.Millisecond))%2 == 0 && a%2 != b%2 }
+		}},
+		{"restarts one by one", 0, warm + 10*time.Second, 0, func(s *sim) {
+			s.load = func(time.Duration, int) float64 { return 3 }
+			s.down = func(at time.Duration, i int) bool { return i > 0 && (int(at/time.Second)-i)%10 == 9 }
+		}},
+		{"all start with differing lists", 0, warm, 0, func(s *sim) {
+			s.load = func(time.Duration, int) float64 { return 3 }
+			s.list = func(at time.Duration, i int) []string {
+				return s.names[:min(s.entries, 1+(i+int(at/(200*time.Millisecond)))*s.entries/20)]
+			}
+		}},
+		{"joins", warm, warm + 10*time.Second, 0, func(s *sim) {
+			s.load = func(time.Duration, int) float64 { return 3 }
+			s.down = func(at time.Duration, i int) bool { return at < warm && i >= s.entries*3/4 }
+			s.list = func(at time.Duration, i int) []string {
+				if at < warm+3*time.Second {
+					return s.names[:s.entries*3/4]
+				}
+				return s.names
+			}
+		}},
+		{"lost and late messages", warm, warm + 15*time.Second, 0, func(s *sim) {
+			s.load = only(0, 1)
+			s.loss, s.late = 0.05, 0.01
+		}},
+	}
+}
+
+func evaluationLimits() []yuccaquota.Limit {
+	return []yuccaquota.Limit{{Rate: 100, Burst: 100}, {Rate: 1000, Burst: 200}, {Rate: 200}, {Rate: 5, Burst: 5}}
+}
+
+// TestEvaluation compares the decision with others, and checks the sum of any 5 s and the
+// use in each scenario.
+func TestEvaluation(t *testing.T) {
+	for _, entries := range []int{7, 30, 110} {
+		for _, limit := range evaluationLimits() {
+			for _, v := range scenarios() {
+				s := &sim{entries: entries, limit: limit, new: newLedgerNode, seed: 1}
+				v.edit(s)
+				s.run(v.to)
+				t.Logf("%3d entries %v %-32s worst %.2f use %.2f", entries, limit, v.name, s.worst(), s.use(v.from, v.to))
+				if s.worst() > 1 {
+					t.Errorf("%d entries, %v, %s: the sum is %.2f of the bound", entries, limit, v.name, s.worst())
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/yuccaquota/ledger.go
@@ -0,0 +1,524 @@
+package yuccaquota
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// claimUnits is the number of claim units in a whole rate.
+	claimUnits = 1000
+	// maxClaim bounds a claim, in units.
+	maxClaim = 20 * claimUnits
+	// claimRepeats is in how many reports a changed claim is sent, so that the loss of
+	// some of them does no harm. More are not lost without the sender being silent.
+	claimRepeats = 5
+	// wholeInterval is the number of reports from one with all claims to the next.
+	wholeInterval = 10
+	// settleTicks is how many intervals a change of a claim needs before it is relied
+	// on: others have to know a higher claim before it takes effect, and a lower claim
+	// of another entry is used only after that.
+	settleTicks = 3
+	// demandRise and demandFall are the time constants of the mean arrival rate.
+	demandRise = 300 * time.Millisecond
+	demandFall = time.Second
+	// demandMargin is how much more than the arrival rate is claimed.
+	demandMargin = 1.25
+	// refillTime is the time in which a claim refills the bucket.
+	refillTime = time.Second
+	// claimStep is the least relative change of a claim that is reported, and
+	// minClaimStep the least absolute one, in units.
+	claimStep    = 0.15
+	minClaimStep = 20
+	// residence is how long after its last request an entry claims to keep its tokens.
+	residence = 30 * time.Second
+	// stallTicks is the number of intervals after which a missing tick shows that the
+	// process stood still.
+	stallTicks = 3
+	// keptTime is how long a removed account is remembered, so that a config that comes
+	// back does not fill its bucket again.
+	keptTime = 10 * time.Second
+	// maxPeers bounds how many other entries are remembered.
+	maxPeers = 4096
+	// MaxClaims bounds the claims of one entry. Further accounts get the entry's even
+	// part only.
+	MaxClaims = 8192
+)
+
+// Report is what an entry tells the others.
+type Report struct {
+	// Incarnation distinguishes this start of the entry from earlier ones.
+	Incarnation uint64
+	// Seq numbers the reports of an incarnation.
+	Seq uint64
+	// Sent is the time of sending by the sender's clock.
+	Sent time.Duration
+	// View is a hash of the entries that the sender hears.
+	View uint64
+	// Entries is how many entries the sender knows.
+	Entries int
+	// Old is set if the sender has run for some time.
+	Old bool
+	// Whole is set if Claims has all claims, and not just the changed ones.
+	Whole bool
+	// Partial is set if the sender uses its part of accounts that it claims nothing of.
+	Partial bool
+	// Claims holds the claims. The slice is valid until the next call of Tick.
+	Claims []Claim
+}
+
+// Claim is the part of an account's rate that an entry has use for.
+type Claim struct {
+	// Account is the hash of the account's name.
+	Account uint64
+	// Units is the claim in thousandths of the rate.
+	Units uint32
+}
+
+// Ledger is one entry's view of the limits of all accounts. Each entry owns an even part
+// of each rate. It lends what it has no use for: an entry that claims nothing of an
+// account lends all its part. Claims that have been known to all for a moment are met by
+// max-min fairness.
+//
+// It addresses accounts whose requests arrive at one entry, at all entries or at changing
+// entries, a surge at all entries at the same moment, and partitions. The caller passes
+// the time, and guards the ledger against concurrent use. Create one with NewLedger.
+type Ledger struct {
+	incarnation uint64
+	group       *group
+	// accounts holds the accounts with a limit by name. The map is never changed, only
+	// replaced.
+	accounts map[string]*account
+	// byHash holds the same accounts by the hash of the name.
+	byHash map[uint64]*account
+	// active holds the accounts with a claim of any entry.
+	active []*account
+	// removed holds the accounts without a limit that are still remembered.
+	removed map[string]*account
+	// epoch changes with the number of entries.
+	epoch uint64
+	// tickedAt is when Tick was called last.
+	tickedAt time.Time
+	seq      uint64
+	// claiming is the number of own claims.
+	claiming int
+	// partial is set if a claim was left out.
+	partial bool
+	claims  []Claim
+	// others and ranked are scratch space.
+	others []float64
+	ranked []rankedClaim
+}
+
+// rankedClaim is the claim of another entry with the hash that it is ranked by.
+type rankedClaim struct {
+	hash  uint64
+	claim float64
+}
+
+// account is one account's state.
+type account struct {
+	name  string
+	hash  uint64
+	limit Limit
+	// epoch is that of the ledger when the bucket's part was set.
+	epoch  uint64
+	bucket SharedBucket
+	// active is set while the account is listed as active.
+	active bool
+	// usedAt is when a request arrived last.
+	usedAt time.Time
+	// arrivals is the number of requests since the last tick.
+	arrivals int
+	// demand is the mean arrival rate.
+	demand float64
+	// published holds the own claim as reported at the last ticks, newest first.
+	published [settleTicks]uint32
+	// repeats is in how many more reports the claim is sent.
+	repeats int
+	// peers holds the claims of other entries.
+	peers []peerClaim
+	// removedAt is when the limit was removed.
+	removedAt time.Time
+}
+
+// peerClaim is the claim of another entry.
+type peerClaim struct {
+	peer *peer
+	// seq is the number of the last report with the claim.
+	seq uint64
+	// units holds the claim at the last ticks, newest first.
+	units [settleTicks]uint32
+}
+
+// NewLedger returns the ledger of the entry self without limits.
+func NewLedger(self string, incarnation uint64, now time.Time) *Ledger {
+	return &Ledger{
+		incarnation: incarnation,
+		group:       newGroup(self, now),
+		accounts:    map[string]*account{},
+		byHash:      map[uint64]*account{},
+		removed:     map[string]*account{},
+		epoch:       1,
+		tickedAt:    now,
+	}
+}
+
+// Limits is a set of limits that Ledger.Apply puts into force.
+type Limits struct {
+	accounts map[string]*account
+	byHash   map[uint64]*account
+	// changed holds the new limits of accounts that had other ones.
+	changed map[*account]Limit
+}
+
+// Prepare readies limits by account. It may run while other methods run, except Apply.
+func (l *Ledger) Prepare(limits map[string]Limit) Limits {
+	n := Limits{make(map[string]*account, len(limits)), make(map[uint64]*account, len(limits)), map[*account]Limit{}}
+	for name, limit := range limits {
+		if limit.Rate <= 0 {
+			continue
+		}
+		a, ok := l.accounts[name]
+		if !ok {
+			a = &account{name: name, hash: xxhash.Sum64String(name), limit: limit}
+		} else if a.limit != limit {
+			n.changed[a] = limit
+		}
+		n.accounts[name], n.byHash[a.hash] = a, a
+	}
+	return n
+}
+
+// Apply puts the limits into force. The bucket of an account that this entry sees for
+// the first time is full, unless the entry has just started: then the account may be an
+// old one whose tokens have been used.
+func (l *Ledger) Apply(now time.Time, n Limits) {
+	for name, a := range l.accounts {
+		if _, ok := n.accounts[name]; !ok {
+			a.removedAt = now
+			l.removed[name] = a
+		}
+	}
+	for name, a := range n.accounts {
+		if _, ok := l.accounts[name]; ok {
+			continue
+		}
+		if old, ok := l.removed[name]; ok {
+			if old.limit != a.limit {
+				n.changed[old] = a.limit
+			}
+			delete(l.removed, name)
+			n.accounts[name], n.byHash[a.hash] = old, old
+			continue
+		}
+		l.setBase(now, a)
+		if l.group.old(now) {
+			a.bucket.Fill()
+		}
+	}
+	l.accounts, l.byHash = n.accounts, n.byHash
+	for a, limit := range n.changed {
+		a.limit = limit
+		l.setBase(now, a)
+	}
+}
+
+// Len returns the number of accounts with a limit.
+func (l *Ledger) Len() int { return len(l.accounts) }
+
+// Interval returns the time between two calls of Tick.
+func (l *Ledger) Interval() time.Duration { return l.group.interval() }
+
+// setBase gives the bucket its even part.
+func (l *Ledger) setBase(now time.Time, a *account) {
+	base := l.group.base()
+	s := stockOf(a.limit, l.group.entries, mix(a.hash, l.group.selfHash))
+	if a.active {
+		s.shared = 0
+	}
+	a.bucket.SetPart(now, l.usable(a.limit)*base, s.floor+s.shared*base)
+	a.epoch = l.epoch
+}
+
+// usable returns the part of the rate that is handed out.
+func (l *Ledger) usable(limit Limit) float64 {
+	if l.group.entries == 1 {
+		return limit.Rate
+	}
+	return usableRate * limit.Rate
+}
+
+// Take uses one request of the account's limit. It returns whether the request may run,
+// and if not, after which time it may. Accounts without a limit always may.
+func (l *Ledger) Take(now time.Time, name string) (wait time.Duration, ok bool) {
+	a := l.accounts[name]
+	if a == nil {
+		return 0, true
+	}
+	if stall := l.tickedAt.Add(stallTicks * l.group.interval()); now.After(stall) && a.active || a.epoch != l.epoch {
+		l.setBase(earlier(stall, now), a)
+	}
+	a.usedAt = now
+	a.arrivals++
+	l.activate(a)
+	if a.bucket.Take(now) {
+		return 0, true
+	}
+	return a.bucket.Wait(), false
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// Return gives back the token of a request that has not run.
+func (l *Ledger) Return(name string) {
+	if a := l.accounts[name]; a != nil {
+		a.bucket.Return()
+	}
+}
+
+// activate lists the account as active.
+func (l *Ledger) activate(a *account) {
+	if !a.active {
+		a.active = true
+		l.active = append(l.active, a)
+	}
+}
+
+// Usage returns the limit of an account, the rate at which its requests arrive at this
+// entry, and the age of the oldest report of another entry.
+func (l *Ledger) Usage(now time.Time, name string) (limit Limit, arrivals float64, oldest time.Duration) {
+	if a := l.accounts[name]; a != nil {
+		limit, arrivals = a.limit, a.demand
+	}
+	return limit, arrivals, l.group.oldest(now)
+}
+
+// Receive records the report of another entry.
+func (l *Ledger) Receive(now time.Time, from string, r Report) {
+	before := l.group.peers[from]
+	p, restarted := l.group.receive(now, from, r)
+	if p == nil {
+		return
+	}
+	if restarted {
+		l.forget(before)
+	}
+	for _, c := range r.Claims {
+		if a := l.byHash[c.Account]; a != nil {
+			a.setClaim(p, r.Seq, min(c.Units, maxClaim))
+			l.activate(a)
+		}
+	}
+	if r.Whole {
+		for _, a := range l.active {
+			for i := range a.peers {
+				if c := &a.peers[i]; c.peer == p && c.seq != r.Seq {
+					c.units[0] = 0
+				}
+			}
+		}
+	}
+}
+
+func (a *account) setClaim(p *peer, seq uint64, units uint32) {
+	for i := range a.peers {
+		if c := &a.peers[i]; c.peer == p {
+			c.seq, c.units[0] = seq, units
+			// A claim that rises and falls between two ticks is not missed.
+			c.units[1] = max(c.units[1], units)
+			return
+		}
+	}
+	a.peers = append(a.peers, peerClaim{p, seq, [settleTicks]uint32{units}})
+}
+
+// forget removes the claims of an entry.
+func (l *Ledger) forget(p *peer) {
+	for _, a := range l.active {
+		a.peers = slices.DeleteFunc(a.peers, func(c peerClaim) bool { return c.peer == p })
+	}
+}
+
+// Tick adapts the parts to the claims and to which entries are heard, and returns the
+// report for the other entries. The list names the entries of the system. Call it once in
+// each Interval.
+func (l *Ledger) Tick(now time.Time, list []string) Report {
+	elapsed := now.Sub(l.tickedAt)
+	stalled := elapsed > stallTicks*l.group.interval()
+	l.tickedAt = now
+	if !stalled {
+		// After a standstill, reports may still wait to be read.
+		entries := l.group.entries
+		for _, p := range l.group.update(now, list) {
+			l.forget(p)
+		}
+		if l.group.entries != entries {
+			l.epoch++
+		}
+	}
+	for name, a := range l.removed {
+		if now.Sub(a.removedAt) > keptTime {
+			delete(l.removed, name)
+		}
+	}
+	l.seq++
+	r := Report{Incarnation: l.incarnation, Seq: l.seq, Sent: now.Sub(l.group.start), View: l.group.view, Entries: l.group.listed, Old: l.group.old(now), Whole: l.seq%wholeInterval == 1}
+	l.claims, l.claiming, l.partial = l.claims[:0], 0, false
+	whole := l.group.whole(now)
+	active := l.active[:0]
+	for _, a := range l.active {
+		if l.byHash[a.hash] != a {
+			a.reset()
+			continue
+		}
+		l.claim(now, elapsed, a)
+		l.share(now, stalled, whole, a)
+		if r.Whole && a.published[0] > 0 || a.repeats > 0 {
+			l.claims = append(l.claims, Claim{a.hash, a.published[0]})
+			a.repeats = max(0, a.repeats-1)
+		}
+		if a.idle() {
+			a.reset()
+			l.setBase(now, a)
+			continue
+		}
+		active = append(active, a)
+	}
+	clear(l.active[len(active):])
+	l.active = active
+	r.Claims, r.Partial = l.claims, l.partial
+	return r
+}
+
+// claim updates what the entry claims of an account.
+func (l *Ledger) claim(now time.Time, elapsed time.Duration, a *account) {
+	if elapsed > 0 {
+		rate := float64(a.arrivals) / elapsed.Seconds()
+		constant := demandFall
+		if rate > a.demand {
+			constant = demandRise
+		}
+		a.demand += (rate - a.demand) * (1 - math.Exp(-float64(elapsed)/float64(constant)))
+		a.arrivals = 0
+	}
+	a.bucket.refill(now)
+	wanted := (demandMargin*a.demand + a.bucket.Missing()/refillTime.Seconds()) / a.limit.Rate * claimUnits
+	units := uint32(min(maxClaim, wanted))
+	if units == 0 && !a.usedAt.IsZero() && now.Sub(a.usedAt) < residence {
+		units = 1
+	}
+	if units > 0 {
+		if l.claiming++; l.claiming > MaxClaims {
+			units, l.partial = 0, true
+		}
+	}
+	last := a.published[0]
+	copy(a.published[1:], a.published[:])
+	step := max(minClaimStep, claimStep*float64(last))
+	if (units == 0) != (last == 0) || (units <= 1) != (last <= 1) || math.Abs(float64(units)-float64(last)) > step {
+		a.published[0] = units
+		a.repeats = claimRepeats
+	}
+}
+
+// share sets the part of the bucket by the claims of all entries of the group.
+func (l *Ledger) share(now time.Time, stalled bool, whole float64, a *account) {
+	base := l.group.base()
+	unclaimed := 0
+	if l.group.members > 1 {
+		for _, p := range l.group.peers {
+			if p.grouped && p.partial {
+				unclaimed++
+			}
+		}
+	}
+	l.others = l.others[:0]
+	for i := range a.peers {
+		c := &a.peers[i]
+		units := slices.Max(c.units[:])
+		copy(c.units[1:], c.units[:])
+		if !c.peer.grouped {
+			continue
+		}
+		if units == 0 && c.peer.partial {
+			continue
+		}
+		if c.peer.partial {
+			unclaimed--
+		}
+		l.others = append(l.others, float64(units)/claimUnits)
+	}
+	for range unclaimed {
+		l.others = append(l.others, base)
+	}
+	a.peers = slices.DeleteFunc(a.peers, func(c peerClaim) bool { return slices.Max(c.units[:]) == 0 })
+	own := float64(a.published[0]) / claimUnits
+	settled := float64(slices.Min(a.published[:])) / claimUnits
+	s := stockOf(a.limit, l.group.entries, mix(a.hash, l.group.selfHash))
+	var part, capacity float64
+	switch {
+	case own == 0:
+		part, capacity = base, s.floor
+	case s.scarce:
+		part, capacity = l.scarce(a, s, min(own, settled), whole)
+	default:
+		part = fairShare(min(own, max(settled, base)), l.others, whole)
+		capacity = s.floor + s.shared*part
+	}
+	if stalled {
+		part = min(part, base)
+	}
+	a.bucket.SetPart(now, l.usable(a.limit)*part, capacity)
+	a.epoch = l.epoch
+}
+
+// scarce returns the entry's part and capacity if there are fewer tokens than entries:
+// only as many claimants as there are tokens have one.
+func (l *Ledger) scarce(a *account, s stock, own, whole float64) (part, capacity float64) {
+	chosen := int(max(1, scarceShare*s.shared*whole))
+	rank, self := 0, mix(a.hash, l.group.selfHash)
+	if own == 0 {
+		return l.group.base(), s.floor
+	}
+	l.ranked = l.ranked[:0]
+	for _, c := range a.peers {
+		if units := slices.Max(c.units[:]); c.peer.grouped && units > 0 {
+			hash := mix(a.hash, c.peer.hash)
+			if hash > self {
+				rank++
+			}
+			l.ranked = append(l.ranked, rankedClaim{hash, float64(units) / claimUnits})
+		}
+	}
+	if rank >= chosen {
+		return 0, s.floor
+	}
+	slices.SortFunc(l.ranked, func(a, b rankedClaim) int { return cmp.Compare(b.hash, a.hash) })
+	l.others = l.others[:0]
+	for _, c := range l.ranked[:min(len(l.ranked), chosen-1)] {
+		l.others = append(l.others, c.claim)
+	}
+	part = fairShare(own, l.others, whole)
+	return part, s.floor + 1 + max(0, s.shared-float64(chosen))*part
+}
+
+// idle reports whether no entry claims anything of the account.
+func (a *account) idle() bool {
+	return len(a.peers) == 0 && a.repeats == 0 && slices.Max(a.published[:]) == 0 && a.arrivals == 0
+}
+
+// reset ends the account's activity.
+func (a *account) reset() {
+	a.active, a.demand, a.arrivals, a.repeats, a.peers = false, 0, 0, 0, nil
+	a.published = [settleTicks]uint32{}
+}
