Quotas: a higher claim takes effect only when all entries know it

With entries that cannot reach one another, each could take over the same idle part at once, before any of them noticed. A claim now takes effect after the time in which the others have either got it or dropped the sender from their group, and the tolerance of the bound is held as tokens instead.

--- a/core/yuccaquota/evaluation_test.go
+++ b/core/yuccaquota/evaluation_test.go
@@ -32,7 +32,9 @@
 
 func scenarios() []scenario {
 	return []scenario{
-		{"one entry", warm, warm + 15*time.Second, 0.9, func(s *sim) { s.load = only(0) }},
+		{"one entry", warm, warm + 15*time.Second, 0.9, func(s *sim) {
+			s.load = only(0)
+		}},
 		{"all entries", warm, warm + 15*time.Second, 0.9, func(s *sim) {
 			s.load = func(time.Duration, int) float64 { return 2 / float64(s.entries) }
 		}},
@@ -82,6 +84,19 @@
 			}
 			s.cut = func(at time.Duration, a, b int) bool { return at >= warm && at < warm+6*time.Second && a%2 != b%2 }
 		}},
+		{"all cut off and surge", warm, warm + 10*time.Second, 0, func(s *sim) {
+			s.load = func(at time.Duration, i int) float64 {
+				if at < warm {
+					return only(0)(at, i)
+				}
+				return 7.5
+			}
+			s.cut = func(at time.Duration, a, b int) bool { return at >= warm }
+		}},
+		{"one hears all, the others only it", warm, warm + 10*time.Second, 0, func(s *sim) {
+			s.load = func(at time.Duration, i int) float64 { return min(7.5, 10*float64(i)) }
+			s.cut = func(at time.Duration, a, b int) bool { return at >= warm && a*b != 0 }
+		}},
 		{"flapping partitions", warm, warm + 10*time.Second, 0, func(s *sim) {
 			s.load = func(at time.Duration, i int) float64 {
 				if int(at/(700*time.Millisecond))%2 == i%2 {
@@ -89,7 +104,9 @@
 				}
 				return 0
 			}
-			s.cut = func(at time.Duration, a, b int) bool { return at >= warm && int(at/(700*time.Millisecond))%2 == 0 && a%2 != b%2 }
+			s.cut = func(at time.Duration, a, b int) bool {
+				return at >= warm && int(at/(700*time.Millisecond))%2 == 0 && a%2 != b%2
+			}
 		}},
 		{"restarts one by one", 0, warm + 10*time.Second, 0, func(s *sim) {
 			s.load = func(time.Duration, int) float64 { return 3 }
@@ -125,16 +142,19 @@
 // TestEvaluation compares the decision with others, and checks the sum of any 5 s and the
 // use in each scenario.
 func TestEvaluation(t *testing.T) {
-	for _, entries := range []int{7, 30, 110} {
+	for _, entries := range []int{7, 25, 30, 110} {
 		for _, limit := range evaluationLimits() {
 			for _, v := range scenarios() {
-				s := &sim{entries: entries, limit: limit, new: newLedgerNode, seed: 1}
-				v.edit(s)
-				s.run(v.to)
-				t.Logf("%3d entries %v %-32s worst %.2f use %.2f", entries, limit, v.name, s.worst(), s.use(v.from, v.to))
-				if s.worst() > 1 {
-					t.Errorf("%d entries, %v, %s: the sum is %.2f of the bound", entries, limit, v.name, s.worst())
-				}
+				t.Run("", func(t *testing.T) {
+					t.Parallel()
+					s := &sim{entries: entries, limit: limit, new: newLedgerNode, seed: 1}
+					v.edit(s)
+					s.run(v.to)
+					t.Logf("%3d entries %v %-32s worst %.2f use %.2f", entries, limit, v.name, s.worst(), s.use(v.from, v.to))
+					if s.worst() > 1 {
+						t.Errorf("%d entries, %v, %s: the sum is %.2f of the bound", entries, limit, v.name, s.worst())
+					}
+				})
 			}
 		}
 	}
--- a/core/yuccaquota/group.go
+++ b/core/yuccaquota/group.go
@@ -12,10 +12,11 @@
 	smallGroup    = 32
 	shortInterval = 100 * time.Millisecond
 	longInterval  = 200 * time.Millisecond
-	// silenceTimeout is the age of the last report from which an entry counts as
-	// unreachable. Until then both sides of a partition may use the same part of a rate,
-	// which has to fit into the tolerance of the bound.
-	silenceTimeout = 500 * time.Millisecond
+	// shortTimeout and longTimeout are the age of the last report from which an entry
+	// counts as unreachable, at these intervals. They bear the loss of some reports. A
+	// higher claim takes effect after this time.
+	shortTimeout = 500 * time.Millisecond
+	longTimeout  = 600 * time.Millisecond
 	// probation is how long an entry must be heard without a gap before its idle part is
 	// used. It is the length of the window of the bound, so that repeated partitions
 	// spend the tolerance once in a window.
@@ -71,11 +72,10 @@
 	mismatchSince time.Time
 	// grouped is set while the two entries lend their idle parts to each other.
 	grouped bool
-	// view, entries, old and partial are those of the newest report.
+	// view, entries and old are those of the newest report.
 	view    uint64
 	entries int
 	old     bool
-	partial bool
 }
 
 // group tells which entries lend their idle parts to each other. Two entries do if they
@@ -98,6 +98,8 @@
 	fewerSince time.Time
 	// majoritySeen is when more than half of the entries were heard last.
 	majoritySeen time.Time
+	// known holds the hashes of the names of the entries that are listed or heard.
+	known []uint64
 	// members is the number of entries of the group, this one included.
 	members int
 }
@@ -114,6 +116,14 @@
 	return shortInterval
 }
 
+// timeout returns the age of the last report from which an entry counts as unreachable.
+func (g *group) timeout() time.Duration {
+	if g.entries > smallGroup {
+		return longTimeout
+	}
+	return shortTimeout
+}
+
 // receive records a report. It returns nil for one that is not newer than the last.
 func (g *group) receive(now time.Time, from string, r Report) (p *peer, restarted bool) {
 	p = g.peers[from]
@@ -135,7 +145,7 @@
 	p.offset = min(p.offset, offset)
 	p.sentAt = now.Add(p.offset - offset)
 	p.seq, p.arrivedAt = r.Seq, now
-	p.view, p.entries, p.old, p.partial = r.View, min(r.Entries, maxPeers), r.Old, r.Partial
+	p.view, p.entries, p.old = r.View, min(r.Entries, maxPeers), r.Old
 	return p, restarted
 }
 
@@ -147,9 +157,10 @@
 		known[name] = true
 	}
 	g.view, g.members = g.selfHash, 1
+	g.known = g.known[:0]
 	heard, announced, elder := 1, 0, false
 	for name, p := range g.peers {
-		silent := now.Sub(p.sentAt) > silenceTimeout
+		silent := now.Sub(p.sentAt) > g.timeout()
 		if silent && now.Sub(p.arrivedAt) > shrinkDelay {
 			if !known[name] {
 				delete(g.peers, name)
@@ -174,6 +185,9 @@
 			g.view ^= p.hash
 		}
 	}
+	for name := range known {
+		g.known = append(g.known, xxhash.Sum64String(name))
+	}
 	g.count(now, len(known), announced, heard, elder)
 	for _, p := range g.peers {
 		switch {
@@ -182,7 +196,7 @@
 		case p.mismatchSince.IsZero():
 			p.mismatchSince = now
 		}
-		p.grouped = p.heard && (p.mismatchSince.IsZero() || now.Sub(p.mismatchSince) < mismatchGrace)
+		p.grouped = p.heard && (p.mismatchSince.IsZero() || p.grouped && now.Sub(p.mismatchSince) < mismatchGrace)
 		if p.grouped {
 			g.members++
 		}
--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -13,19 +13,22 @@
 	// claimUnits is the number of claim units in a whole rate.
 	claimUnits = 1000
 	// maxClaim bounds a claim, in units.
-	maxClaim = 20 * claimUnits
+	maxClaim = 4 * claimUnits
 	// claimRepeats is in how many reports a changed claim is sent, so that the loss of
 	// some of them does no harm. More are not lost without the sender being silent.
 	claimRepeats = 5
 	// wholeInterval is the number of reports from one with all claims to the next.
 	wholeInterval = 10
-	// settleTicks is how many intervals a change of a claim needs before it is relied
-	// on: others have to know a higher claim before it takes effect, and a lower claim
-	// of another entry is used only after that.
-	settleTicks = 3
-	// demandRise and demandFall are the time constants of the mean arrival rate.
-	demandRise = 300 * time.Millisecond
-	demandFall = time.Second
+	// maxSettleTicks is the largest number of ticks that a higher claim needs before it
+	// takes effect.
+	maxSettleTicks = 7
+	// minDemandTime and maxDemandTime bound the time constant of the mean arrival rate,
+	// and demandArrivals is how many arrivals it covers in between.
+	minDemandTime  = 200 * time.Millisecond
+	maxDemandTime  = time.Second
+	demandArrivals = 20
+	// maxDemand bounds the mean arrival rate, as a multiple of the account's rate.
+	maxDemand = 1.5
 	// demandMargin is how much more than the arrival rate is claimed.
 	demandMargin = 1.25
 	// refillTime is the time in which a claim refills the bucket.
@@ -44,9 +47,12 @@
 	keptTime = 10 * time.Second
 	// maxPeers bounds how many other entries are remembered.
 	maxPeers = 4096
-	// MaxClaims bounds the claims of one entry. Further accounts get the entry's even
-	// part only.
-	MaxClaims = 8192
+	// MaxClaims bounds the claims of one entry, so that a report fits into a message.
+	// Further accounts have only the tokens that they hold.
+	MaxClaims = 20_000
+	// maxResidents is the number of claims from which accounts without requests claim
+	// nothing.
+	maxResidents = MaxClaims / 2
 )
 
 // Report is what an entry tells the others.
@@ -65,8 +71,6 @@
 	Old bool
 	// Whole is set if Claims has all claims, and not just the changed ones.
 	Whole bool
-	// Partial is set if the sender uses its part of accounts that it claims nothing of.
-	Partial bool
 	// Claims holds the claims. The slice is valid until the next call of Tick.
 	Claims []Claim
 }
@@ -106,9 +110,7 @@
 	seq      uint64
 	// claiming is the number of own claims.
 	claiming int
-	// partial is set if a claim was left out.
-	partial bool
-	claims  []Claim
+	claims   []Claim
 	// others and ranked are scratch space.
 	others []float64
 	ranked []rankedClaim
@@ -137,7 +139,7 @@
 	// demand is the mean arrival rate.
 	demand float64
 	// published holds the own claim as reported at the last ticks, newest first.
-	published [settleTicks]uint32
+	published [maxSettleTicks]uint32
 	// repeats is in how many more reports the claim is sent.
 	repeats int
 	// peers holds the claims of other entries.
@@ -151,8 +153,8 @@
 	peer *peer
 	// seq is the number of the last report with the claim.
 	seq uint64
-	// units holds the claim at the last ticks, newest first.
-	units [settleTicks]uint32
+	// units is the claim.
+	units uint32
 }
 
 // NewLedger returns the ledger of the entry self without limits.
@@ -216,7 +218,7 @@
 			n.accounts[name], n.byHash[a.hash] = old, old
 			continue
 		}
-		l.setBase(now, a)
+		l.setIdle(now, a)
 		if l.group.old(now) {
 			a.bucket.Fill()
 		}
@@ -224,7 +226,7 @@
 	l.accounts, l.byHash = n.accounts, n.byHash
 	for a, limit := range n.changed {
 		a.limit = limit
-		l.setBase(now, a)
+		l.setIdle(now, a)
 	}
 }
 
@@ -234,17 +236,35 @@
 // Interval returns the time between two calls of Tick.
 func (l *Ledger) Interval() time.Duration { return l.group.interval() }
 
-// setBase gives the bucket its even part.
-func (l *Ledger) setBase(now time.Time, a *account) {
-	base := l.group.base()
-	s := stockOf(a.limit, l.group.entries, mix(a.hash, l.group.selfHash))
-	if a.active {
-		s.shared = 0
-	}
-	a.bucket.SetPart(now, l.usable(a.limit)*base, s.floor+s.shared*base)
+// setIdle gives the bucket the part of an account that no entry claims. Until others may
+// use this entry's part, tokens are added without a claim.
+func (l *Ledger) setIdle(now time.Time, a *account) {
+	s := stockOf(a.limit, l.group.entries)
+	capacity := s.floor + s.shared*l.group.base()
+	if s.holders > 0 && l.idleRank(a) >= s.holders {
+		capacity = 0
+	}
+	a.bucket.SetPart(now, l.usable(a.limit)*l.group.base(), l.group.start.Add(probation), capacity)
 	a.epoch = l.epoch
 }
 
+// idleRank returns how many entries without a claim come before this one where there
+// are too few tokens.
+func (l *Ledger) idleRank(a *account) int {
+	rank, self := 0, mix(a.hash, l.group.selfHash)
+	for _, hash := range l.group.known {
+		if mix(a.hash, hash) > self {
+			rank++
+		}
+	}
+	for _, c := range a.peers {
+		if c.peer.grouped && c.units > 0 && mix(a.hash, c.peer.hash) > self {
+			rank--
+		}
+	}
+	return rank
+}
+
 // usable returns the part of the rate that is handed out.
 func (l *Ledger) usable(limit Limit) float64 {
 	if l.group.entries == 1 {
@@ -260,8 +280,11 @@
 	if a == nil {
 		return 0, true
 	}
-	if stall := l.tickedAt.Add(stallTicks * l.group.interval()); now.After(stall) && a.active || a.epoch != l.epoch {
-		l.setBase(earlier(stall, now), a)
+	switch stall := l.tickedAt.Add(stallTicks * l.group.interval()); {
+	case !a.active && a.epoch != l.epoch:
+		l.setIdle(now, a)
+	case a.active && now.After(stall):
+		a.bucket.SetPart(stall, 0, time.Time{}, a.bucket.capacity)
 	}
 	a.usedAt = now
 	a.arrivals++
@@ -272,13 +295,6 @@
 	return a.bucket.Wait(), false
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // Return gives back the token of a request that has not run.
 func (l *Ledger) Return(name string) {
 	if a := l.accounts[name]; a != nil {
@@ -323,7 +339,7 @@
 		for _, a := range l.active {
 			for i := range a.peers {
 				if c := &a.peers[i]; c.peer == p && c.seq != r.Seq {
-					c.units[0] = 0
+					c.units = 0
 				}
 			}
 		}
@@ -333,13 +349,11 @@
 func (a *account) setClaim(p *peer, seq uint64, units uint32) {
 	for i := range a.peers {
 		if c := &a.peers[i]; c.peer == p {
-			c.seq, c.units[0] = seq, units
-			// A claim that rises and falls between two ticks is not missed.
-			c.units[1] = max(c.units[1], units)
+			c.seq, c.units = seq, units
 			return
 		}
 	}
-	a.peers = append(a.peers, peerClaim{p, seq, [settleTicks]uint32{units}})
+	a.peers = append(a.peers, peerClaim{p, seq, units})
 }
 
 // forget removes the claims of an entry.
@@ -354,7 +368,8 @@
 // each Interval.
 func (l *Ledger) Tick(now time.Time, list []string) Report {
 	elapsed := now.Sub(l.tickedAt)
-	stalled := elapsed > stallTicks*l.group.interval()
+	stall := l.tickedAt.Add(stallTicks * l.group.interval())
+	stalled := now.After(stall)
 	l.tickedAt = now
 	if !stalled {
 		// After a standstill, reports may still wait to be read.
@@ -373,7 +388,7 @@
 	}
 	l.seq++
 	r := Report{Incarnation: l.incarnation, Seq: l.seq, Sent: now.Sub(l.group.start), View: l.group.view, Entries: l.group.listed, Old: l.group.old(now), Whole: l.seq%wholeInterval == 1}
-	l.claims, l.claiming, l.partial = l.claims[:0], 0, false
+	l.claims, l.claiming = l.claims[:0], 0
 	whole := l.group.whole(now)
 	active := l.active[:0]
 	for _, a := range l.active {
@@ -381,22 +396,28 @@
 			a.reset()
 			continue
 		}
+		if stalled {
+			// The claims of others may have changed meanwhile.
+			a.bucket.SetPart(stall, 0, time.Time{}, a.bucket.capacity)
+		}
 		l.claim(now, elapsed, a)
-		l.share(now, stalled, whole, a)
+		if !stalled {
+			l.share(now, whole, a)
+		}
 		if r.Whole && a.published[0] > 0 || a.repeats > 0 {
 			l.claims = append(l.claims, Claim{a.hash, a.published[0]})
 			a.repeats = max(0, a.repeats-1)
 		}
 		if a.idle() {
 			a.reset()
-			l.setBase(now, a)
+			l.setIdle(now, a)
 			continue
 		}
 		active = append(active, a)
 	}
 	clear(l.active[len(active):])
 	l.active = active
-	r.Claims, r.Partial = l.claims, l.partial
+	r.Claims = l.claims
 	return r
 }
 
@@ -404,22 +425,20 @@
 func (l *Ledger) claim(now time.Time, elapsed time.Duration, a *account) {
 	if elapsed > 0 {
 		rate := float64(a.arrivals) / elapsed.Seconds()
-		constant := demandFall
-		if rate > a.demand {
-			constant = demandRise
-		}
-		a.demand += (rate - a.demand) * (1 - math.Exp(-float64(elapsed)/float64(constant)))
+		constant := min(maxDemandTime.Seconds(), max(minDemandTime.Seconds(), demandArrivals/max(rate, a.demand)))
+		a.demand += (rate - a.demand) * (1 - math.Exp(-elapsed.Seconds()/constant))
+		a.demand = min(a.demand, maxDemand*a.limit.Rate)
 		a.arrivals = 0
 	}
 	a.bucket.refill(now)
-	wanted := (demandMargin*a.demand + a.bucket.Missing()/refillTime.Seconds()) / a.limit.Rate * claimUnits
-	units := uint32(min(maxClaim, wanted))
-	if units == 0 && !a.usedAt.IsZero() && now.Sub(a.usedAt) < residence {
+	wanted := demandMargin*a.demand + a.bucket.Missing()/refillTime.Seconds()
+	units := uint32(min(maxClaim, wanted/a.limit.Rate*claimUnits))
+	if units == 0 && now.Sub(a.usedAt) < residence && l.claiming < maxResidents {
 		units = 1
 	}
 	if units > 0 {
 		if l.claiming++; l.claiming > MaxClaims {
-			units, l.partial = 0, true
+			units = 0
 		}
 	}
 	last := a.published[0]
@@ -431,77 +450,62 @@
 	}
 }
 
-// share sets the part of the bucket by the claims of all entries of the group.
-func (l *Ledger) share(now time.Time, stalled bool, whole float64, a *account) {
-	base := l.group.base()
-	unclaimed := 0
-	if l.group.members > 1 {
-		for _, p := range l.group.peers {
-			if p.grouped && p.partial {
-				unclaimed++
-			}
-		}
+// settled returns the part that the entry has claimed for so long that all others know
+// it or have stopped using this entry's part.
+func (l *Ledger) settled(a *account) float64 {
+	ticks := int(l.group.timeout()/l.group.interval()) + 2
+	if l.group.entries == 1 {
+		ticks = 1
 	}
+	return float64(slices.Min(a.published[:ticks])) / claimUnits
+}
+
+// share sets the part of the bucket by the claims of all entries of the group.
+func (l *Ledger) share(now time.Time, whole float64, a *account) {
+	a.peers = slices.DeleteFunc(a.peers, func(c peerClaim) bool { return c.units == 0 })
+	own := l.settled(a)
+	s := stockOf(a.limit, l.group.entries)
 	l.others = l.others[:0]
-	for i := range a.peers {
-		c := &a.peers[i]
-		units := slices.Max(c.units[:])
-		copy(c.units[1:], c.units[:])
-		if !c.peer.grouped {
-			continue
-		}
-		if units == 0 && c.peer.partial {
-			continue
-		}
-		if c.peer.partial {
-			unclaimed--
+	for _, c := range a.peers {
+		if c.peer.grouped {
+			l.others = append(l.others, float64(c.units)/claimUnits)
 		}
-		l.others = append(l.others, float64(units)/claimUnits)
 	}
-	for range unclaimed {
-		l.others = append(l.others, base)
-	}
-	a.peers = slices.DeleteFunc(a.peers, func(c peerClaim) bool { return slices.Max(c.units[:]) == 0 })
-	own := float64(a.published[0]) / claimUnits
-	settled := float64(slices.Min(a.published[:])) / claimUnits
-	s := stockOf(a.limit, l.group.entries, mix(a.hash, l.group.selfHash))
 	var part, capacity float64
 	switch {
+	case own == 0 && s.holders > 0:
+		if l.idleRank(a) < s.holders-len(l.others) {
+			capacity = s.floor
+		}
 	case own == 0:
-		part, capacity = base, s.floor
-	case s.scarce:
-		part, capacity = l.scarce(a, s, min(own, settled), whole)
+		capacity = s.floor
+	case s.holders > 0:
+		part, capacity = l.scarce(a, s, own, whole)
 	default:
-		part = fairShare(min(own, max(settled, base)), l.others, whole)
+		part = fairShare(own, l.others, whole)
 		capacity = s.floor + s.shared*part
 	}
-	if stalled {
-		part = min(part, base)
-	}
-	a.bucket.SetPart(now, l.usable(a.limit)*part, capacity)
+	a.bucket.SetPart(now, l.usable(a.limit)*part, time.Time{}, capacity)
 	a.epoch = l.epoch
 }
 
 // scarce returns the entry's part and capacity if there are fewer tokens than entries:
 // only as many claimants as there are tokens have one.
 func (l *Ledger) scarce(a *account, s stock, own, whole float64) (part, capacity float64) {
-	chosen := int(max(1, scarceShare*s.shared*whole))
 	rank, self := 0, mix(a.hash, l.group.selfHash)
-	if own == 0 {
-		return l.group.base(), s.floor
-	}
 	l.ranked = l.ranked[:0]
 	for _, c := range a.peers {
-		if units := slices.Max(c.units[:]); c.peer.grouped && units > 0 {
+		if c.peer.grouped {
 			hash := mix(a.hash, c.peer.hash)
 			if hash > self {
 				rank++
 			}
-			l.ranked = append(l.ranked, rankedClaim{hash, float64(units) / claimUnits})
+			l.ranked = append(l.ranked, rankedClaim{hash, float64(c.units) / claimUnits})
 		}
 	}
+	chosen := max(1, int(float64(s.holders)*whole))
 	if rank >= chosen {
-		return 0, s.floor
+		return 0, 0
 	}
 	slices.SortFunc(l.ranked, func(a, b rankedClaim) int { return cmp.Compare(b.hash, a.hash) })
 	l.others = l.others[:0]
@@ -509,7 +513,7 @@
 		l.others = append(l.others, c.claim)
 	}
 	part = fairShare(own, l.others, whole)
-	return part, s.floor + 1 + max(0, s.shared-float64(chosen))*part
+	return part, s.floor + s.shared*part
 }
 
 // idle reports whether no entry claims anything of the account.
@@ -520,5 +524,5 @@
 // reset ends the account's activity.
 func (a *account) reset() {
 	a.active, a.demand, a.arrivals, a.repeats, a.peers = false, 0, 0, 0, nil
-	a.published = [settleTicks]uint32{}
+	a.published = [maxSettleTicks]uint32{}
 }
--- a/core/yuccaquota/share.go
+++ b/core/yuccaquota/share.go
@@ -1,25 +1,20 @@
 package yuccaquota
 
+import "math"
+
 const (
-	// usableRate is the part of a rate that is handed out. The rest pays for what is
-	// admitted twice until the two sides of a partition notice it.
-	usableRate = 0.94
-	// burstShare, rateShare and stockMargin give how many tokens all entries together may
-	// hold: burstShare x burst + rateShare x rate + stockMargin.
+	// usableRate is the part of a rate that is handed out, and burstShare x burst +
+	// rateShare x rate + stockMargin is the number of tokens that all entries together may
+	// hold. In 5 s they admit 4.75 x rate and these tokens, which leaves 0.35 x rate below
+	// the bound (rate x 5 + burst) x 1.1 + 20 for the moments in which entries join or
+	// hear one another again.
+	usableRate  = 0.95
 	burstShare  = 1.1
-	rateShare   = 0.08
+	rateShare   = 0.4
 	stockMargin = 19.5
-	// maxFloor is how many tokens an entry may hold whatever the others claim, so that
-	// the first requests of an account need no message.
-	maxFloor = 2
-	// holderShare is the fraction of the tokens that is kept as single tokens at some
-	// entries if there are too few for all of them.
-	holderShare = 0.3
-	// scarceShare is the fraction of the shared tokens that are given one by one if there
-	// are too few for all claimants.
-	scarceShare = 0.7
-	// scatterMargin covers that the number of these entries is random.
-	scatterMargin = 2
+	// sharedRate is how many seconds of the rate the entries with claims hold at least.
+	// With less, tokens are lost between two requests of a busy entry.
+	sharedRate = 0.05
 )
 
 // fairShare returns the part of one claimant in a whole that is divided by max-min
@@ -63,28 +58,28 @@
 
 // stock is how the tokens that all entries may hold are divided.
 type stock struct {
-	// floor is how many tokens the entry may hold in any case.
+	// floor is how many tokens each entry may hold, or each of the holders.
 	floor float64
+	// holders is how many entries may hold a token if there are fewer tokens than
+	// entries, otherwise zero.
+	holders int
 	// shared is how many tokens the claimants may hold in addition, in proportion to
 	// their parts of the rate.
 	shared float64
-	// scarce is set if there are fewer tokens than entries.
-	scarce bool
 }
 
-// stockOf divides the tokens of a limit among a number of entries. The hash is of the
-// names of the account and of the entry.
-func stockOf(limit Limit, entries int, hash uint64) stock {
+// stockOf divides the tokens of a limit among a number of entries. Where there are
+// enough, each entry may hold one at least, so that the first requests of an account need
+// no message.
+func stockOf(limit Limit, entries int) stock {
 	total := burstShare*limit.Burst + rateShare*limit.Rate + stockMargin
-	if each := Evenly(total, entries); each >= 1 {
-		floor := min(each, maxFloor)
-		return stock{floor: floor, shared: total - floor*float64(entries)}
-	}
-	s := stock{shared: total * (1 - scatterMargin*holderShare), scarce: true}
-	if float64(hash>>11)/(1<<53)*float64(entries) < holderShare*total {
-		s.floor = 1
+	least := sharedRate * limit.Rate
+	if Evenly(total-least, entries) < 1 {
+		holders := math.Floor(total - least)
+		return stock{floor: 1, holders: int(holders), shared: total - holders}
 	}
-	return s
+	floor := max(1, Evenly(total-least-burstShare*limit.Burst, entries))
+	return stock{floor: floor, shared: total - floor*float64(max(1, entries))}
 }
 
 // mix returns a hash of two hashes.
--- a/core/yuccaquota/sharedbucket.go
+++ b/core/yuccaquota/sharedbucket.go
@@ -21,23 +21,30 @@
 	tokens float64
 	// refilledAt is when tokens was last updated.
 	refilledAt time.Time
+	// until is the end of the time in which tokens are added; zero means without end.
+	until time.Time
 }
 
 // refill adds the tokens that have accrued since the last refill.
 func (b *SharedBucket) refill(now time.Time) {
-	if elapsed := now.Sub(b.refilledAt); !b.refilledAt.IsZero() && elapsed > 0 {
-		b.tokens = min(b.capacity, b.tokens+b.rate*elapsed.Seconds())
+	if !now.After(b.refilledAt) {
+		return
+	}
+	end := now
+	if !b.until.IsZero() && end.After(b.until) {
+		end = b.until
 	}
-	if now.After(b.refilledAt) {
-		b.refilledAt = now
+	if elapsed := end.Sub(b.refilledAt); !b.refilledAt.IsZero() && elapsed > 0 {
+		b.tokens = min(b.capacity, b.tokens+b.rate*elapsed.Seconds())
 	}
+	b.refilledAt = now
 }
 
-// SetPart sets the rate in tokens a second and the capacity. Tokens beyond the capacity
-// are lost.
-func (b *SharedBucket) SetPart(now time.Time, rate, capacity float64) {
+// SetPart sets the rate in tokens a second, the end of the time in which it holds, and
+// the capacity. Without an end, the rate holds on. Tokens beyond the capacity are lost.
+func (b *SharedBucket) SetPart(now time.Time, rate float64, until time.Time, capacity float64) {
 	b.refill(now)
-	b.rate, b.capacity = rate, capacity
+	b.rate, b.until, b.capacity = rate, until, capacity
 	b.tokens = min(b.tokens, capacity)
 }
 
--- a/core/yuccausage/exchange.go
+++ b/core/yuccausage/exchange.go
@@ -180,7 +180,6 @@
 		Entries:     uint32(r.Entries),
 		Old:         r.Old,
 		Whole:       r.Whole,
-		Partial:     r.Partial,
 		Accounts:    make([]uint64, 0, len(r.Claims)),
 		Claims:      make([]uint32, 0, len(r.Claims)),
 	}
@@ -209,7 +208,6 @@
 		Entries:     int(m.GetEntries()),
 		Old:         m.GetOld(),
 		Whole:       m.GetWhole(),
-		Partial:     m.GetPartial(),
 		Claims:      make([]yuccaquota.Claim, 0, len(m.GetClaims())),
 	}
 	for i, account := range m.GetAccounts() {
