--- a/core/yuccaquota/evaluation_test.go
+++ b/core/yuccaquota/evaluation_test.go
@@ -1,6 +1,7 @@
 package yuccaquota_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -145,7 +146,7 @@
 	for _, entries := range []int{7, 25, 30, 110} {
 		for _, limit := range evaluationLimits() {
 			for _, v := range scenarios() {
-				t.Run("", func(t *testing.T) {
+				t.Run(fmt.Sprint(entries, limit, v.name), func(t *testing.T) {
 					t.Parallel()
 					s := &sim{entries: entries, limit: limit, new: newLedgerNode, seed: 1}
 					v.edit(s)
--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -11,9 +11,9 @@
 
 const (
 	// claimUnits is the number of claim units in a whole rate.
-	claimUnits = 1000
-	// maxClaim bounds a claim, in units.
-	maxClaim = 4 * claimUnits
+	claimUnits = 10_000
+	// maxClaim bounds a claim, in units. It fits into two bytes of a message.
+	maxClaim = 1.6 * claimUnits
 	// claimRepeats is in how many reports a changed claim is sent, so that the loss of
 	// some of them does no harm. More are not lost without the sender being silent.
 	claimRepeats = 5
@@ -29,14 +29,20 @@
 	demandArrivals = 20
 	// maxDemand bounds the mean arrival rate, as a multiple of the account's rate.
 	maxDemand = 1.5
+	// trendTime is the time constant of the mean that the demand is compared with. A claim
+	// takes about that long to have its full effect.
+	trendTime = time.Second
+	// trendArrivals is the arrival rate a second from which the trend is relied on.
+	trendArrivals = 3
+	// trendGain is how much of the trend is added to a claim.
+	trendGain = 2
 	// demandMargin is how much more than the arrival rate is claimed.
 	demandMargin = 1.25
 	// refillTime is the time in which a claim refills the bucket.
 	refillTime = time.Second
-	// claimStep is the least relative change of a claim that is reported, and
-	// minClaimStep the least absolute one, in units.
-	claimStep    = 0.15
-	minClaimStep = 20
+	// claimStep is the least change of a claim that is reported, relative to the claim or
+	// to the even part if that is larger.
+	claimStep = 0.15
 	// residence is how long after its last request an entry claims to keep its tokens.
 	residence = 30 * time.Second
 	// stallTicks is the number of intervals after which a missing tick shows that the
@@ -138,6 +144,8 @@
 	arrivals int
 	// demand is the mean arrival rate.
 	demand float64
+	// slow is a mean of demand over a longer time.
+	slow float64
 	// published holds the own claim as reported at the last ticks, newest first.
 	published [maxSettleTicks]uint32
 	// repeats is in how many more reports the claim is sent.
@@ -428,10 +436,13 @@
 		constant := min(maxDemandTime.Seconds(), max(minDemandTime.Seconds(), demandArrivals/max(rate, a.demand)))
 		a.demand += (rate - a.demand) * (1 - math.Exp(-elapsed.Seconds()/constant))
 		a.demand = min(a.demand, maxDemand*a.limit.Rate)
+		a.slow += (a.demand - a.slow) * (1 - math.Exp(-elapsed.Seconds()/trendTime.Seconds()))
 		a.arrivals = 0
 	}
 	a.bucket.refill(now)
-	wanted := demandMargin*a.demand + a.bucket.Missing()/refillTime.Seconds()
+	// The trend of a few arrivals is chance.
+	trend := max(trendGain*(a.demand-a.slow), -a.demand) * a.demand / (a.demand + trendArrivals)
+	wanted := demandMargin*a.demand + trend + a.bucket.Missing()/refillTime.Seconds()
 	units := uint32(min(maxClaim, wanted/a.limit.Rate*claimUnits))
 	if units == 0 && now.Sub(a.usedAt) < residence && l.claiming < maxResidents {
 		units = 1
@@ -443,7 +454,7 @@
 	}
 	last := a.published[0]
 	copy(a.published[1:], a.published[:])
-	step := max(minClaimStep, claimStep*float64(last))
+	step := claimStep * max(float64(last), claimUnits*l.group.base())
 	if (units == 0) != (last == 0) || (units <= 1) != (last <= 1) || math.Abs(float64(units)-float64(last)) > step {
 		a.published[0] = units
 		a.repeats = claimRepeats
@@ -523,6 +534,6 @@
 
 // reset ends the account's activity.
 func (a *account) reset() {
-	a.active, a.demand, a.arrivals, a.repeats, a.peers = false, 0, 0, 0, nil
+	a.active, a.demand, a.slow, a.arrivals, a.repeats, a.peers = false, 0, 0, 0, 0, nil
 	a.published = [maxSettleTicks]uint32{}
 }
--- a/core/yuccaquota/share.go
+++ b/core/yuccaquota/share.go
@@ -5,12 +5,12 @@
 const (
 	// usableRate is the part of a rate that is handed out, and burstShare x burst +
 	// rateShare x rate + stockMargin is the number of tokens that all entries together may
-	// hold. In 5 s they admit 4.75 x rate and these tokens, which leaves 0.35 x rate below
+	// hold. In 5 s they admit 4.7 x rate and these tokens, which leaves 0.2 x rate below
 	// the bound (rate x 5 + burst) x 1.1 + 20 for the moments in which entries join or
 	// hear one another again.
-	usableRate  = 0.95
+	usableRate  = 0.94
 	burstShare  = 1.1
-	rateShare   = 0.4
+	rateShare   = 0.6
 	stockMargin = 19.5
 	// sharedRate is how many seconds of the rate the entries with claims hold at least.
 	// With less, tokens are lost between two requests of a busy entry.
