--- a/core/yuccaquota/evaluation_test.go
+++ b/core/yuccaquota/evaluation_test.go
@@ -42,6 +42,17 @@
 		{"all entries, 0.9 of the rate", warm, warm + 15*time.Second, 0.9, func(s *sim) {
 			s.load = func(time.Duration, int) float64 { return 0.9 / float64(s.entries) }
 		}},
+		{"all entries, 0.6 of the rate", warm, warm + 15*time.Second, 0.99, func(s *sim) {
+			s.load = func(time.Duration, int) float64 { return 0.6 / float64(s.entries) }
+		}},
+		{"two entries, 0.6 of the rate", warm, warm + 15*time.Second, 0.99, func(s *sim) {
+			s.load = func(_ time.Duration, i int) float64 {
+				if i < 2 {
+					return 0.3
+				}
+				return 0
+			}
+		}},
 		{"move within 2 s", warm, warm + 10*time.Second, 0.9, func(s *sim) {
 			third := float64(s.entries / 3)
 			s.load = func(at time.Duration, i int) float64 {
--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -1,64 +1,58 @@
 package yuccaquota
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// claimUnits is the number of claim units in a whole rate.
-	claimUnits = 10_000
-	// maxClaim bounds a claim, in units. It fits into two bytes of a message.
-	maxClaim = 1.6 * claimUnits
-	// claimRepeats is in how many reports a changed claim is sent, so that the loss of
-	// some of them does no harm. More are not lost without the sender being silent.
-	claimRepeats = 5
-	// wholeInterval is the number of reports from one with all claims to the next.
-	wholeInterval = 10
-	// maxSettleTicks is the largest number of ticks that a higher claim needs before it
-	// takes effect.
-	maxSettleTicks = 7
-	// minDemandTime and maxDemandTime bound the time constant of the mean arrival rate,
-	// and demandArrivals is how many arrivals it covers in between.
-	minDemandTime  = 200 * time.Millisecond
-	maxDemandTime  = time.Second
-	demandArrivals = 20
-	// maxDemand bounds the mean arrival rate, as a multiple of the account's rate.
-	maxDemand = 1.5
-	// trendTime is the time constant of the mean that the demand is compared with. A claim
-	// takes about that long to have its full effect.
-	trendTime = time.Second
-	// trendArrivals is the arrival rate a second from which the trend is relied on.
-	trendArrivals = 3
-	// trendGain is how much of the trend is added to a claim.
-	trendGain = 2
-	// demandMargin is how much more than the arrival rate is claimed.
-	demandMargin = 1.25
-	// refillTime is the time in which a claim refills the bucket.
-	refillTime = time.Second
-	// claimStep is the least change of a claim that is reported, relative to the claim or
-	// to the even part if that is larger.
-	claimStep = 0.15
-	// residence is how long after its last request an entry claims to keep its tokens.
-	residence = 30 * time.Second
-	// stallTicks is the number of intervals after which a missing tick shows that the
-	// process stood still.
-	stallTicks = 3
+	// reportInterval is the time between two reports.
+	reportInterval = 100 * time.Millisecond
+	// rareReports is the number of reports after which the usage of an account that is far
+	// from its limit is reported.
+	rareReports = 10
+	// wholeReports is the number of reports from one with all accounts to the next.
+	wholeReports = 20
+	// rateTime is the time constant of the mean rate that is reported.
+	rateTime = 400 * time.Millisecond
+	// rateArrivals is the number of requests that the mean rate covers at least.
+	rateArrivals = 6
+	// scarceTokens is the fraction of the bucket below which an account is scarce, and
+	// busyRate the fraction of the limit's rate from which it is.
+	scarceTokens = 0.7
+	busyRate     = 0.7
+	// scarceError and calmError are how far the others' count of this entry's requests may
+	// be off before it reports, as fractions of the bucket.
+	scarceError = 0.002
+	calmError   = 0.02
+	// freeRequests is how many requests of an account all entries together may admit at
+	// once without knowing of one another.
+	freeRequests = 28
+	// maxWait bounds the time after which a refused request is told to come back.
+	maxWait = 5 * time.Second
+	// burstRate and burstTokens are the tokens that a bucket holds besides the limit's
+	// burst, in seconds of its rate and in requests. They keep chance from refusing
+	// requests of an account below its limit, and stay within the bound on the sum.
+	burstRate   = 0.12
+	burstTokens = 8
+	// growth is how much more than before, and than an even part of the tokens that are
+	// left, an entry may admit between two reports. It bounds what all entries admit in a
+	// surge before they know of one another.
+	growth = 1.3
+	// minWait is the least such time.
+	minWait = 50 * time.Millisecond
+	// stallTime is the age of the last tick from which tokens are no longer added: the
+	// process stood still, and others may have used them.
+	stallTime = 3 * reportInterval
+	// maxRate bounds the rates in reports, in requests a second.
+	maxRate = 1e9
 	// keptTime is how long a removed account is remembered, so that a config that comes
-	// back does not fill its bucket again.
+	// back does not renew its burst.
 	keptTime = 10 * time.Second
-	// maxPeers bounds how many other entries are remembered.
-	maxPeers = 4096
-	// MaxClaims bounds the claims of one entry, so that a report fits into a message.
-	// Further accounts have only the tokens that they hold.
-	MaxClaims = 20_000
-	// maxResidents is the number of claims from which accounts without requests claim
-	// nothing.
-	maxResidents = MaxClaims / 2
+	// MaxUsages bounds the accounts in a report, so that it fits into a message.
+	MaxUsages = 20_000
 )
 
 // Report is what an entry tells the others.
@@ -67,114 +61,66 @@
 	Incarnation uint64
 	// Seq numbers the reports of an incarnation.
 	Seq uint64
-	// Sent is the time of sending by the sender's clock.
-	Sent time.Duration
-	// View is a hash of the entries that the sender hears.
+	// View is a hash of the names of the entries that the sender hears.
 	View uint64
-	// Entries is how many entries the sender knows.
+	// Entries is the number of entries that the sender knows.
 	Entries int
-	// Old is set if the sender has run for some time.
-	Old bool
-	// Whole is set if Claims has all claims, and not just the changed ones.
+	// Synced is set if the tokens in the report are an estimate for all entries.
+	Synced bool
+	// Whole is set if Usages has all accounts whose tokens are not complete.
 	Whole bool
-	// Claims holds the claims. The slice is valid until the next call of Tick.
-	Claims []Claim
+	// Usages holds the usage of accounts. The slice is valid until the next call of Tick.
+	Usages []Usage
 }
 
-// Claim is the part of an account's rate that an entry has use for.
-type Claim struct {
+// Usage is what an entry has admitted of one account.
+type Usage struct {
 	// Account is the hash of the account's name.
 	Account uint64
-	// Units is the claim in thousandths of the rate.
-	Units uint32
+	// Admitted is the number of requests that the entry has admitted in this incarnation.
+	Admitted uint64
+	// Rate is the present rate of these, in requests a second.
+	Rate float64
+	// Tokens is the sender's estimate of the tokens that are left for all entries.
+	Tokens float64
 }
 
-// Ledger is one entry's view of the limits of all accounts. Each entry owns an even part
-// of each rate. It lends what it has no use for: an entry that claims nothing of an
-// account lends all its part. Claims that have been known to all for a moment are met by
-// max-min fairness.
+// Ledger estimates, for each account, the tokens that are left in one bucket which all
+// entries share. Entries report what they have admitted. Between two reports an entry
+// counts the others' requests at the rates that they reported. As the counts are
+// cumulative, a lost or repeated report does no harm. Entries that do not hear one another
+// divide the limit, so that the sum holds without a message.
 //
 // It addresses accounts whose requests arrive at one entry, at all entries or at changing
 // entries, a surge at all entries at the same moment, and partitions. The caller passes
 // the time, and guards the ledger against concurrent use. Create one with NewLedger.
 type Ledger struct {
-	incarnation uint64
-	group       *group
+	group *group
 	// accounts holds the accounts with a limit by name. The map is never changed, only
 	// replaced.
 	accounts map[string]*account
 	// byHash holds the same accounts by the hash of the name.
 	byHash map[uint64]*account
-	// active holds the accounts with a claim of any entry.
+	// active holds the accounts that are not at rest.
 	active []*account
 	// removed holds the accounts without a limit that are still remembered.
 	removed map[string]*account
-	// epoch changes with the number of entries.
-	epoch uint64
 	// tickedAt is when Tick was called last.
 	tickedAt time.Time
 	seq      uint64
-	// claiming is the number of own claims.
-	claiming int
-	claims   []Claim
-	// others and ranked are scratch space.
-	others []float64
-	ranked []rankedClaim
-}
-
-// rankedClaim is the claim of another entry with the hash that it is ranked by.
-type rankedClaim struct {
-	hash  uint64
-	claim float64
-}
-
-// account is one account's state.
-type account struct {
-	name  string
-	hash  uint64
-	limit Limit
-	// epoch is that of the ledger when the bucket's part was set.
-	epoch  uint64
-	bucket SharedBucket
-	// active is set while the account is listed as active.
-	active bool
-	// usedAt is when a request arrived last.
-	usedAt time.Time
-	// arrivals is the number of requests since the last tick.
-	arrivals int
-	// demand is the mean arrival rate.
-	demand float64
-	// slow is a mean of demand over a longer time.
-	slow float64
-	// published holds the own claim as reported at the last ticks, newest first.
-	published [maxSettleTicks]uint32
-	// repeats is in how many more reports the claim is sent.
-	repeats int
-	// peers holds the claims of other entries.
-	peers []peerClaim
-	// removedAt is when the limit was removed.
-	removedAt time.Time
-}
-
-// peerClaim is the claim of another entry.
-type peerClaim struct {
-	peer *peer
-	// seq is the number of the last report with the claim.
-	seq uint64
-	// units is the claim.
-	units uint32
+	// synced is set once the tokens are an estimate for all entries.
+	synced bool
+	usages []Usage
 }
 
 // NewLedger returns the ledger of the entry self without limits.
 func NewLedger(self string, incarnation uint64, now time.Time) *Ledger {
 	return &Ledger{
-		incarnation: incarnation,
-		group:       newGroup(self, now),
-		accounts:    map[string]*account{},
-		byHash:      map[uint64]*account{},
-		removed:     map[string]*account{},
-		epoch:       1,
-		tickedAt:    now,
+		group:    newGroup(self, incarnation, now),
+		accounts: map[string]*account{},
+		byHash:   map[uint64]*account{},
+		removed:  map[string]*account{},
+		tickedAt: now,
 	}
 }
 
@@ -204,9 +150,9 @@
 	return n
 }
 
-// Apply puts the limits into force. The bucket of an account that this entry sees for
-// the first time is full, unless the entry has just started: then the account may be an
-// old one whose tokens have been used.
+// Apply puts the limits into force. An account that this entry sees for the first time
+// has all its tokens, unless the entry has just started: then the account may be an old
+// one whose tokens have been used.
 func (l *Ledger) Apply(now time.Time, n Limits) {
 	for name, a := range l.accounts {
 		if _, ok := n.accounts[name]; !ok {
@@ -226,15 +172,18 @@
 			n.accounts[name], n.byHash[a.hash] = old, old
 			continue
 		}
-		l.setIdle(now, a)
-		if l.group.old(now) {
-			a.bucket.Fill()
+		a.at, a.allowance = now, 1
+		if l.synced {
+			a.tokens = a.limit.capacity()
 		}
+		l.activate(a)
 	}
 	l.accounts, l.byHash = n.accounts, n.byHash
 	for a, limit := range n.changed {
+		l.refill(now, a)
 		a.limit = limit
-		l.setIdle(now, a)
+		a.tokens = min(a.tokens, limit.capacity())
+		l.activate(a)
 	}
 }
 
@@ -242,44 +191,7 @@
 func (l *Ledger) Len() int { return len(l.accounts) }
 
 // Interval returns the time between two calls of Tick.
-func (l *Ledger) Interval() time.Duration { return l.group.interval() }
-
-// setIdle gives the bucket the part of an account that no entry claims. Until others may
-// use this entry's part, tokens are added without a claim.
-func (l *Ledger) setIdle(now time.Time, a *account) {
-	s := stockOf(a.limit, l.group.entries)
-	capacity := s.floor + s.shared*l.group.base()
-	if s.holders > 0 && l.idleRank(a) >= s.holders {
-		capacity = 0
-	}
-	a.bucket.SetPart(now, l.usable(a.limit)*l.group.base(), l.group.start.Add(probation), capacity)
-	a.epoch = l.epoch
-}
-
-// idleRank returns how many entries without a claim come before this one where there
-// are too few tokens.
-func (l *Ledger) idleRank(a *account) int {
-	rank, self := 0, mix(a.hash, l.group.selfHash)
-	for _, hash := range l.group.known {
-		if mix(a.hash, hash) > self {
-			rank++
-		}
-	}
-	for _, c := range a.peers {
-		if c.peer.grouped && c.units > 0 && mix(a.hash, c.peer.hash) > self {
-			rank--
-		}
-	}
-	return rank
-}
-
-// usable returns the part of the rate that is handed out.
-func (l *Ledger) usable(limit Limit) float64 {
-	if l.group.entries == 1 {
-		return limit.Rate
-	}
-	return usableRate * limit.Rate
-}
+func (l *Ledger) Interval() time.Duration { return reportInterval }
 
 // Take uses one request of the account's limit. It returns whether the request may run,
 // and if not, after which time it may. Accounts without a limit always may.
@@ -288,26 +200,49 @@
 	if a == nil {
 		return 0, true
 	}
-	switch stall := l.tickedAt.Add(stallTicks * l.group.interval()); {
-	case !a.active && a.epoch != l.epoch:
-		l.setIdle(now, a)
-	case a.active && now.After(stall):
-		a.bucket.SetPart(stall, 0, time.Time{}, a.bucket.capacity)
-	}
-	a.usedAt = now
-	a.arrivals++
+	l.refill(now, a)
 	l.activate(a)
-	if a.bucket.Take(now) {
+	if a.tokens >= 1 && a.allowance >= 1 {
+		a.tokens--
+		a.allowance--
+		a.admitted++
+		a.waiting = max(0, a.waiting-1)
 		return 0, true
 	}
-	return a.bucket.Wait(), false
+	a.waiting = min(a.waiting+1, a.limit.Rate*maxWait.Seconds())
+	rate := max(a.rate, Evenly(l.group.share*a.limit.Rate, l.group.entries))
+	wait = time.Duration(min(maxWait.Seconds(), max(a.waiting/rate, (1-a.tokens)/a.limit.Rate)) * float64(time.Second))
+	return max(minWait, wait), false
 }
 
 // Return gives back the token of a request that has not run.
 func (l *Ledger) Return(name string) {
+	if a := l.accounts[name]; a != nil && a.admitted > a.returned {
+		a.returned++
+		a.tokens++
+	}
+}
+
+// Usage returns the limit of an account, the rate at which all entries admit its requests,
+// and the age of the oldest report of another entry.
+func (l *Ledger) Usage(now time.Time, name string) (limit Limit, admitted float64, oldest time.Duration) {
 	if a := l.accounts[name]; a != nil {
-		a.bucket.Return()
+		limit, admitted = a.limit, a.rate+a.othersRate
 	}
+	return limit, admitted, l.group.oldest(now)
+}
+
+// refill adds the tokens since the last refill, less those that the others use at the
+// rates that they reported.
+func (l *Ledger) refill(now time.Time, a *account) {
+	elapsed := now.Sub(a.at)
+	if elapsed <= 0 {
+		return
+	}
+	added := max(0, min(elapsed, l.tickedAt.Add(stallTime).Sub(a.at)))
+	a.tokens += l.group.share*a.limit.Rate*added.Seconds() - a.othersRate*elapsed.Seconds()
+	a.tokens = min(a.tokens, l.group.share*a.limit.capacity())
+	a.at = now
 }
 
 // activate lists the account as active.
@@ -318,222 +253,236 @@
 	}
 }
 
-// Usage returns the limit of an account, the rate at which its requests arrive at this
-// entry, and the age of the oldest report of another entry.
-func (l *Ledger) Usage(now time.Time, name string) (limit Limit, arrivals float64, oldest time.Duration) {
-	if a := l.accounts[name]; a != nil {
-		limit, arrivals = a.limit, a.demand
-	}
-	return limit, arrivals, l.group.oldest(now)
-}
-
 // Receive records the report of another entry.
 func (l *Ledger) Receive(now time.Time, from string, r Report) {
-	before := l.group.peers[from]
 	p, restarted := l.group.receive(now, from, r)
 	if p == nil {
 		return
 	}
 	if restarted {
-		l.forget(before)
+		l.forget(now, p.name)
 	}
-	for _, c := range r.Claims {
-		if a := l.byHash[c.Account]; a != nil {
-			a.setClaim(p, r.Seq, min(c.Units, maxClaim))
+	for _, u := range r.Usages {
+		if a := l.byHash[u.Account]; a != nil && u.Rate >= 0 {
+			l.refill(now, a)
+			a.record(now, p, u, restarted)
 			l.activate(a)
 		}
 	}
-	if r.Whole {
-		for _, a := range l.active {
-			for i := range a.peers {
-				if c := &a.peers[i]; c.peer == p && c.seq != r.Seq {
-					c.units = 0
-				}
-			}
-		}
+	if r.Whole && r.Synced && !l.synced {
+		l.adopt(now, r)
 	}
 }
 
-func (a *account) setClaim(p *peer, seq uint64, units uint32) {
-	for i := range a.peers {
-		if c := &a.peers[i]; c.peer == p {
-			c.seq, c.units = seq, units
-			return
+// adopt takes over the tokens that another entry reports, after a start.
+func (l *Ledger) adopt(now time.Time, r Report) {
+	for _, a := range l.byHash {
+		a.tokens, a.at = l.group.share*a.limit.capacity(), now
+	}
+	for _, u := range r.Usages {
+		if a := l.byHash[u.Account]; a != nil {
+			a.tokens = min(a.tokens, u.Tokens)
 		}
 	}
-	a.peers = append(a.peers, peerClaim{p, seq, units})
+	l.synced = true
 }
 
-// forget removes the claims of an entry.
-func (l *Ledger) forget(p *peer) {
+// forget drops what an entry has reported.
+func (l *Ledger) forget(now time.Time, name string) {
 	for _, a := range l.active {
-		a.peers = slices.DeleteFunc(a.peers, func(c peerClaim) bool { return c.peer == p })
+		for i := range a.others {
+			if o := &a.others[i]; o.peer.name == name {
+				l.refill(now, a)
+				a.setRate(o, 0)
+				o.known = false
+			}
+		}
 	}
 }
 
-// Tick adapts the parts to the claims and to which entries are heard, and returns the
-// report for the other entries. The list names the entries of the system. Call it once in
-// each Interval.
+// Tick adapts the estimates to which entries are heard, and returns the report for the
+// other entries. The list names the entries of the system. Call it once in each Interval.
 func (l *Ledger) Tick(now time.Time, list []string) Report {
 	elapsed := now.Sub(l.tickedAt)
-	stall := l.tickedAt.Add(stallTicks * l.group.interval())
-	stalled := now.After(stall)
+	for _, a := range l.active {
+		l.refill(now, a)
+	}
 	l.tickedAt = now
-	if !stalled {
-		// After a standstill, reports may still wait to be read.
-		entries := l.group.entries
-		for _, p := range l.group.update(now, list) {
-			l.forget(p)
-		}
-		if l.group.entries != entries {
-			l.epoch++
-		}
+	for _, p := range l.group.update(now, list) {
+		l.forget(now, p.name)
 	}
+	l.synced = l.synced || l.group.old(now)
 	for name, a := range l.removed {
 		if now.Sub(a.removedAt) > keptTime {
 			delete(l.removed, name)
 		}
 	}
 	l.seq++
-	r := Report{Incarnation: l.incarnation, Seq: l.seq, Sent: now.Sub(l.group.start), View: l.group.view, Entries: l.group.listed, Old: l.group.old(now), Whole: l.seq%wholeInterval == 1}
-	l.claims, l.claiming = l.claims[:0], 0
-	whole := l.group.whole(now)
+	r := Report{
+		Incarnation: l.group.incarnation,
+		Seq:         l.seq,
+		View:        l.group.view,
+		Entries:     l.group.listed,
+		Synced:      l.synced,
+		Whole:       l.seq%wholeReports == 0,
+	}
+	l.usages = l.usages[:0]
 	active := l.active[:0]
 	for _, a := range l.active {
 		if l.byHash[a.hash] != a {
-			a.reset()
+			a.active = false
 			continue
 		}
-		if stalled {
-			// The claims of others may have changed meanwhile.
-			a.bucket.SetPart(stall, 0, time.Time{}, a.bucket.capacity)
-		}
-		l.claim(now, elapsed, a)
-		if !stalled {
-			l.share(now, whole, a)
-		}
-		if r.Whole && a.published[0] > 0 || a.repeats > 0 {
-			l.claims = append(l.claims, Claim{a.hash, a.published[0]})
-			a.repeats = max(0, a.repeats-1)
+		a.updateRate(elapsed)
+		a.allow(l.group.entries)
+		if len(l.usages) < MaxUsages && (r.Whole || a.due(now, l.seq)) {
+			l.usages = append(l.usages, a.report(now))
 		}
-		if a.idle() {
-			a.reset()
-			l.setIdle(now, a)
+		if a.resting(l.group.share) {
+			a.active = false
 			continue
 		}
 		active = append(active, a)
 	}
 	clear(l.active[len(active):])
 	l.active = active
-	r.Claims = l.claims
+	r.Usages = l.usages
 	return r
 }
 
-// claim updates what the entry claims of an account.
-func (l *Ledger) claim(now time.Time, elapsed time.Duration, a *account) {
-	if elapsed > 0 {
-		rate := float64(a.arrivals) / elapsed.Seconds()
-		constant := min(maxDemandTime.Seconds(), max(minDemandTime.Seconds(), demandArrivals/max(rate, a.demand)))
-		a.demand += (rate - a.demand) * (1 - math.Exp(-elapsed.Seconds()/constant))
-		a.demand = min(a.demand, maxDemand*a.limit.Rate)
-		a.slow += (a.demand - a.slow) * (1 - math.Exp(-elapsed.Seconds()/trendTime.Seconds()))
-		a.arrivals = 0
-	}
-	a.bucket.refill(now)
-	// The trend of a few arrivals is chance.
-	trend := max(trendGain*(a.demand-a.slow), -a.demand) * a.demand / (a.demand + trendArrivals)
-	wanted := demandMargin*a.demand + trend + a.bucket.Missing()/refillTime.Seconds()
-	units := uint32(min(maxClaim, wanted/a.limit.Rate*claimUnits))
-	if units == 0 && now.Sub(a.usedAt) < residence && l.claiming < maxResidents {
-		units = 1
-	}
-	if units > 0 {
-		if l.claiming++; l.claiming > MaxClaims {
-			units = 0
+// account is one account's state.
+type account struct {
+	name  string
+	hash  uint64
+	limit Limit
+	// tokens is the estimate of the tokens that are left for all entries at the time at.
+	// It is negative if entries have admitted more than there were.
+	tokens float64
+	at     time.Time
+	// allowance is how many requests this entry may admit before its next report.
+	allowance float64
+	// admitted and returned are the numbers of requests that this entry has admitted, and
+	// of those that then did not run.
+	admitted, returned uint64
+	// counted is used at the last tick.
+	counted uint64
+	// reported and reportedRate are used and rate at the last report, at reportedAt.
+	reported     uint64
+	reportedRate float64
+	reportedAt   time.Time
+	// rate is the mean rate of this entry's requests a second.
+	rate float64
+	// waiting is the number of refused requests that have been told to come back.
+	waiting float64
+	// others holds the usage that other entries have reported.
+	others []otherUsage
+	// othersRate is the sum of their rates.
+	othersRate float64
+	// active is set while the account is listed as active.
+	active bool
+	// removedAt is when the limit was removed.
+	removedAt time.Time
+}
+
+// otherUsage is what another entry has reported.
+type otherUsage struct {
+	peer *peer
+	// known is set if admitted was reported without a gap since.
+	known    bool
+	admitted uint64
+	rate     float64
+	// at is when the report arrived.
+	at time.Time
+}
+
+// capacity returns how many tokens the bucket holds at most.
+func (l Limit) capacity() float64 { return l.Burst + burstRate*l.Rate + burstTokens }
+
+// used returns the number of requests that this entry has admitted and not taken back.
+func (a *account) used() uint64 { return a.admitted - a.returned }
+
+// record replaces the requests that were counted for another entry by those that it
+// reports.
+func (a *account) record(now time.Time, p *peer, u Usage, restarted bool) {
+	o := a.other(p)
+	switch {
+	case o.known:
+		counted := o.rate * now.Sub(o.at).Seconds()
+		a.tokens -= float64(int64(u.Admitted-o.admitted)) - counted
+	case restarted:
+		a.tokens -= float64(u.Admitted)
+	}
+	a.setRate(o, min(maxRate, u.Rate))
+	o.known, o.admitted, o.at = true, u.Admitted, now
+}
+
+// other returns the usage of another entry.
+func (a *account) other(p *peer) *otherUsage {
+	for i := range a.others {
+		if o := &a.others[i]; o.peer.name == p.name {
+			o.peer = p
+			return o
 		}
 	}
-	last := a.published[0]
-	copy(a.published[1:], a.published[:])
-	step := claimStep * max(float64(last), claimUnits*l.group.base())
-	if (units == 0) != (last == 0) || (units <= 1) != (last <= 1) || math.Abs(float64(units)-float64(last)) > step {
-		a.published[0] = units
-		a.repeats = claimRepeats
-	}
+	a.others = append(a.others, otherUsage{peer: p})
+	return &a.others[len(a.others)-1]
 }
 
-// settled returns the part that the entry has claimed for so long that all others know
-// it or have stopped using this entry's part.
-func (l *Ledger) settled(a *account) float64 {
-	ticks := int(l.group.timeout()/l.group.interval()) + 2
-	if l.group.entries == 1 {
-		ticks = 1
-	}
-	return float64(slices.Min(a.published[:ticks])) / claimUnits
+func (a *account) setRate(o *otherUsage, rate float64) {
+	a.othersRate = max(0, a.othersRate-o.rate+rate)
+	o.rate = rate
 }
 
-// share sets the part of the bucket by the claims of all entries of the group.
-func (l *Ledger) share(now time.Time, whole float64, a *account) {
-	a.peers = slices.DeleteFunc(a.peers, func(c peerClaim) bool { return c.units == 0 })
-	own := l.settled(a)
-	s := stockOf(a.limit, l.group.entries)
-	l.others = l.others[:0]
-	for _, c := range a.peers {
-		if c.peer.grouped {
-			l.others = append(l.others, float64(c.units)/claimUnits)
-		}
+// updateRate adds the requests since the last tick to the mean rate.
+func (a *account) updateRate(elapsed time.Duration) {
+	if elapsed <= 0 {
+		return
 	}
-	var part, capacity float64
-	switch {
-	case own == 0 && s.holders > 0:
-		if l.idleRank(a) < s.holders-len(l.others) {
-			capacity = s.floor
-		}
-	case own == 0:
-		capacity = s.floor
-	case s.holders > 0:
-		part, capacity = l.scarce(a, s, own, whole)
-	default:
-		part = fairShare(own, l.others, whole)
-		capacity = s.floor + s.shared*part
+	rate := float64(int64(a.used()-a.counted)) / elapsed.Seconds()
+	a.counted = a.used()
+	constant := max(rateTime.Seconds(), min(rateArrivals/max(rate, a.rate, 1), 2))
+	a.rate = max(0, a.rate+(rate-a.rate)*(1-math.Exp(-elapsed.Seconds()/constant)))
+	a.waiting = max(0, a.waiting-a.limit.Rate*elapsed.Seconds()/maxWait.Seconds())
+}
+
+// allow sets how many requests this entry may admit before its next report. Where there
+// are more entries than freeRequests, an entry without requests has to save up for the
+// first one.
+func (a *account) allow(entries int) {
+	more := growth * (a.rate*reportInterval.Seconds() + Evenly(max(0, a.tokens), entries))
+	most := Evenly(freeRequests, entries)
+	if most > 1 || a.waiting > 0 {
+		most = 1
 	}
-	a.bucket.SetPart(now, l.usable(a.limit)*part, time.Time{}, capacity)
-	a.epoch = l.epoch
+	a.allowance = min(max(most, more), a.allowance+more)
 }
 
-// scarce returns the entry's part and capacity if there are fewer tokens than entries:
-// only as many claimants as there are tokens have one.
-func (l *Ledger) scarce(a *account, s stock, own, whole float64) (part, capacity float64) {
-	rank, self := 0, mix(a.hash, l.group.selfHash)
-	l.ranked = l.ranked[:0]
-	for _, c := range a.peers {
-		if c.peer.grouped {
-			hash := mix(a.hash, c.peer.hash)
-			if hash > self {
-				rank++
-			}
-			l.ranked = append(l.ranked, rankedClaim{hash, float64(c.units) / claimUnits})
-		}
+// due reports whether the usage belongs into the next report: when the others, who count
+// this entry's requests at the rate that it reported, are too far off.
+func (a *account) due(now time.Time, seq uint64) bool {
+	if a.used() == a.reported && a.rate == 0 && a.reportedRate == 0 {
+		return false
 	}
-	chosen := max(1, int(float64(s.holders)*whole))
-	if rank >= chosen {
-		return 0, 0
+	if (seq+a.hash)%rareReports == 0 {
+		return true
 	}
-	slices.SortFunc(l.ranked, func(a, b rankedClaim) int { return cmp.Compare(b.hash, a.hash) })
-	l.others = l.others[:0]
-	for _, c := range l.ranked[:min(len(l.ranked), chosen-1)] {
-		l.others = append(l.others, c.claim)
+	counted := float64(a.reported) + a.reportedRate*now.Sub(a.reportedAt).Seconds()
+	off := math.Abs(float64(a.used()) - counted)
+	if a.tokens < scarceTokens*a.limit.capacity() || a.rate+a.othersRate > busyRate*a.limit.Rate {
+		return off > max(0.5, scarceError*a.limit.capacity())
 	}
-	part = fairShare(own, l.others, whole)
-	return part, s.floor + s.shared*part
+	return off > max(2, calmError*a.limit.capacity())
 }
 
-// idle reports whether no entry claims anything of the account.
-func (a *account) idle() bool {
-	return len(a.peers) == 0 && a.repeats == 0 && slices.Max(a.published[:]) == 0 && a.arrivals == 0
+func (a *account) report(now time.Time) Usage {
+	if a.rate < 1e-4*a.limit.Rate {
+		a.rate = 0
+	}
+	a.reported, a.reportedRate, a.reportedAt = a.used(), a.rate, now
+	return Usage{Account: a.hash, Admitted: a.used(), Rate: a.rate, Tokens: a.tokens}
 }
 
-// reset ends the account's activity.
-func (a *account) reset() {
-	a.active, a.demand, a.slow, a.arrivals, a.repeats, a.peers = false, 0, 0, 0, 0, nil
-	a.published = [maxSettleTicks]uint32{}
+// resting reports whether all tokens are there and no entry uses any.
+func (a *account) resting(share float64) bool {
+	return a.tokens >= share*a.limit.capacity() && a.othersRate == 0 && a.rate == 0 && a.reportedRate == 0 && a.used() == a.reported
 }
--- a/core/yuccaquota/sim_test.go
+++ b/core/yuccaquota/sim_test.go
@@ -175,7 +175,7 @@
 func (n ledgerNode) take(now time.Time) bool { _, ok := n.Take(now, "a"); return ok }
 func (n ledgerNode) tick(now time.Time, list []string) []message {
 	r := n.Tick(now, list)
-	r.Claims = slices.Clone(r.Claims)
+	r.Usages = slices.Clone(r.Usages)
 	return []message{{body: r}}
 }
 func (n ledgerNode) receive(now time.Time, from string, body any) {
--- a/core/yuccausage/exchange.go
+++ b/core/yuccausage/exchange.go
@@ -175,17 +175,20 @@
 	m := &Usage{
 		Incarnation: r.Incarnation,
 		Seq:         r.Seq,
-		SentUs:      uint64(r.Sent.Microseconds()),
 		View:        r.View,
 		Entries:     uint32(r.Entries),
-		Old:         r.Old,
+		Synced:      r.Synced,
 		Whole:       r.Whole,
-		Accounts:    make([]uint64, 0, len(r.Claims)),
-		Claims:      make([]uint32, 0, len(r.Claims)),
+		Accounts:    make([]uint64, 0, len(r.Usages)),
+		Admitted:    make([]uint64, 0, len(r.Usages)),
+		Rates:       make([]float32, 0, len(r.Usages)),
+		Tokens:      make([]float32, 0, len(r.Usages)),
 	}
-	for _, c := range r.Claims {
-		m.Accounts = append(m.Accounts, c.Account)
-		m.Claims = append(m.Claims, c.Units)
+	for _, u := range r.Usages {
+		m.Accounts = append(m.Accounts, u.Account)
+		m.Admitted = append(m.Admitted, u.Admitted)
+		m.Rates = append(m.Rates, float32(u.Rate))
+		m.Tokens = append(m.Tokens, float32(u.Tokens))
 	}
 	return m
 }
@@ -197,21 +200,21 @@
 	if err := proto.Unmarshal(body, &m); err != nil {
 		return nil, yuccaerror.New(yuccaerror.Protocol, "decode usage of entry %s: %w", from, err)
 	}
-	if len(m.GetAccounts()) != len(m.GetClaims()) || len(m.GetClaims()) > yuccaquota.MaxClaims {
-		return nil, yuccaerror.New(yuccaerror.Protocol, "usage of entry %s has %d accounts and %d claims", from, len(m.GetAccounts()), len(m.GetClaims()))
+	accounts := m.GetAccounts()
+	if n := len(accounts); n != len(m.GetAdmitted()) || n != len(m.GetRates()) || n != len(m.GetTokens()) || n > yuccaquota.MaxUsages {
+		return nil, yuccaerror.New(yuccaerror.Protocol, "usage of entry %s has %d accounts, %d counts, %d rates and %d tokens", from, n, len(m.GetAdmitted()), len(m.GetRates()), len(m.GetTokens()))
 	}
 	r := yuccaquota.Report{
 		Incarnation: m.GetIncarnation(),
 		Seq:         m.GetSeq(),
-		Sent:        time.Duration(m.GetSentUs()) * time.Microsecond,
 		View:        m.GetView(),
 		Entries:     int(m.GetEntries()),
-		Old:         m.GetOld(),
+		Synced:      m.GetSynced(),
 		Whole:       m.GetWhole(),
-		Claims:      make([]yuccaquota.Claim, 0, len(m.GetClaims())),
+		Usages:      make([]yuccaquota.Usage, 0, len(accounts)),
 	}
-	for i, account := range m.GetAccounts() {
-		r.Claims = append(r.Claims, yuccaquota.Claim{Account: account, Units: m.GetClaims()[i]})
+	for i, account := range accounts {
+		r.Usages = append(r.Usages, yuccaquota.Usage{Account: account, Admitted: m.GetAdmitted()[i], Rate: float64(m.GetRates()[i]), Tokens: float64(m.GetTokens()[i])})
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
