--- a/core/yuccaquota/group.go
+++ b/core/yuccaquota/group.go
@@ -9,14 +9,14 @@
 const (
 	// silenceTimeout is the age of the last report from which an entry counts as
 	// unreachable. It covers the loss of some reports.
-	silenceTimeout = 500 * time.Millisecond
+	silenceTimeout = 600 * time.Millisecond
 	// mismatchGrace is how long another entry may hear other entries than this one does
 	// before the two count as unreachable for each other. It covers the time in which all
 	// entries notice the same change.
 	mismatchGrace = 300 * time.Millisecond
 	// dividedShare is how much of the limit entries use that do not hear all others. The
 	// bound on the sum leaves a tenth for this.
-	dividedShare = 1.08
+	dividedShare = 1.0
 	// settleTime is how long an entry runs before it relies on its own estimates.
 	settleTime = 5 * time.Second
 	// listSettleTime is how long the list must stay the same before a new entry relies on
--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -10,10 +10,10 @@
 const (
 	// reportInterval is the time between two reports.
 	reportInterval = 100 * time.Millisecond
-	// rareReports is the number of reports after which the usage of an account that is far
-	// from its limit is reported.
-	rareReports = 10
-	// wholeReports is the number of reports from one with all accounts to the next.
+	// emptyReports is how many intervals lie between two reports if there is nothing to
+	// report. The others need them to hear the entry.
+	emptyReports = 2
+	// wholeReports is the number of intervals from a report of all accounts to the next.
 	wholeReports = 20
 	// rateTime is the time constant of the mean rate that is reported.
 	rateTime = 400 * time.Millisecond
@@ -35,12 +35,12 @@
 	// burstRate and burstTokens are the tokens that a bucket holds besides the limit's
 	// burst, in seconds of its rate and in requests. They keep chance from refusing
 	// requests of an account below its limit, and stay within the bound on the sum.
-	burstRate   = 0.12
-	burstTokens = 8
+	burstRate   = 0.05
+	burstTokens = 6
 	// growth is how much more than before, and than an even part of the tokens that are
 	// left, an entry may admit between two reports. It bounds what all entries admit in a
 	// surge before they know of one another.
-	growth = 1.3
+	growth = 1.2
 	// minWait is the least such time.
 	minWait = 50 * time.Millisecond
 	// stallTime is the age of the last tick from which tokens are no longer added: the
@@ -73,6 +73,10 @@
 	Usages []Usage
 }
 
+// Needed reports whether the others have to get the report: it holds something, or the
+// last one was a while ago.
+func (r Report) Needed() bool { return len(r.Usages) > 0 || r.Seq%emptyReports == 0 }
+
 // Usage is what an entry has admitted of one account.
 type Usage struct {
 	// Account is the hash of the account's name.
@@ -207,8 +211,13 @@
 		a.allowance--
 		a.admitted++
 		a.waiting = max(0, a.waiting-1)
+		a.saving = false
 		return 0, true
 	}
+	if a.tokens >= 1 {
+		a.saving = true
+		return reportInterval, false
+	}
 	a.waiting = min(a.waiting+1, a.limit.Rate*maxWait.Seconds())
 	rate := max(a.rate, Evenly(l.group.share*a.limit.Rate, l.group.entries))
 	wait = time.Duration(min(maxWait.Seconds(), max(a.waiting/rate, (1-a.tokens)/a.limit.Rate)) * float64(time.Second))
@@ -335,7 +344,7 @@
 		}
 		a.updateRate(elapsed)
 		a.allow(l.group.entries)
-		if len(l.usages) < MaxUsages && (r.Whole || a.due(now, l.seq)) {
+		if len(l.usages) < MaxUsages && (r.Whole || a.due(now)) {
 			l.usages = append(l.usages, a.report(now))
 		}
 		if a.resting(l.group.share) {
@@ -372,6 +381,8 @@
 	reportedAt   time.Time
 	// rate is the mean rate of this entry's requests a second.
 	rate float64
+	// saving is set while a request has been refused for want of an allowance.
+	saving bool
 	// waiting is the number of refused requests that have been told to come back.
 	waiting float64
 	// others holds the usage that other entries have reported.
@@ -451,7 +462,7 @@
 func (a *account) allow(entries int) {
 	more := growth * (a.rate*reportInterval.Seconds() + Evenly(max(0, a.tokens), entries))
 	most := Evenly(freeRequests, entries)
-	if most > 1 || a.waiting > 0 {
+	if most > 1 || a.saving {
 		most = 1
 	}
 	a.allowance = min(max(most, more), a.allowance+more)
@@ -459,13 +470,7 @@
 
 // due reports whether the usage belongs into the next report: when the others, who count
 // this entry's requests at the rate that it reported, are too far off.
-func (a *account) due(now time.Time, seq uint64) bool {
-	if a.used() == a.reported && a.rate == 0 && a.reportedRate == 0 {
-		return false
-	}
-	if (seq+a.hash)%rareReports == 0 {
-		return true
-	}
+func (a *account) due(now time.Time) bool {
 	counted := float64(a.reported) + a.reportedRate*now.Sub(a.reportedAt).Seconds()
 	off := math.Abs(float64(a.used()) - counted)
 	if a.tokens < scarceTokens*a.limit.capacity() || a.rate+a.othersRate > busyRate*a.limit.Rate {
--- a/core/yuccaquota/sim_test.go
+++ b/core/yuccaquota/sim_test.go
@@ -176,6 +176,9 @@
 func (n ledgerNode) tick(now time.Time, list []string) []message {
 	r := n.Tick(now, list)
 	r.Usages = slices.Clone(r.Usages)
+	if !r.Needed() {
+		return nil
+	}
 	return []message{{body: r}}
 }
 func (n ledgerNode) receive(now time.Time, from string, body any) {
--- a/core/yuccausage/exchange.go
+++ b/core/yuccausage/exchange.go
@@ -157,9 +157,10 @@
 func (x *Exchange) tick() {
 	entries := x.entries()
 	x.mu.Lock()
-	m := encode(x.ledger.Tick(time.Now(), entries))
+	report := x.ledger.Tick(time.Now(), entries)
+	m := encode(report)
 	x.mu.Unlock()
-	if !x.limited.Load() {
+	if !x.limited.Load() || !report.Needed() {
 		return
 	}
 	body, err := proto.Marshal(m)
