--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -32,15 +32,18 @@
 	freeRequests = 28
 	// maxWait bounds the time after which a refused request is told to come back.
 	maxWait = 5 * time.Second
-	// burstRate and burstTokens are the tokens that a bucket holds besides the limit's
-	// burst, in seconds of its rate and in requests. They keep chance from refusing
-	// requests of an account below its limit, and stay within the bound on the sum.
-	burstRate   = 0.05
-	burstTokens = 6
+	// burstShare is the part of a limit's burst that the bucket holds. The rest is for a
+	// surge at all entries before they know of one another.
+	burstShare = 0.85
+	// burstRate and burstTokens are the tokens that a bucket holds besides, in seconds of
+	// the rate and in requests. They keep chance from refusing requests of an account that
+	// is below its limit.
+	burstRate   = 0.06
+	burstTokens = 8
 	// growth is how much more than before, and than an even part of the tokens that are
 	// left, an entry may admit between two reports. It bounds what all entries admit in a
 	// surge before they know of one another.
-	growth = 1.2
+	growth = 1.25
 	// minWait is the least such time.
 	minWait = 50 * time.Millisecond
 	// stallTime is the age of the last tick from which tokens are no longer added: the
@@ -343,7 +346,7 @@
 			continue
 		}
 		a.updateRate(elapsed)
-		a.allow(l.group.entries)
+		a.allow(l.group.share, l.group.entries)
 		if len(l.usages) < MaxUsages && (r.Whole || a.due(now)) {
 			l.usages = append(l.usages, a.report(now))
 		}
@@ -407,7 +410,7 @@
 }
 
 // capacity returns how many tokens the bucket holds at most.
-func (l Limit) capacity() float64 { return l.Burst + burstRate*l.Rate + burstTokens }
+func (l Limit) capacity() float64 { return burstShare*l.Burst + burstRate*l.Rate + burstTokens }
 
 // used returns the number of requests that this entry has admitted and not taken back.
 func (a *account) used() uint64 { return a.admitted - a.returned }
@@ -456,16 +459,23 @@
 	a.waiting = max(0, a.waiting-a.limit.Rate*elapsed.Seconds()/maxWait.Seconds())
 }
 
-// allow sets how many requests this entry may admit before its next report. Where there
-// are more entries than freeRequests, an entry without requests has to save up for the
-// first one.
-func (a *account) allow(entries int) {
-	more := growth * (a.rate*reportInterval.Seconds() + Evenly(max(0, a.tokens), entries))
+// allow sets how many requests this entry may admit before its next report: as many as at
+// its present rate, or its part of the tokens that the others leave if these run out. Where
+// there are more entries than freeRequests, an entry without requests has to save up for
+// the first one.
+func (a *account) allow(share float64, entries int) {
+	tokens := max(0, a.tokens)
+	expected := a.rate * reportInterval.Seconds()
+	if a.othersRate > 0 {
+		added := share * a.limit.Rate * reportInterval.Seconds()
+		expected = min(expected, (tokens+added)*a.rate/(a.rate+a.othersRate))
+	}
+	more := growth * (expected + Evenly(tokens, entries))
 	most := Evenly(freeRequests, entries)
 	if most > 1 || a.saving {
 		most = 1
 	}
-	a.allowance = min(max(most, more), a.allowance+more)
+	a.allowance = min(max(most, more+min(1, more)), a.allowance+more)
 }
 
 // due reports whether the usage belongs into the next report: when the others, who count
