--- a/core/yuccafront/pipeline_test.go
+++ b/core/yuccafront/pipeline_test.go
@@ -214,6 +214,7 @@
 func TestPipelinedRequestsRunConcurrently(t *testing.T) {
 	post := "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
 	chunked := "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	large := "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 40000\r\n\r\n" + strings.Repeat("\n", 40_000)
 	tests := []struct {
 		name     string
 		segments []string
@@ -224,6 +225,7 @@
 		{"split head", []string{get("/gate1") + get("/a")[:9], get("/a")[9:] + get("/b")}, nil},
 		{"after a body", []string{post, get("/gate1", "/a", "/b")}, []string{"/p"}},
 		{"after a chunked body", []string{chunked, get("/gate1"), get("/a", "/b")}, []string{"/p"}},
+		{"after a large body", []string{large[:20_000], large[20_000:] + get("/gate1", "/a", "/b")}, []string{"/p"}},
 		{"after a body in a segment", []string{post + get("/x"), get("/gate1", "/a", "/b")}, []string{"/p", "/x"}},
 	}
 	for _, test := range tests {
@@ -298,6 +300,28 @@
 	}
 }
 
+// TestRequestsBehindUnframedBytes sends requests in one segment with bytes that make the
+// server read them into its own buffer. It guards against a later request that overtakes
+// them.
+func TestRequestsBehindUnframedBytes(t *testing.T) {
+	tests := []struct {
+		first  string
+		bodies []string
+	}{
+		{"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody", []string{"/p"}},
+		{"\r\n\r\n", nil},
+	}
+	for _, test := range tests {
+		f := newPipelineFixture(t)
+		_, r := f.send(t, test.first+get("/gate1", "/a"), get("/b"))
+		waitUntil(t, "the first have started", func() bool { return f.startedCount() == len(test.bodies)+1 })
+		time.Sleep(settle)
+		qt.Assert(t, f.startedCount(), qt.Equals, len(test.bodies)+1)
+		f.release("/gate1")
+		qt.Assert(t, readBodies(t, r, len(test.bodies)+3), qt.DeepEquals, append(test.bodies, "/gate1", "/a", "/b"))
+	}
+}
+
 // TestPipelinedResponsesKeepTheirOrder sends random requests on several connections and
 // guards against responses that are out of order, incomplete or mixed.
 func TestPipelinedResponsesKeepTheirOrder(t *testing.T) {
--- a/core/yuccapipeline/conn.go
+++ b/core/yuccapipeline/conn.go
@@ -108,6 +108,10 @@
 	return taken, err
 }
 
+// WriteTo implements io.WriterTo. It hides the method of TCPConn, which would bypass
+// Read.
+func (c *Conn) WriteTo(w io.Writer) (int64, error) { return io.Copy(w, struct{ io.Reader }{c}) }
+
 // consume removes the first n unread bytes.
 func (c *Conn) consume(n int) {
 	if c.unread = c.unread[n:]; len(c.unread) == 0 {
