Tests of handlers that close the connection, and of what waits behind a POST

The mutants that read ahead behind every request, start every request, keep requests behind a hijacked connection or read on behind a closing response survived before.

--- a/core/yuccafront/pipeline_test.go
+++ b/core/yuccafront/pipeline_test.go
@@ -73,7 +73,13 @@
 	case <-time.After(wait):
 	}
 	size := ctx.QueryArgs().GetUintOrZero("size")
+	if ctx.QueryArgs().Has("close") {
+		ctx.SetConnectionClose()
+	}
 	switch {
+	case ctx.QueryArgs().Has("hijack"):
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) { _ = c.Close() })
 	case ctx.QueryArgs().Has("cut"):
 		ctx.SetBodyStream(io.MultiReader(strings.NewReader(strings.Repeat("x", cutBytes)), failingReader{}), 2*cutBytes)
 	case size > 0:
@@ -453,6 +459,40 @@
 	}
 }
 
+// TestHandlerEndsConnection has a handler close the connection, without a response or
+// behind its response, while requests behind it are in progress. It guards against a
+// connection that stays open, and against requests that go on or start behind it.
+func TestHandlerEndsConnection(t *testing.T) {
+	for _, query := range []string{"hijack", "close"} {
+		c := qt.New(t)
+		f := newPipelineFixture(t)
+		conn, r := f.send(t, get("/gate1", "/b?"+query+"=1", "/gate2", "/gate3"))
+		waitUntil(t, "all have started", func() bool { return f.startedCount() == 4 })
+		time.Sleep(settle)
+		if query == "close" {
+			_, err := io.WriteString(conn, get("/late"))
+			c.Assert(err, qt.IsNil)
+			time.Sleep(settle)
+		}
+		f.release("/gate1")
+		c.Assert(readBodies(t, r, 1), qt.DeepEquals, []string{"/gate1"})
+		if query == "close" {
+			c.Assert(readBodies(t, r, 1), qt.DeepEquals, []string{"/b"})
+		}
+		_, err := r.ReadByte()
+		c.Assert(err, qt.Equals, io.EOF)
+		waitUntil(t, "the others are canceled", func() bool { return f.canceledCount() == 2 })
+		c.Assert(f.startedCount(), qt.Equals, 4)
+	}
+	f := newPipelineFixture(t)
+	_, r := f.send(t, get("/gate1?hijack=1", "/gate2", "/gate3"))
+	waitUntil(t, "all have started", func() bool { return f.startedCount() == 3 })
+	f.release("/gate1")
+	_, err := r.ReadByte()
+	qt.Assert(t, err, qt.Equals, io.EOF)
+	waitUntil(t, "the others are canceled", func() bool { return f.canceledCount() == 2 })
+}
+
 // TestReadAheadIsBounded guards against more requests in progress than the limit, and
 // against requests that are not started when there is room again.
 func TestReadAheadIsBounded(t *testing.T) {
--- a/core/yuccarelay/watch_test.go
+++ b/core/yuccarelay/watch_test.go
@@ -64,6 +64,8 @@
 	_, err = io.WriteString(conn, requests.String())
 	c.Assert(err, qt.IsNil)
 	w.waitForInFlight(t, 3)
+	time.Sleep(work / 6)
+	c.Assert(w.picker.InFlight("s", "a"), qt.Equals, 3)
 	r := bufio.NewReader(conn)
 	for i := range 4 {
 		var resp fasthttp.Response
@@ -72,7 +74,11 @@
 		if i != 2 {
 			c.Assert(string(resp.Body()), qt.Equals, fmt.Sprintf("t%d\n", i))
 		}
-		c.Assert(w.picker.InFlight("s", "a") <= 3, qt.IsTrue)
+		if i == 2 {
+			w.waitForInFlight(t, 1)
+			time.Sleep(work / 6)
+			c.Assert(w.picker.InFlight("s", "a"), qt.Equals, 1, qt.Commentf("behind a POST"))
+		}
 	}
 	w.waitForInFlight(t, 2)
 	c.Assert(conn.Close(), qt.IsNil)
