--- a/core/yuccafront/pipeline_test.go
+++ b/core/yuccafront/pipeline_test.go
@@ -73,7 +73,13 @@
 	case <-time.After(wait):
 	}
 	size := ctx.QueryArgs().GetUintOrZero("size")
+	if ctx.QueryArgs().Has("close") {
+		ctx.SetConnectionClose()
+	}
 	switch {
+	case ctx.QueryArgs().Has("hijack"):
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) { _ = c.Close() })
 	case ctx.QueryArgs().Has("cut"):
 		ctx.SetBodyStream(io.MultiReader(strings.NewReader(strings.Repeat("x", cutBytes)), failingReader{}), 2*cutBytes)
 	case size > 0:
@@ -214,6 +220,7 @@
 func TestPipelinedRequestsRunConcurrently(t *testing.T) {
 	post := "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
 	chunked := "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	large := "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 40000\r\n\r\n" + strings.Repeat("\n", 40_000)
 	tests := []struct {
 		name     string
 		segments []string
@@ -224,6 +231,7 @@
 		{"split head", []string{get("/gate1") + get("/a")[:9], get("/a")[9:] + get("/b")}, nil},
 		{"after a body", []string{post, get("/gate1", "/a", "/b")}, []string{"/p"}},
 		{"after a chunked body", []string{chunked, get("/gate1"), get("/a", "/b")}, []string{"/p"}},
+		{"after a large body", []string{large[:20_000], large[20_000:] + get("/gate1", "/a", "/b")}, []string{"/p"}},
 		{"after a body in a segment", []string{post + get("/x"), get("/gate1", "/a", "/b")}, []string{"/p", "/x"}},
 	}
 	for _, test := range tests {
@@ -298,6 +306,28 @@
 	}
 }
 
+// TestRequestsBehindUnframedBytes sends requests in one segment with bytes that make the
+// server read them into its own buffer. It guards against a later request that overtakes
+// them.
+func TestRequestsBehindUnframedBytes(t *testing.T) {
+	tests := []struct {
+		first  string
+		bodies []string
+	}{
+		{"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody", []string{"/p"}},
+		{"\r\n\r\n", nil},
+	}
+	for _, test := range tests {
+		f := newPipelineFixture(t)
+		_, r := f.send(t, test.first+get("/gate1", "/a"), get("/b"))
+		waitUntil(t, "the first have started", func() bool { return f.startedCount() == len(test.bodies)+1 })
+		time.Sleep(settle)
+		qt.Assert(t, f.startedCount(), qt.Equals, len(test.bodies)+1)
+		f.release("/gate1")
+		qt.Assert(t, readBodies(t, r, len(test.bodies)+3), qt.DeepEquals, append(test.bodies, "/gate1", "/a", "/b"))
+	}
+}
+
 // TestPipelinedResponsesKeepTheirOrder sends random requests on several connections and
 // guards against responses that are out of order, incomplete or mixed.
 func TestPipelinedResponsesKeepTheirOrder(t *testing.T) {
@@ -429,6 +459,40 @@
 	}
 }
 
+// TestHandlerEndsConnection has a handler close the connection, without a response or
+// behind its response, while requests behind it are in progress. It guards against a
+// connection that stays open, and against requests that go on or start behind it.
+func TestHandlerEndsConnection(t *testing.T) {
+	for _, query := range []string{"hijack", "close"} {
+		c := qt.New(t)
+		f := newPipelineFixture(t)
+		conn, r := f.send(t, get("/gate1", "/b?"+query+"=1", "/gate2", "/gate3"))
+		waitUntil(t, "all have started", func() bool { return f.startedCount() == 4 })
+		time.Sleep(settle)
+		if query == "close" {
+			_, err := io.WriteString(conn, get("/late"))
+			c.Assert(err, qt.IsNil)
+			time.Sleep(settle)
+		}
+		f.release("/gate1")
+		c.Assert(readBodies(t, r, 1), qt.DeepEquals, []string{"/gate1"})
+		if query == "close" {
+			c.Assert(readBodies(t, r, 1), qt.DeepEquals, []string{"/b"})
+		}
+		_, err := r.ReadByte()
+		c.Assert(err, qt.Equals, io.EOF)
+		waitUntil(t, "the others are canceled", func() bool { return f.canceledCount() == 2 })
+		c.Assert(f.startedCount(), qt.Equals, 4)
+	}
+	f := newPipelineFixture(t)
+	_, r := f.send(t, get("/gate1?hijack=1", "/gate2", "/gate3"))
+	waitUntil(t, "all have started", func() bool { return f.startedCount() == 3 })
+	f.release("/gate1")
+	_, err := r.ReadByte()
+	qt.Assert(t, err, qt.Equals, io.EOF)
+	waitUntil(t, "the others are canceled", func() bool { return f.canceledCount() == 2 })
+}
+
 // TestReadAheadIsBounded guards against more requests in progress than the limit, and
 // against requests that are not started when there is room again.
 func TestReadAheadIsBounded(t *testing.T) {
