Simulation of overload: classes, noisy servers, returning callers

The simulation knew one class of requests, seven entries, and callers who give up when they are rejected, so that nothing shows what happens to urgent requests under overload.

--- a/core/yuccasim/fault.go
+++ b/core/yuccasim/fault.go
@@ -1,6 +1,7 @@
 package yuccasim
 
 import (
+	"strconv"
 	"time"
 
 	"yuccawell.example/core/yuccamembership"
@@ -54,7 +55,7 @@
 			m.kill(s)
 		}
 	}
-	for e := range entryCount {
+	for e := range m.entries() {
 		if entryRegion(e) == m.lostRegion {
 			m.alive[e] = false
 		}
@@ -82,7 +83,7 @@
 	view := yuccamembership.NewView(m.instances())
 	m.plan = yuccaplan.Make(yuccaplan.Input{Now: m.time(), Rules: m.rules, RulesVersion: 1, View: view, Last: m.plan})
 	plan := m.plan
-	for e := range entryCount {
+	for e := range m.entries() {
 		m.after(delay+time.Duration(e)*viewStagger, func() {
 			if m.alive[e] {
 				m.policies[e].update(plan, m.rules, view)
@@ -110,5 +111,11 @@
 	return list
 }
 
-// entryName returns the name of the entry with index e, a single digit from "1".
-func entryName(e int) string { return string(rune('1' + e)) }
+// entryName returns the name of the entry with index e, a decimal number from "1".
+func entryName(e int) string { return strconv.Itoa(e + 1) }
+
+// entryIndex returns the index of the entry with a name of entryName.
+func entryIndex(name string) int {
+	e, _ := strconv.Atoi(name)
+	return e - 1
+}
--- a/core/yuccasim/leasing.go
+++ b/core/yuccasim/leasing.go
@@ -33,7 +33,7 @@
 		o.core.Tick(m.time())
 		o.runCommands()
 	})
-	m.after(time.Duration(entry)*slotReportInterval/entryCount, func() { m.every(slotReportInterval, length, o.sendSlotReport) })
+	m.after(time.Duration(entry)*slotReportInterval/time.Duration(m.entries()), func() { m.every(slotReportInterval, length, o.sendSlotReport) })
 	return o
 }
 
@@ -95,7 +95,7 @@
 		case yuccaadmission.Borrow:
 			o.requestLoan(cmd)
 		case yuccaadmission.Offer:
-			o.sendTo(int(cmd.To[0]-'1'), func(peer *leasingPolicy) {
+			o.sendTo(entryIndex(cmd.To), func(peer *leasingPolicy) {
 				peer.core.HandleLoan(o.sim.time(), entryName(o.entry), cmd.Loan)
 				peer.runCommands()
 			})
@@ -106,7 +106,7 @@
 // broadcast calls deliver with each other entry at the time at which a message sent
 // now arrives there.
 func (o *leasingPolicy) broadcast(deliver func(peer *leasingPolicy)) {
-	for e := range entryCount {
+	for e := range o.sim.entries() {
 		if e != o.entry {
 			o.sendTo(e, deliver)
 		}
@@ -143,7 +143,7 @@
 // the network delay in both directions.
 func (o *leasingPolicy) requestLoan(b yuccaadmission.Borrow) {
 	message := o.core.LoanRequest(b)
-	o.sendTo(int(b.To[0]-'1'), func(peer *leasingPolicy) {
+	o.sendTo(entryIndex(b.To), func(peer *leasingPolicy) {
 		loan := peer.core.Lend(o.sim.time(), entryName(o.entry), message)
 		peer.runCommands()
 		peer.sendTo(o.entry, func(borrower *leasingPolicy) {
--- a/core/yuccasim/placement.go
+++ b/core/yuccasim/placement.go
@@ -11,6 +11,7 @@
 	"yuccawell.example/core/yuccaerror"
 	"yuccawell.example/core/yuccamembership"
 	"yuccawell.example/core/yuccaplan"
+	"yuccawell.example/core/yuccaretry"
 	"yuccawell.example/core/yuccarule"
 )
 
@@ -25,14 +26,14 @@
 	entry int
 	core  *yuccabalancer.Core
 	// demand is the last known mean number of requests in flight from each entry.
-	demand [entryCount]float64
+	demand []float64
 }
 
 // newPlacementPolicy returns the policy of an entry and schedules its demand
 // reports. The reports of the entries are evenly spread over the interval.
 func newPlacementPolicy(m *sim, entry int) *placementPolicy {
-	p := &placementPolicy{sim: m, entry: entry, core: yuccabalancer.NewCore(yuccabalancer.Location{Entry: entryName(entry), Region: regionName(entryRegion(entry))})}
-	m.after(time.Duration(entry)*demandInterval/entryCount, func() { m.every(demandInterval, m.setup.length(), p.shareDemand) })
+	p := &placementPolicy{sim: m, entry: entry, demand: make([]float64, m.entries()), core: yuccabalancer.NewCore(yuccabalancer.Location{Entry: entryName(entry), Region: regionName(entryRegion(entry))})}
+	m.after(time.Duration(entry)*demandInterval/time.Duration(m.entries()), func() { m.every(demandInterval, m.setup.length(), p.shareDemand) })
 	return p
 }
 
@@ -44,7 +45,7 @@
 	}
 	inFlight := p.core.MeanInFlight(p.sim.time())[serviceName]
 	p.demand[p.entry] = inFlight
-	for e := range entryCount {
+	for e := range p.sim.entries() {
 		if peer, ok := p.sim.policies[e].(*placementPolicy); ok && e != p.entry {
 			p.sim.after(farDelay, func() { peer.demand[p.entry] = inFlight })
 		}
@@ -80,21 +81,40 @@
 		Random:        r.random,
 		AvoidServers:  r.avoid,
 		Object:        objectHash(r.object),
-		LatencyBudget: p.sim.setup.Workload.LatencyTarget,
-		Deadline:      now.Add(4 * p.sim.setup.Workload.LatencyTarget),
+		LatencyBudget: p.latencyBudget(r),
+		Deadline:      now.Add(p.timeLeft(r)),
+		Priority:      r.class.Priority,
 	})
 	if choice.Kind != yuccaerror.None {
-		p.sim.recordShed(r)
+		r.retryAfter = choice.RetryAfter
+		p.sim.updateRetries(p.entry, yuccaretry.Rejected)
+		p.sim.reject(r)
 		return
 	}
 	r.state = choice
 	p.sim.send(r, p.sim.serversByName[choice.Server()])
 }
 
+// latencyBudget returns the time left of the latency target, as the entry knows it.
+func (p *placementPolicy) latencyBudget(r *request) time.Duration {
+	if !p.sim.setup.Workload.Returns {
+		return r.class.Target
+	}
+	return max(1, r.class.Target-(p.sim.now-r.delivered))
+}
+
+// timeLeft returns how long the caller still waits, as the entry knows it.
+func (p *placementPolicy) timeLeft(r *request) time.Duration {
+	if !p.sim.setup.Workload.Returns {
+		return r.timeout()
+	}
+	return r.timeout() - (p.sim.now - r.arrived)
+}
+
 func (p *placementPolicy) done(r *request, o outcome) {
 	result := yuccaadmission.Result{Now: p.sim.time(), Declined: o.declined, NoResponse: o.unreachable || o.broken, TimeToHeader: p.sim.now - r.sent}
 	result.Succeeded = !o.declined && !result.NoResponse
-	if result.Succeeded {
+	if result.Succeeded || o.declined && p.sim.setup.Workload.hasClasses() {
 		load := r.load
 		result.Load = &load
 	}
--- a/core/yuccasim/result.go
+++ b/core/yuccasim/result.go
@@ -35,6 +35,19 @@
 	// LatencyTarget, from 0 to 1.
 	OnTimeRatio float64
 
+	// All is the result of all requests by class and value.
+	All ClassResult
+	// Classes holds the results of the workload's classes.
+	Classes [classCount]ClassResult
+	// Regions holds the results of the callers of each region.
+	Regions [regionCount]ClassResult
+	// Sent is the number of attempts that arrived at a server.
+	Sent int
+	// Declined is the number of them that a server declined.
+	Declined int
+	// Returned is the number of rejected callers that came back.
+	Returned int
+
 	onTime   int // number of requests answered within the latency target
 	answered int // number of requests answered
 	shed     int // number of requests shed
@@ -53,9 +66,11 @@
 	}
 	m.result.answered++
 	latency := m.now + callerDelay - r.arrived
-	if latency <= m.setup.Workload.LatencyTarget {
+	inTime := latency <= r.class.Target
+	if inTime {
 		m.result.onTime++
 	}
+	m.countClass(r, latency <= r.timeout(), inTime)
 	_ = m.histogram.RecordValue(int64(latency / time.Microsecond))
 }
 
@@ -63,13 +78,22 @@
 func (m *sim) recordShed(r *request) {
 	if m.measured(r) {
 		m.result.shed++
+		m.countClass(r, false, false)
 	}
 }
 
+// countClass counts a request in the results by class and by region of the callers.
+func (m *sim) countClass(r *request, served, inTime bool) {
+	m.result.All.count(r.class, served, inTime)
+	m.result.Classes[r.classIndex].count(r.class, served, inTime)
+	m.result.Regions[entryRegion(r.entry)].count(r.class, served, inTime)
+}
+
 // recordFailure counts a failed request.
 func (m *sim) recordFailure(r *request) {
 	if m.measured(r) {
 		m.result.failed++
+		m.countClass(r, false, false)
 	}
 }
 
--- a/core/yuccasim/run.go
+++ b/core/yuccasim/run.go
@@ -56,7 +56,7 @@
 		for _, s := range d.Services {
 			for _, w := range workloads {
 				for _, l := range o.Loads {
-					all = append(all, o.scenarios(Setup{Workload: w, Service: s, Load: l, Seed: o.Seed, Requests: o.Requests, Length: o.Length})...)
+					all = append(all, o.scenarios(Setup{Workload: w, Service: s.withWork(w), Load: l, Seed: o.Seed, Requests: o.Requests, Length: o.Length})...)
 				}
 			}
 		}
--- a/core/yuccasim/server.go
+++ b/core/yuccasim/server.go
@@ -1,6 +1,7 @@
 package yuccasim
 
 import (
+	"cmp"
 	"time"
 
 	"yuccawell.example/core/yuccaadmission"
@@ -27,7 +28,9 @@
 	cache objectCache
 	// falseReports makes the server report a load of zero.
 	falseReports bool
-	stopped      bool
+	// noisy is set while other work slows the server down.
+	noisy   bool
+	stopped bool
 	// history holds one load sample per reportInterval, oldest first.
 	history []int
 	// leavingAt is the virtual time at which the server started to drain; zero means
@@ -56,16 +59,35 @@
 		m.reply(r, outcome{unreachable: true})
 	case s.running < s.Slots:
 		m.start(s, r)
-	case len(s.queue) < queuePerSlot*s.Slots:
+	case len(s.queue) < cmp.Or(m.setup.Workload.QueuePerSlot, queuePerSlot)*s.Slots:
 		s.queue = append(s.queue, r)
 	default:
+		r.load = m.reportLoad(s)
+		m.countArrival(r, true)
 		m.reply(r, outcome{declined: true})
 	}
 	m.recordExcess(s)
 }
 
+// countArrival counts an attempt that a server accepted or declined.
+func (m *sim) countArrival(r *request, declined bool) {
+	if !m.measured(r) {
+		return
+	}
+	m.result.Sent++
+	if declined {
+		m.result.Declined++
+	}
+}
+
+// reportLoad returns the load that a server reports.
+func (m *sim) reportLoad(s *server) yuccaadmission.Load {
+	return yuccaadmission.Load{Running: s.running, Waiting: len(s.queue), Slots: s.Slots}
+}
+
 // start runs a request in a free slot.
 func (m *sim) start(s *server, r *request) {
+	m.countArrival(r, false)
 	s.running++
 	m.addRunning(1)
 	m.after(m.serviceTime(s, r), func() { m.finish(s, r) })
@@ -79,7 +101,7 @@
 		m.reply(r, outcome{broken: true})
 		return
 	}
-	r.load = yuccaadmission.Load{Running: s.running, Waiting: len(s.queue), Slots: s.Slots}
+	r.load = m.reportLoad(s)
 	m.reply(r, outcome{})
 	if len(s.queue) > 0 {
 		next := s.queue[0]
@@ -96,6 +118,15 @@
 // caches increase it.
 func (m *sim) serviceTime(s *server, r *request) time.Duration {
 	d := time.Duration((0.5 + 0.5*r.size) * float64(s.meanWork))
+	if r.class.Work > 0 {
+		d = time.Duration(float64(d) * float64(r.class.Work) / float64(m.setup.Service.Work))
+	}
+	if r.outlier {
+		d = time.Duration(float64(d) * m.setup.Workload.Outliers.Factor)
+	}
+	if s.noisy {
+		d = time.Duration(float64(d) * m.setup.Workload.Noise.Factor)
+	}
 	if m.setup.Workload.Objects > 0 && s.cache.touch(r.object, m.setup.Workload.CacheSize) {
 		d = time.Duration(float64(d) * (1 - m.setup.Workload.CacheSaving))
 	}
--- a/core/yuccasim/setup.go
+++ b/core/yuccasim/setup.go
@@ -18,7 +18,10 @@
 //	yuccasim.PrintResults(os.Stdout, results)
 package yuccasim
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Service describes a service and its backend servers.
 type Service struct {
@@ -151,6 +154,23 @@
 	// UnevenRegions places one eighth of the servers in one region and half in
 	// another. The callers are distributed evenly.
 	UnevenRegions bool
+	// Entries is the number of entries; zero means seven.
+	Entries int
+	// Classes are the classes of the requests; without a share there is only one, with
+	// LatencyTarget.
+	Classes [classCount]Class
+	// QueuePerSlot is the maximum number of queued requests per slot of a server; zero
+	// means queuePerSlot.
+	QueuePerSlot int
+	// Noise makes servers slow for a while.
+	Noise Noise
+	// Outliers are requests that take longer.
+	Outliers Outliers
+	// Swing lets the demand peak in each region in turn.
+	Swing Swing
+	// Returns makes rejected callers come back once, as Retry-After says, and bounds
+	// additional attempts by a retry budget.
+	Returns bool
 }
 
 // Setup describes one run.
@@ -177,8 +197,8 @@
 const (
 	// regionCount is the number of regions.
 	regionCount = 3
-	// entryCount is the number of entries.
-	entryCount = 7
+	// defaultEntries is the number of entries of a workload that does not name one.
+	defaultEntries = 7
 
 	// callerDelay is the network delay between a caller and its entry.
 	callerDelay = 10 * time.Millisecond
@@ -229,6 +249,9 @@
 // regionName returns the name of the region with index r, a letter from "a".
 func regionName(r int) string { return string(rune('a' + r)) }
 
+// entries returns the number of entries.
+func (s Setup) entries() int { return cmp.Or(s.Workload.Entries, defaultEntries) }
+
 // entryRegion returns the index of the region of the entry with index e.
 func entryRegion(e int) int { return e % regionCount }
 
--- a/core/yuccasim/sim.go
+++ b/core/yuccasim/sim.go
@@ -1,6 +1,7 @@
 package yuccasim
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -10,6 +11,7 @@
 	"yuccawell.example/core/yuccaadmission"
 	"yuccawell.example/core/yuccamembership"
 	"yuccawell.example/core/yuccaplan"
+	"yuccawell.example/core/yuccaretry"
 	"yuccawell.example/core/yuccarule"
 	"yuccawell.example/core/yuccastore"
 )
@@ -29,6 +31,8 @@
 type request struct {
 	// arrived is when the caller sent the request.
 	arrived time.Duration
+	// delivered is when the request came to its entry, the last time if it came back.
+	delivered time.Duration
 	// sent is when the entry sent the last attempt.
 	sent time.Duration
 	// entry is the index of the entry.
@@ -45,6 +49,16 @@
 	state any
 	// object is the number of the object that the request refers to, or 0.
 	object uint64
+	// class is the class of the request.
+	class Class
+	// classIndex is the index of class.
+	classIndex int
+	// outlier is set for a request that takes longer.
+	outlier bool
+	// returned is set once the caller has come back after a rejection.
+	returned bool
+	// retryAfter is how long the caller was last told to wait.
+	retryAfter time.Duration
 	// load is the load that the server reported with its response.
 	load yuccaadmission.Load
 }
@@ -73,14 +87,14 @@
 	// policies holds the policy of each entry.
 	policies []policy
 	// alive is true for each entry that is running.
-	alive [entryCount]bool
+	alive []bool
 	// lostRegion is the index of the lost region, or -1.
 	lostRegion int
 	// leaving holds the names of the draining servers.
 	leaving map[string]bool
 
 	// idleConns counts the idle connections of each entry by server name.
-	idleConns [entryCount]map[string]int
+	idleConns []map[string]int
 	// measureFrom is the virtual time from which requests are measured.
 	measureFrom time.Duration
 	// measureUntil is the virtual time at which the measurement ends.
@@ -88,6 +102,10 @@
 	result       Result
 	// histogram holds the measured latencies in microseconds.
 	histogram *hdrhistogram.Histogram
+	// retries bounds the additional attempts of each entry.
+	retries []yuccaretry.Budget
+	// classRand generates the classes and outliers and the noise of the servers.
+	classRand *rand.Rand
 	// running is the number of requests running on all servers.
 	running int
 	// runningTime is the integral of running over the measured time, in nanoseconds.
@@ -113,13 +131,15 @@
 		measureUntil: length * 9 / 10,
 		histogram:    hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
 	}
+	m.classRand = rand.New(rand.NewPCG(set.Seed, 3))
 	m.rules = makeRules()
 	for i := range set.Service.Servers {
 		m.addServer(i, fmt.Sprintf("s%02d", i))
 	}
-	for e := range entryCount {
-		m.alive[e] = true
-		m.idleConns[e] = map[string]int{}
+	for e := range set.entries() {
+		m.alive = append(m.alive, true)
+		m.idleConns = append(m.idleConns, map[string]int{})
+		m.retries = append(m.retries, yuccaretry.New(virtualStart))
 		m.policies = append(m.policies, newPolicy(m, e))
 	}
 	return m
@@ -165,6 +185,13 @@
 			s.history = append(s.history, s.load())
 		}
 	})
+	if n := m.setup.Workload.Noise; n.Interval > 0 {
+		m.every(n.Interval, length, func() {
+			for _, s := range m.servers {
+				s.noisy = m.classRand.Float64() < n.Share
+			}
+		})
+	}
 	m.after(0, m.nextArrival)
 	m.clock.run()
 	return m.summary()
@@ -183,16 +210,16 @@
 // newRequest generates a request in a random region and delivers it to an entry of
 // that region.
 func (m *sim) newRequest() {
-	region := m.arrivalRand.IntN(m.setup.Service.Servers) % regionCount
-	if m.setup.Workload.UnevenRegions {
-		region = m.arrivalRand.IntN(regionCount)
-	}
-	r := &request{arrived: m.now, random: m.arrivalRand.Uint64(), size: m.arrivalRand.ExpFloat64()}
+	region := m.callerRegion()
+	r := &request{class: Class{Target: m.setup.Workload.LatencyTarget, Value: 1}, arrived: m.now, random: m.arrivalRand.Uint64(), size: m.arrivalRand.ExpFloat64()}
 	if n := m.setup.Workload.Objects; n > 0 {
 		r.object = uint64(m.arrivalRand.IntN(n)) + 1
 	}
+	if m.setup.Workload.hasClasses() {
+		m.setClass(r)
+	}
 	var entries []int
-	for e := range entryCount {
+	for e := range m.entries() {
 		if entryRegion(e) == region {
 			entries = append(entries, e)
 		}
@@ -201,18 +228,88 @@
 	m.after(callerDelay, func() { m.deliver(r) })
 }
 
+// callerRegion returns a random region for a request.
+func (m *sim) callerRegion() int {
+	w := m.setup.Workload
+	even := m.arrivalRand.IntN(m.setup.Service.Servers) % regionCount
+	if w.Swing.Period > 0 {
+		at, sum := m.arrivalRand.Float64()*regionCount, 0.0
+		for r := range regionCount {
+			if sum += w.Swing.weight(r, m.now); at < sum {
+				return r
+			}
+		}
+	}
+	if w.UnevenRegions {
+		return m.arrivalRand.IntN(regionCount)
+	}
+	return even
+}
+
+// setClass draws the class of a request and whether it is an outlier.
+func (m *sim) setClass(r *request) {
+	draw := m.classRand.Float64()
+	for i, c := range m.setup.Workload.Classes {
+		if r.classIndex, r.class = i, c; draw < c.Share {
+			break
+		}
+		draw -= c.Share
+	}
+	r.outlier = m.classRand.Float64() < m.setup.Workload.Outliers.Share
+}
+
+// timeout returns how long the caller waits for the response.
+func (r *request) timeout() time.Duration { return timeoutTargets * r.class.Target }
+
+// reject ends a request that was rejected, or lets its caller come back.
+func (m *sim) reject(r *request) {
+	left := r.timeout() - (m.now - r.arrived)
+	if !m.setup.Workload.Returns || r.returned || left <= 0 {
+		m.recordShed(r)
+		return
+	}
+	r.returned, r.avoid = true, nil
+	r.random = m.policyRand.Uint64()
+	if m.measured(r) {
+		m.result.Returned++
+	}
+	wait := min(cmp.Or(r.retryAfter, defaultReturn), time.Duration(returnShare*float64(left)))
+	r.retryAfter = 0
+	m.after(2*callerDelay+wait, func() { m.deliver(r) })
+}
+
+// mayRetry reports whether a declined request may be sent to another server.
+func (m *sim) mayRetry(r *request) bool {
+	if len(r.avoid) >= maxAttempts {
+		return false
+	}
+	if !m.setup.Workload.Returns {
+		return true
+	}
+	var ok bool
+	m.retries[r.entry], ok = m.retries[r.entry].Update(m.time(), yuccaretry.Retry)
+	return ok
+}
+
+// updateRetries passes an event to the retry budget of an entry.
+func (m *sim) updateRetries(e int, event yuccaretry.Event) {
+	m.retries[e], _ = m.retries[e].Update(m.time(), event)
+}
+
 // deliver passes a request to its entry, or after callerTimeout to another one if
 // that entry is stopped. Its latency then counts from the second attempt of the
 // caller.
 func (m *sim) deliver(r *request) {
+	r.delivered = m.now
+	m.updateRetries(r.entry, yuccaretry.Request)
 	if m.alive[r.entry] {
 		m.policies[r.entry].admit(r)
 		return
 	}
 	m.after(callerTimeout, func() {
 		r.arrived = m.now - callerDelay
-		for step := 1; step <= entryCount; step++ {
-			e := (r.entry + step*regionCount) % entryCount
+		for step := 1; step <= m.entries(); step++ {
+			e := (r.entry + step*regionCount) % m.entries()
 			if m.alive[e] {
 				r.entry = e
 				m.policies[e].admit(r)
@@ -270,13 +367,18 @@
 	case o.broken:
 		m.recordFailure(r)
 	case o.declined || o.unreachable:
-		if len(r.avoid) >= maxAttempts {
-			m.recordShed(r)
+		m.updateRetries(r.entry, yuccaretry.Rejected)
+		if !m.mayRetry(r) {
+			m.reject(r)
 			return
 		}
 		r.random = m.policyRand.Uint64()
 		m.policies[r.entry].admit(r)
 	default:
+		m.updateRetries(r.entry, yuccaretry.Served)
 		m.recordAnswer(r)
 	}
 }
+
+// entries returns the number of entries.
+func (m *sim) entries() int { return m.setup.entries() }
--- a/standin/bench.go
+++ b/standin/bench.go
@@ -25,6 +25,7 @@
 		Policies:    yuccasim.Policies(),
 	}
 	var full, objects bool
+	var entries int
 	c := &cobra.Command{
 		Use:     "bench",
 		Short:   "Compare load balancing policies in a simulation on virtual time",
@@ -35,6 +36,10 @@
 				yuccasim.PrintOnTimeRatios(c.OutOrStdout(), yuccasim.Run(yuccasim.ObjectOptions(o.Seed, o.Requests, o.Length)))
 				return
 			}
+			if entries > 0 {
+				yuccasim.PrintOverload(c.OutOrStdout(), yuccasim.Run(yuccasim.OverloadOptions(o.Seed, entries, o.Length)))
+				return
+			}
 			results := yuccasim.Run(o)
 			if full {
 				yuccasim.PrintResults(c.OutOrStdout(), results)
@@ -48,5 +53,6 @@
 	c.Flags().DurationVar(&o.Length, "length", benchLength, "minimum virtual time of a run")
 	c.Flags().BoolVar(&full, "full", false, "print one row for each run")
 	c.Flags().BoolVar(&objects, "places", false, "compare object placement with other policies")
+	c.Flags().IntVar(&entries, "overload", 0, "simulate overload with that many entries")
 	return c
 }
