Servers with old reports count as loaded as their region, rejections last

An entry of many hears of a server every few seconds. Its estimate followed a report for 0.3 s and then a mean up to half a minute old, so that it sent what servers then rejected, and urgent requests waited behind what it had placed on servers that it took for free.

A report now keeps its weight for two mean latencies of the service (at least 150 ms as before), the server's own mean yields to that of its region within 4 s, and a server that has declined a request counts as full for as long as half of its queue takes.

Mutants killed: rejection not remembered, length of the queue ignored, full servers chosen, decay in latencies left out, lower bound of the decay, region or own mean ignored, region mean not updated, score compared the wrong way.

--- a/core/yuccabalancer/candidate.go
+++ b/core/yuccabalancer/candidate.go
@@ -51,6 +51,8 @@
 	// slotsInUse is the server's estimated load, at most its number of
 	// slots.
 	slotsInUse float64
+	// full is set for a server that has just declined a request.
+	full bool
 	// preferred is set for the server with the object's affinity.
 	preferred bool
 }
@@ -59,8 +61,11 @@
 // rejected: when the wait alone exceeds its latency budget, so that all
 // requests behind it would be late too, or when its expected latency exceeds
 // maxDeadlineShare of the time until its deadline. A request that finds a
-// free slot is never too late.
+// free slot is never too late, unless the server has just declined another one.
 func (o candidate) tooLate(p *pool, req yuccaadmission.Request) bool {
+	if o.full {
+		return true
+	}
 	if req.Deadline.IsZero() || o.queueWait == 0 {
 		return false
 	}
@@ -97,7 +102,7 @@
 	var best candidate
 	for _, region := range regions {
 		o := c.bestServer(p, region, req, key, nil)
-		if best.server == nil || o.cost < best.cost {
+		if best.server == nil || o.full == best.full && o.cost < best.cost || best.full && !o.full {
 			best = o
 		}
 	}
@@ -107,6 +112,9 @@
 // betterThan reports whether the candidate has the lower cost; the object's
 // rendezvous score breaks ties.
 func (o candidate) betterThan(other candidate, key uint64) bool {
+	if o.full != other.full {
+		return other.full
+	}
 	if o.cost != other.cost {
 		return o.cost < other.cost
 	}
@@ -135,13 +143,16 @@
 func (c *Core) affinityServer(p *pool, region string, req yuccaadmission.Request, key uint64) *serverState {
 	var preferred *serverState
 	local := false
+	best := uint64(0)
 	for _, s := range p.regions[region] {
-		if !c.eligible(s, req) || s.inSlowStart(req.Now) || s.failsOften(req.Now) {
+		n := p.longResponses() && s.Domain == c.location.Domain
+		score := mixHashes(key, s.hash)
+		if preferred != nil && (local && !n || n == local && score <= best) {
 			continue
 		}
-		n := p.longResponses() && s.Domain == c.location.Domain
-		if preferred == nil || n && !local || n == local && mixHashes(key, s.hash) > mixHashes(key, preferred.hash) {
-			preferred, local = s, n
+		// The score is cheaper than these conditions, which few servers have to meet.
+		if c.eligible(s, req) && !s.inSlowStart(req.Now) && !s.failsOften(req.Now) {
+			preferred, local, best = s, n, score
 		}
 	}
 	return preferred
@@ -150,8 +161,8 @@
 // estimate returns the server as a candidate, with the expected latency and
 // without the cost.
 func (c *Core) estimate(p *pool, s *serverState, req yuccaadmission.Request, preferred bool) candidate {
-	load := s.load(req.Now)
-	o := candidate{server: s, queueWait: s.queueWait(load, p.latency.mean), slotsInUse: min(load, float64(s.Slots)), preferred: preferred}
+	load := s.load(req.Now, p.latency.mean)
+	o := candidate{server: s, full: s.isFull(req.Now), queueWait: s.queueWait(load, p.latency.mean), slotsInUse: min(load, float64(s.Slots)), preferred: preferred}
 	warm := float64(p.latency.warmLatency()) * s.slowdown(req.Now, p.latency.warm)
 	slotTime := warm
 	if req.Object != 0 && !preferred && !s.recent.has(req.Now, req.Object) {
--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -139,6 +139,7 @@
 			pools[s.Service] = p
 		}
 		p.regions[s.Region] = append(p.regions[s.Region], state)
+		state.region = p.regionLoad(s.Region)
 	}
 	c.servers, c.byName, c.pools = servers, byName, pools
 	for _, p := range pools {
@@ -282,18 +283,20 @@
 // count.
 func (c *Core) Done(choice Choice, r yuccaadmission.Result) {
 	s := choice.server
-	s.finish(r)
+	p := c.pools[s.Service]
+	if p == nil {
+		p = newPool()
+	}
+	s.finish(r, p.latency.mean)
 	if r.HoldOff > 0 {
 		c.HoldOff(r.Now, s.Name, r.HoldOff)
 	}
 	if r.Succeeded && choice.cacheState() == cacheWarm && !choice.Queued {
 		s.warmLatency = ewma(s.warmLatency, r.TimeToHeader, latencyWeight)
 	}
-	if p := c.pools[s.Service]; p != nil {
-		p.addInFlight(r.Now, -1)
-		p.observe(r, choice)
-		if cause := c.lateCause(choice, r); cause != "" {
-			p.late[cause]++
-		}
+	p.addInFlight(r.Now, -1)
+	p.observe(r, choice)
+	if cause := c.lateCause(choice, r); cause != "" {
+		p.late[cause]++
 	}
 }
--- a/core/yuccabalancer/pool.go
+++ b/core/yuccabalancer/pool.go
@@ -53,6 +53,8 @@
 	chosen map[Reason]int
 	// late counts the late responses by cause since the last reset.
 	late map[Cause]int
+	// loads holds the load of the service's servers by region.
+	loads map[string]*regionLoad
 	// classes holds the recent requests by priority.
 	classes yuccaoverload.Classes
 	// candidates is a buffer that is reused for each choice.
@@ -64,7 +66,17 @@
 
 // newPool returns a pool without servers and with a full spillover bucket.
 func newPool() *pool {
-	return &pool{regions: map[string][]*serverState{}, slots: map[string]float64{}, spilloverTokens: spilloverBurst, chosen: map[Reason]int{}, late: map[Cause]int{}}
+	return &pool{regions: map[string][]*serverState{}, slots: map[string]float64{}, spilloverTokens: spilloverBurst, chosen: map[Reason]int{}, late: map[Cause]int{}, loads: map[string]*regionLoad{}}
+}
+
+// regionLoad returns the load of a region.
+func (p *pool) regionLoad(region string) *regionLoad {
+	l := p.loads[region]
+	if l == nil {
+		l = &regionLoad{}
+		p.loads[region] = l
+	}
+	return l
 }
 
 // addInFlight adds n to the in-flight count and updates its integral over
--- a/core/yuccabalancer/server_state.go
+++ b/core/yuccabalancer/server_state.go
@@ -11,12 +11,6 @@
 )
 
 const (
-	// reportDecay is the time constant with which a load report loses its
-	// weight and the estimate returns to the moving average of reports.
-	reportDecay = 150 * time.Millisecond
-	// inFlightWeight is the weight of one report in the moving average of
-	// the load from other entries.
-	inFlightWeight = 0.2
 	// latencyWeight is the weight of one response in the moving averages of
 	// a server's and a service's latency.
 	latencyWeight = 0.1
@@ -63,6 +57,10 @@
 	meanOtherInFlight float64
 	// reportedAt is when otherInFlight was last updated.
 	reportedAt time.Time
+	// fullUntil is until when the server counts as full after it declined a request.
+	fullUntil time.Time
+	// region is the load of the servers of the same service and region; nil means none.
+	region *regionLoad
 	// warmLatency is the moving average of the time to a response for a warm
 	// object, without queueing.
 	warmLatency time.Duration
@@ -96,21 +94,6 @@
 	return &serverState{Server: s, hash: xxhash.Sum64String(s.Name), slowStart: yuccaquota.Full(), recent: recentObjects{}}
 }
 
-// load estimates how many requests of all entries the server has in flight.
-// The last load report counts fully at first and decays to the average.
-func (s *serverState) load(now time.Time) float64 {
-	age := max(0, now.Sub(s.reportedAt))
-	weight := math.Exp(-float64(age) / float64(reportDecay))
-	return float64(s.inFlight) + s.meanOtherInFlight + (s.otherInFlight-s.meanOtherInFlight)*weight
-}
-
-// queueWait estimates how long one more request waits for a slot, at a load
-// and a mean latency.
-func (s *serverState) queueWait(load float64, meanLatency time.Duration) time.Duration {
-	excess := load + 1 - float64(s.Slots)
-	return time.Duration(max(0, excess) / float64(max(1, s.Slots)) * float64(meanLatency))
-}
-
 // failsOften reports whether the server is to be avoided because of its
 // failure rate. It is false once probeInterval has passed since the last
 // request.
@@ -156,8 +139,8 @@
 	s.limiter.take(now)
 }
 
-// finish records the result of a request.
-func (s *serverState) finish(r yuccaadmission.Result) {
+// finish records the result of a request, at the mean latency of its service.
+func (s *serverState) finish(r yuccaadmission.Result, meanLatency time.Duration) {
 	s.inFlight--
 	if r.Load != nil {
 		s.applyReport(r.Now, *r.Load)
@@ -169,7 +152,7 @@
 		s.block(r.Now)
 	case r.Declined:
 		s.failureRate += (1 - s.failureRate) * failureWeight
-		s.markFull(r)
+		s.markFull(r, meanLatency)
 	case r.Failed:
 		s.failureRate += (1 - s.failureRate) * failureWeight
 	case r.Succeeded:
@@ -179,24 +162,6 @@
 	}
 }
 
-// applyReport records the load that the server reported, less this entry's
-// own in-flight requests.
-func (s *serverState) applyReport(now time.Time, l yuccaadmission.Load) {
-	s.otherInFlight = max(0, float64(l.Running+l.Waiting-s.inFlight))
-	s.meanOtherInFlight += (s.otherInFlight - s.meanOtherInFlight) * inFlightWeight
-	s.reportedAt = now
-}
-
-// markFull treats a server that declined a request without a load report as
-// full; this decays like a report.
-func (s *serverState) markFull(r yuccaadmission.Result) {
-	if r.Load != nil {
-		return
-	}
-	s.otherInFlight = max(s.otherInFlight, float64(s.Slots-s.inFlight))
-	s.reportedAt = r.Now
-}
-
 // block stops requests to a server after a failed connection, with
 // exponential backoff.
 func (s *serverState) block(now time.Time) {
--- a/core/yuccasim/overload.go
+++ b/core/yuccasim/overload.go
@@ -124,7 +124,7 @@
 // OverloadOptions returns the options for services whose requests differ in priority,
 // target, work and value, with servers that queue first come, first served, share their
 // machines with other work and cache few objects, and with callers who come back as
-// Retry-After says. In the workload "plain" all requests are of one priority and the
+// Retry-After says. In the workload "hot" few objects get most requests. In "plain" all requests are of one priority and the
 // servers are quiet.
 func OverloadOptions(seed uint64, entries int, length time.Duration) Options {
 	servers := 24
@@ -152,6 +152,8 @@
 		{"manifests", 0.6, 1, 200 * time.Millisecond, 220 * time.Millisecond, 1},
 		{"ledgers", 0.4, 2, 1000 * time.Millisecond, 1400 * time.Millisecond, 1},
 	}
+	hot := files
+	hot.Name, hot.Skew = "hot", 3
 	plain := files
 	plain.Name, plain.Noise, plain.Outliers = "plain", Noise{}, Outliers{}
 	plain.Classes[0].Priority = plain.Classes[1].Priority
@@ -161,7 +163,7 @@
 		Scenarios:   []Scenario{NoFault},
 		Loads:       []Load{{"0.8", 0.8, 0}, {"1.1", 1.1, 0}, {"1.4", 1.4, 0}},
 		Policies:    []string{ObjectPlacement},
-		Workloads:   []Workload{desk, files, books, plain},
+		Workloads:   []Workload{desk, files, books, hot, plain},
 		Length:      length,
 	}
 }
--- a/core/yuccasim/setup.go
+++ b/core/yuccasim/setup.go
@@ -145,6 +145,10 @@
 	Name string
 	// Objects is the number of different objects; zero means none.
 	Objects int
+	// Skew makes the first objects more popular: the requests are for the objects up to
+	// a fraction of x of them with a probability of x to the power 1/Skew. Zero and 1
+	// mean that all are equally popular.
+	Skew float64
 	// CacheSize is the number of most recently used objects that a server caches.
 	CacheSize int
 	// CacheSaving is the fraction of the work that a cached object saves, from 0 to 1.
--- a/core/yuccasim/sim.go
+++ b/core/yuccasim/sim.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -213,7 +214,7 @@
 	region := m.callerRegion()
 	r := &request{class: Class{Target: m.setup.Workload.LatencyTarget, Value: 1}, arrived: m.now, random: m.arrivalRand.Uint64(), size: m.arrivalRand.ExpFloat64()}
 	if n := m.setup.Workload.Objects; n > 0 {
-		r.object = uint64(m.arrivalRand.IntN(n)) + 1
+		r.object = m.drawObject(n)
 	}
 	if m.setup.Workload.hasClasses() {
 		m.setClass(r)
@@ -246,6 +247,14 @@
 	return even
 }
 
+// drawObject returns the number of a random object out of n.
+func (m *sim) drawObject(n int) uint64 {
+	if skew := m.setup.Workload.Skew; skew > 0 {
+		return uint64(float64(n)*math.Pow(m.arrivalRand.Float64(), skew)) + 1
+	}
+	return uint64(m.arrivalRand.IntN(n)) + 1
+}
+
 // setClass draws the class of a request and whether it is an outlier.
 func (m *sim) setClass(r *request) {
 	draw := m.classRand.Float64()
