Rejected callers return one after the other

Retry-After was the wait of the best queue, the same for all callers that were rejected at one moment. It is now a place in a virtual line of the service: callers return at the rate at which requests have recently completed, from the time at which the queue has shrunk to what the request may wait, spread by a quarter and bounded by a third of the time left. A caller for whom the line is too long gets a random place in it.

TestQueueWaitIsBoundedByLatencyBudget expected the whole wait of 300 ms; there is room when the wait is down to 200 ms, so it now expects 100 ms, spread.

--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -5,16 +5,17 @@
 
 	"yuccawell.example/core/yuccaadmission"
 	"yuccawell.example/core/yuccaerror"
+	"yuccawell.example/core/yuccaoverload"
 	"yuccawell.example/core/yuccaquota"
 )
 
 const (
 	// minRetryAfter is the shortest delay after which a rejected caller is
 	// asked to retry.
-	minRetryAfter = 50 * time.Millisecond
+	minRetryAfter = yuccaoverload.MinReturn
 	// maxRetryAfter is the longest delay after which a rejected caller is
 	// asked to retry.
-	maxRetryAfter = 2 * time.Second
+	maxRetryAfter = yuccaoverload.MaxReturn
 	// maxShiftPerSecond is the greatest part of a region's requests that may
 	// move to another region within a second.
 	maxShiftPerSecond = 0.04
@@ -255,7 +256,7 @@
 		p.classes.Add(req.Now, req.Priority, !tooLate, req.LatencyBudget-best.latency+best.queueWait)
 	}
 	if tooLate {
-		return Choice{Reason: Refused, Kind: yuccaerror.Shed, RetryAfter: min(maxRetryAfter, max(minRetryAfter, best.queueWait))}
+		return Choice{Reason: Refused, Kind: yuccaerror.Shed, RetryAfter: p.returnAfter(req, best)}
 	}
 	if reason == BySpillover {
 		p.spilloverTokens--
--- a/core/yuccabalancer/load_test.go
+++ b/core/yuccabalancer/load_test.go
@@ -118,3 +118,25 @@
 	core.Done(choice, yuccaadmission.Result{Now: start.Add(at), Succeeded: true, TimeToHeader: 100 * time.Millisecond, Load: load})
 	return choice
 }
+
+// TestRejectedCallersReturnOneAfterTheOther fills the only server and rejects 50 callers
+// at one moment. It guards against callers who are all told the same time.
+func TestRejectedCallersReturnOneAfterTheOther(t *testing.T) {
+	c := qt.New(t)
+	core := newCore(topology(1, 4, "a"))
+	for i := range 20 {
+		answer(core, time.Duration(i)*50*time.Millisecond, 1, 100*time.Millisecond, nil)
+	}
+	full := &yuccaadmission.Load{Running: 4, Waiting: 16, Slots: 4}
+	answer(core, time.Second, 1, 100*time.Millisecond, full)
+	var waits []time.Duration
+	for range 50 {
+		req := request(1100*time.Millisecond, 1)
+		req.Deadline = req.Now.Add(time.Minute)
+		choice := core.Choose(req)
+		c.Assert(choice.Kind, qt.Equals, yuccaerror.Shed)
+		waits = append(waits, choice.RetryAfter)
+	}
+	c.Assert(waits[2]-waits[0] < 300*time.Millisecond, qt.IsTrue, qt.Commentf("%v", waits))
+	c.Assert(waits[10]-waits[0] > 500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", waits))
+}
--- a/core/yuccabalancer/pool.go
+++ b/core/yuccabalancer/pool.go
@@ -55,6 +55,8 @@
 	late map[Cause]int
 	// loads holds the load of the service's servers by region.
 	loads map[string]*regionLoad
+	// line holds the rejected callers that are to return.
+	line yuccaoverload.Line
 	// classes holds the recent requests by priority.
 	classes yuccaoverload.Classes
 	// candidates is a buffer that is reused for each choice.
@@ -135,11 +137,22 @@
 	return len(req.Regions) == 0 || slices.Contains(req.Regions, region)
 }
 
+// returnAfter returns how long the caller of a request that is rejected should wait. There
+// is room when the queue of the best server has shrunk to what the request may wait.
+func (p *pool) returnAfter(req yuccaadmission.Request, best candidate) time.Duration {
+	left := time.Duration(0)
+	if !req.Deadline.IsZero() {
+		left = req.Deadline.Sub(req.Now)
+	}
+	return p.line.Join(req.Now, best.queueWait-p.classes.MaxWait(req.Priority, req.LatencyBudget), left, req.Random)
+}
+
 // observe updates the statistics of the service with a result.
 func (p *pool) observe(r yuccaadmission.Result, choice Choice) {
 	if !r.Succeeded {
 		return
 	}
+	p.line.Complete(r.Now)
 	p.meanLatency = ewma(p.meanLatency, r.TimeToHeader, latencyWeight)
 	if !choice.Queued {
 		p.latency.observe(r.TimeToHeader, choice.cacheState())
