The load report's fourth figure: how slow a server's machine is now

The expected time of a request is multiplied by it, with a weight that decays with 250 ms, and responses count by the time that they would usually have taken, so that a machine that is slow for a moment does not count as a slow server.

--- a/core/yuccaadmission/request.go
+++ b/core/yuccaadmission/request.go
@@ -137,6 +137,9 @@
 	Waiting int
 	// Slots is the number of requests that the server can run at once.
 	Slots int
+	// Slowness is how long work takes on the server's machine at this moment, as a
+	// multiple of what is usual; zero means unknown.
+	Slowness float64
 }
 
 // Decision is the answer of Core.Admit to a Request.
--- a/core/yuccabalancer/candidate.go
+++ b/core/yuccabalancer/candidate.go
@@ -163,7 +163,8 @@
 func (c *Core) estimate(p *pool, s *serverState, req yuccaadmission.Request, preferred bool) candidate {
 	load := s.load(req.Now, p.latency.mean)
 	o := candidate{server: s, full: s.isFull(req.Now), queueWait: s.queueWait(load, p.latency.mean), slotsInUse: min(load, float64(s.Slots)), preferred: preferred}
-	warm := float64(p.latency.warmLatency()) * s.slowdown(req.Now, p.latency.warm)
+	slowness := s.slownessNow(req.Now)
+	warm := float64(p.latency.warmLatency()) * s.slowdown(req.Now, p.latency.warm) * slowness
 	slotTime := warm
 	if req.Object != 0 && !preferred && !s.recent.has(req.Now, req.Object) {
 		slotTime *= p.latency.coldRatio()
--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -293,10 +293,12 @@
 		c.HoldOff(r.Now, s.Name, r.HoldOff)
 	}
 	if r.Succeeded && choice.cacheState() == cacheWarm && !choice.Queued {
-		s.warmLatency = ewma(s.warmLatency, r.TimeToHeader, latencyWeight)
+		s.warmLatency = ewma(s.warmLatency, usualTime(r.TimeToHeader, r.Load), latencyWeight)
 	}
 	p.addInFlight(r.Now, -1)
-	p.observe(r, choice)
+	usual := r
+	usual.TimeToHeader = usualTime(r.TimeToHeader, r.Load)
+	p.observe(usual, choice)
 	if cause := c.lateCause(choice, r); cause != "" {
 		p.late[cause]++
 	}
--- a/core/yuccabalancer/load.go
+++ b/core/yuccabalancer/load.go
@@ -17,6 +17,9 @@
 	// ownLoadDecay is the time constant with which the mean of a server's own reports
 	// loses its weight to the mean of its region.
 	ownLoadDecay = 4 * time.Second
+	// slownessDecay is the time constant with which the reported slowness loses its
+	// weight: 14% are left after half a second.
+	slownessDecay = 250 * time.Millisecond
 	// inFlightWeight is the weight of one report in the moving average of
 	// the load from other entries.
 	inFlightWeight = 0.2
@@ -56,6 +59,27 @@
 	return math.Exp(-float64(age) / float64(constant))
 }
 
+// slownessNow returns how long work is expected to take on the server's machine, as a
+// multiple of what is usual. What the server reported loses its weight quickly, since it
+// shares its machine with work that comes and goes. The wait in a queue is not scaled by
+// it: the machine changes before a queue has run.
+func (s *serverState) slownessNow(now time.Time) float64 {
+	if s.slowness <= 0 {
+		return 1
+	}
+	bounded := min(maxSlowdown, max(1.0/maxSlowdown, s.slowness))
+	return 1 + (bounded-1)*decayWeight(max(0, now.Sub(s.reportedAt)), slownessDecay)
+}
+
+// usualTime returns how long a response would usually have taken that took some time and
+// carried a load report, nil if none.
+func usualTime(took time.Duration, l *yuccaadmission.Load) time.Duration {
+	if l == nil || l.Slowness <= 1 {
+		return took
+	}
+	return time.Duration(float64(took) / min(maxSlowdown, l.Slowness))
+}
+
 // queueWait estimates how long one more request waits for a slot, at a load
 // and a mean latency.
 func (s *serverState) queueWait(load float64, meanLatency time.Duration) time.Duration {
@@ -72,7 +96,7 @@
 func (s *serverState) applyReport(now time.Time, l yuccaadmission.Load) {
 	s.otherInFlight = max(0, float64(l.Running+l.Waiting-s.inFlight))
 	s.meanOtherInFlight += (s.otherInFlight - s.meanOtherInFlight) * inFlightWeight
-	s.reportedAt = now
+	s.reportedAt, s.slowness = now, l.Slowness
 	if s.region != nil {
 		s.region.perSlot += (s.otherInFlight/float64(max(1, s.Slots)) - s.region.perSlot) * regionLoadWeight
 	}
@@ -87,7 +111,7 @@
 		waiting = r.Load.Waiting
 	} else {
 		s.otherInFlight = max(s.otherInFlight, float64(s.Slots-s.inFlight))
-		s.reportedAt = r.Now
+		s.reportedAt, s.slowness = r.Now, 0
 	}
 	s.fullUntil = r.Now.Add(time.Duration(float64(waiting) / 2 / float64(max(1, s.Slots)) * float64(meanLatency)))
 }
--- a/core/yuccabalancer/load_test.go
+++ b/core/yuccabalancer/load_test.go
@@ -140,3 +140,62 @@
 	c.Assert(waits[2]-waits[0] < 300*time.Millisecond, qt.IsTrue, qt.Commentf("%v", waits))
 	c.Assert(waits[10]-waits[0] > 500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", waits))
 }
+
+// TestSlownessLosesItsWeight has a server report that its machine is slow. Requests avoid
+// it at first and come back a second later. It guards against a slowness that is kept for
+// ever, while machines change many times a second, and against one that is ignored.
+func TestSlownessLosesItsWeight(t *testing.T) {
+	tests := []struct {
+		name     string
+		slowness float64
+		avoided  bool
+	}{
+		{"slow", 3, true},
+		{"usual", 1, false},
+		{"unknown", 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			core := newCore(topology(2, 4, "a"))
+			choose := func(at time.Duration) yuccabalancer.Choice {
+				req := patient(at, 0)
+				req.Random = 1
+				return core.Choose(req)
+			}
+			first := choose(0)
+			report := &yuccaadmission.Load{Running: 1, Slots: 4, Slowness: test.slowness}
+			core.Done(first, yuccaadmission.Result{Now: start.Add(100 * time.Millisecond), Succeeded: true, TimeToHeader: 100 * time.Millisecond, Load: report})
+			c.Assert(choose(100*time.Millisecond).Server() != first.Server(), qt.Equals, test.avoided)
+			c.Assert(choose(2600*time.Millisecond).Server(), qt.Equals, first.Server())
+		})
+	}
+}
+
+// TestSlowMachineDoesNotCountAsSlowServer has a server report that its machine takes four
+// times as long whenever it does. Its usual speed is then not held against it.
+func TestSlowMachineDoesNotCountAsSlowServer(t *testing.T) {
+	c := qt.New(t)
+	w := topology(2, 4, "a")
+	core := newCore(w)
+	respond := func(at time.Duration, server int, took time.Duration, slowness float64) {
+		req := patient(at, 1)
+		req.AvoidServers = []string{w.Servers[1-server].Name}
+		report := &yuccaadmission.Load{Slots: 4, Slowness: slowness}
+		core.Done(core.Choose(req), yuccaadmission.Result{Now: start.Add(at), Succeeded: true, TimeToHeader: took, Load: report})
+	}
+	preferred := 0
+	if core.Choose(patient(0, 1)).Server() != w.Servers[0].Name {
+		preferred = 1
+	}
+	for i := range 20 {
+		at := time.Duration(i) * 100 * time.Millisecond
+		respond(at, preferred, 400*time.Millisecond, 4)
+		for range 3 {
+			respond(at, 1-preferred, 100*time.Millisecond, 1)
+		}
+	}
+	req := patient(4*time.Second, 0)
+	req.Random = 1
+	c.Assert(core.Choose(req).Server(), qt.Equals, w.Servers[preferred].Name)
+}
--- a/core/yuccabalancer/server_state.go
+++ b/core/yuccabalancer/server_state.go
@@ -59,6 +59,8 @@
 	reportedAt time.Time
 	// fullUntil is until when the server counts as full after it declined a request.
 	fullUntil time.Time
+	// slowness is what the server last reported, at reportedAt; zero means unknown.
+	slowness float64
 	// region is the load of the servers of the same service and region; nil means none.
 	region *regionLoad
 	// warmLatency is the moving average of the time to a response for a warm
--- a/core/yuccasim/server.go
+++ b/core/yuccasim/server.go
@@ -82,7 +82,14 @@
 
 // reportLoad returns the load that a server reports.
 func (m *sim) reportLoad(s *server) yuccaadmission.Load {
-	return yuccaadmission.Load{Running: s.running, Waiting: len(s.queue), Slots: s.Slots}
+	load := yuccaadmission.Load{Running: s.running, Waiting: len(s.queue), Slots: s.Slots}
+	if n := m.setup.Workload.Noise; n.Reported {
+		load.Slowness = 1
+		if s.noisy {
+			load.Slowness = n.Factor
+		}
+	}
+	return load
 }
 
 // start runs a request in a free slot.
