--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -5,16 +5,17 @@
 
 	"yuccawell.example/core/yuccaadmission"
 	"yuccawell.example/core/yuccaerror"
+	"yuccawell.example/core/yuccaoverload"
 	"yuccawell.example/core/yuccaquota"
 )
 
 const (
 	// minRetryAfter is the shortest delay after which a rejected caller is
 	// asked to retry.
-	minRetryAfter = 50 * time.Millisecond
+	minRetryAfter = yuccaoverload.MinReturn
 	// maxRetryAfter is the longest delay after which a rejected caller is
 	// asked to retry.
-	maxRetryAfter = 2 * time.Second
+	maxRetryAfter = yuccaoverload.MaxReturn
 	// maxShiftPerSecond is the greatest part of a region's requests that may
 	// move to another region within a second.
 	maxShiftPerSecond = 0.04
@@ -139,6 +140,7 @@
 			pools[s.Service] = p
 		}
 		p.regions[s.Region] = append(p.regions[s.Region], state)
+		state.region = p.regionLoad(s.Region)
 	}
 	c.servers, c.byName, c.pools = servers, byName, pools
 	for _, p := range pools {
@@ -249,8 +251,12 @@
 	if o, ok := c.spillover(p, regions[1:], req, key, best); ok {
 		best, reason = o, BySpillover
 	}
-	if best.tooLate(req) {
-		return Choice{Reason: Refused, Kind: yuccaerror.Shed, RetryAfter: min(maxRetryAfter, max(minRetryAfter, best.queueWait))}
+	tooLate := best.tooLate(p, req)
+	if req.LatencyBudget > 0 {
+		p.classes.Add(req.Now, req.Priority, !tooLate, req.LatencyBudget-best.latency+best.queueWait)
+	}
+	if tooLate {
+		return Choice{Reason: Refused, Kind: yuccaerror.Shed, RetryAfter: p.returnAfter(req, best)}
 	}
 	if reason == BySpillover {
 		p.spilloverTokens--
@@ -267,7 +273,7 @@
 		return candidate{}, false
 	}
 	limit := best.cost
-	if best.tooLate(req) {
+	if best.tooLate(p, req) {
 		limit += req.LatencyBudget
 	}
 	o := c.bestServerElsewhere(p, others, req, key)
@@ -278,18 +284,22 @@
 // count.
 func (c *Core) Done(choice Choice, r yuccaadmission.Result) {
 	s := choice.server
-	s.finish(r)
+	p := c.pools[s.Service]
+	if p == nil {
+		p = newPool()
+	}
+	s.finish(r, p.latency.mean)
 	if r.HoldOff > 0 {
 		c.HoldOff(r.Now, s.Name, r.HoldOff)
 	}
 	if r.Succeeded && choice.cacheState() == cacheWarm && !choice.Queued {
-		s.warmLatency = ewma(s.warmLatency, r.TimeToHeader, latencyWeight)
+		s.warmLatency = ewma(s.warmLatency, usualTime(r.TimeToHeader, r.Load), latencyWeight)
 	}
-	if p := c.pools[s.Service]; p != nil {
-		p.addInFlight(r.Now, -1)
-		p.observe(r, choice)
-		if cause := c.lateCause(choice, r); cause != "" {
-			p.late[cause]++
-		}
+	p.addInFlight(r.Now, -1)
+	usual := r
+	usual.TimeToHeader = usualTime(r.TimeToHeader, r.Load)
+	p.observe(usual, choice)
+	if cause := c.lateCause(choice, r); cause != "" {
+		p.late[cause]++
 	}
 }
