Rejected requests count as demand, so that other regions take them

The traffic split follows the requests in flight of each region. Callers who are rejected were not in it, so that a region in overload seemed to need no more than its own slots while others had room. A rejected request now counts for as long as it would have run.

The limits on moved traffic are as before.

Mutant killed: rejected requests not counted.

--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -194,7 +194,9 @@
 }
 
 // MeanInFlight returns each service's mean number of in-flight requests
-// since the last call.
+// since the last call. Requests that were rejected because all servers were too busy count
+// for as long as they would have run, so that the demand of an overloaded region exceeds its
+// slots, and others take a part of it.
 func (c *Core) MeanInFlight(now time.Time) map[string]float64 {
 	all := map[string]float64{}
 	for name, p := range c.pools {
@@ -256,6 +258,7 @@
 		p.classes.Add(req.Now, req.Priority, !tooLate, req.LatencyBudget-best.latency+best.queueWait)
 	}
 	if tooLate {
+		p.addRejected()
 		return Choice{Reason: Refused, Kind: yuccaerror.Shed, RetryAfter: p.returnAfter(req, best)}
 	}
 	if reason == BySpillover {
--- a/core/yuccabalancer/load_test.go
+++ b/core/yuccabalancer/load_test.go
@@ -199,3 +199,19 @@
 	req.Random = 1
 	c.Assert(core.Choose(req).Server(), qt.Equals, w.Servers[preferred].Name)
 }
+
+// TestRejectedRequestsAreDemand rejects ten requests of 100 ms within a second. They count
+// as one request in flight all the time. It guards against a region that seems to need no
+// more than its own slots while its callers are rejected and others have room.
+func TestRejectedRequestsAreDemand(t *testing.T) {
+	c := qt.New(t)
+	core := newCore(topology(1, 4, "a"))
+	full := &yuccaadmission.Load{Running: 4, Waiting: 16, Slots: 4}
+	answer(core, 0, 1, 100*time.Millisecond, full)
+	core.MeanInFlight(start.Add(100 * time.Millisecond))
+	for range 10 {
+		c.Assert(core.Choose(request(100*time.Millisecond, 1)).Kind, qt.Equals, yuccaerror.Shed)
+	}
+	mean := core.MeanInFlight(start.Add(1100 * time.Millisecond))["s"]
+	c.Assert(mean > 0.99 && mean < 1.01, qt.IsTrue, qt.Commentf("%v", mean))
+}
--- a/core/yuccabalancer/pool.go
+++ b/core/yuccabalancer/pool.go
@@ -91,6 +91,9 @@
 	p.inFlight += n
 }
 
+// addRejected adds a request to the integral that was rejected, as if it had run.
+func (p *pool) addRejected() { p.inFlightSeconds += p.latency.mean.Seconds() }
+
 // takeMeanInFlight returns the mean in-flight count since its last call.
 // Without such a call in the last hour it returns the present count.
 func (p *pool) takeMeanInFlight(now time.Time) float64 {
