Quotas: parts while reports are late, and tokens of newcomers at once

The list now has to be stable for half a second, and an entry that is not synced is told the tokens within 0.3 s. While a tenth of the reports is late, an entry keeps to its own part of the rate, so that partitions show sooner.

--- a/core/yuccaquota/group.go
+++ b/core/yuccaquota/group.go
@@ -21,11 +21,16 @@
 	settleTime = 5 * time.Second
 	// listSettleTime is how long the list must stay the same before a new entry relies on
 	// it.
-	listSettleTime = 3 * time.Second
+	listSettleTime = 500 * time.Millisecond
 	// assumedEntries is the number of entries that a new entry assumes until then, or
 	// until an entry that has run for longer reports a number. When all entries start
 	// together, their first lists are short and differ.
 	assumedEntries = 128
+	// staleTime is the age of reports from which entries may have lost one another. If
+	// more than staleShare of the others are that late, an entry keeps to its own part
+	// until it hears them again or they count as silent.
+	staleTime  = 300 * time.Millisecond
+	staleShare = 0.1
 	// shrinkDelay is how long an entry that is no longer listed is counted.
 	shrinkDelay = 5 * time.Second
 	// maxPeers bounds how many other entries are remembered.
@@ -72,6 +77,10 @@
 	fewerSince time.Time
 	// share is the part of every limit that the group uses, from 0 to 1.
 	share float64
+	// stale is set while the reports of several others are late.
+	stale bool
+	// newcomers is set when an entry has reported that it is not synced.
+	newcomers bool
 }
 
 func newGroup(self string, incarnation uint64, now time.Time) *group {
@@ -104,6 +113,7 @@
 		p.incarnation = r.Incarnation
 	}
 	p.seq, p.arrivedAt, p.silent = r.Seq, now, false
+	g.newcomers = g.newcomers || !r.Synced
 	p.view, p.entries, p.synced = r.View, min(max(0, r.Entries), maxPeers), r.Synced
 	return p, restarted
 }
@@ -117,8 +127,11 @@
 		known[name] = true
 	}
 	g.view = g.selfHash
-	announced, elder := 0, false
+	announced, elder, late := 0, false, 0
 	for name, p := range g.peers {
+		if now.Sub(p.arrivedAt) > staleTime && !p.silent {
+			late++
+		}
 		if now.Sub(p.arrivedAt) > silenceTimeout {
 			if !p.silent {
 				p.silent, p.mismatchSince = true, time.Time{}
@@ -135,6 +148,7 @@
 	}
 	g.count(now, len(known), announced, elder)
 	g.share = g.shareOf(g.members(now))
+	g.stale = float64(late) > max(1, staleShare*float64(g.entries))
 	return silent
 }
 
--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -15,6 +15,8 @@
 	emptyReports = 2
 	// wholeReports is the number of intervals from a report of all accounts to the next.
 	wholeReports = 20
+	// newcomerReports is the same while an entry that has just started lacks the tokens.
+	newcomerReports = 3
 	// rateTime is the time constant of the mean rate that is reported.
 	rateTime = 400 * time.Millisecond
 	// rateArrivals is the number of requests that the mean rate covers at least.
@@ -29,12 +31,12 @@
 	calmError   = 0.02
 	// freeRequests is how many requests of an account all entries together may admit at
 	// once without knowing of one another.
-	freeRequests = 28
+	freeRequests = 20
 	// maxWait bounds the time after which a refused request is told to come back.
 	maxWait = 5 * time.Second
 	// burstShare is the part of a limit's burst that the bucket holds. The rest is for a
 	// surge at all entries before they know of one another.
-	burstShare = 0.85
+	burstShare = 0.8
 	// burstRate and burstTokens are the tokens that a bucket holds besides, in seconds of
 	// the rate and in requests. They keep chance from refusing requests of an account that
 	// is below its limit.
@@ -336,7 +338,10 @@
 		View:        l.group.view,
 		Entries:     l.group.listed,
 		Synced:      l.synced,
-		Whole:       l.seq%wholeReports == 0,
+		Whole:       l.seq%wholeReports == 0 || l.synced && l.group.newcomers && l.seq%newcomerReports == 0,
+	}
+	if r.Whole {
+		l.group.newcomers = false
 	}
 	l.usages = l.usages[:0]
 	active := l.active[:0]
@@ -346,7 +351,7 @@
 			continue
 		}
 		a.updateRate(elapsed)
-		a.allow(l.group.share, l.group.entries)
+		a.allow(l.group)
 		if len(l.usages) < MaxUsages && (r.Whole || a.due(now)) {
 			l.usages = append(l.usages, a.report(now))
 		}
@@ -460,18 +465,22 @@
 }
 
 // allow sets how many requests this entry may admit before its next report: as many as at
-// its present rate, or its part of the tokens that the others leave if these run out. Where
-// there are more entries than freeRequests, an entry without requests has to save up for
-// the first one.
-func (a *account) allow(share float64, entries int) {
+// its present rate, or its part of what the others leave if that is less, and an even part
+// of the tokens. While the others may be out of reach, it is an even part of the rate only.
+// Where there are more entries than freeRequests, an entry without requests has to save up
+// for the first one.
+func (a *account) allow(g *group) {
 	tokens := max(0, a.tokens)
+	added := g.share * a.limit.Rate * reportInterval.Seconds()
 	expected := a.rate * reportInterval.Seconds()
 	if a.othersRate > 0 {
-		added := share * a.limit.Rate * reportInterval.Seconds()
 		expected = min(expected, (tokens+added)*a.rate/(a.rate+a.othersRate))
 	}
-	more := growth * (expected + Evenly(tokens, entries))
-	most := Evenly(freeRequests, entries)
+	more := growth * (expected + Evenly(tokens+added, g.entries))
+	if g.stale {
+		more = Evenly(added, g.entries)
+	}
+	most := Evenly(freeRequests, g.entries)
 	if most > 1 || a.saving {
 		most = 1
 	}
