--- a/core/yuccabalancer/load.go
+++ b/core/yuccabalancer/load.go
@@ -1,7 +1,6 @@
 package yuccabalancer
 
 import (
-	"math"
 	"time"
 
 	"yuccawell.example/core/yuccaadmission"
@@ -51,12 +50,15 @@
 	return float64(s.inFlight) + mean + (s.otherInFlight-mean)*weight
 }
 
-// decayWeight returns the weight of a sample of some age, from 1 down to 0.
+// decayWeight returns the weight of a sample of some age, from 1 down to 0. It is close to
+// an exponential decay, but is computed for every server of each choice, and so without
+// math.Exp.
 func decayWeight(age, constant time.Duration) float64 {
 	if age >= negligibleAge*constant {
 		return 0
 	}
-	return math.Exp(-float64(age) / float64(constant))
+	x := float64(age) / float64(constant)
+	return 1 / (1 + x*(1+x/2*(1+x/3)))
 }
 
 // slownessNow returns how long work is expected to take on the server's machine, as a
