Servers that have started or recovered get a rising fraction of their part

Cause: after slow start a server got its full part at once, whatever its responses showed. Change: package yuccapace (AIMD on the fraction of the part); the balancer scales the rate of slow start by it, and after that the weight of the server in the rendezvous hash.

--- a/core/yuccabalancer/candidate.go
+++ b/core/yuccabalancer/candidate.go
@@ -110,7 +110,7 @@
 	if o.cost != other.cost {
 		return o.cost < other.cost
 	}
-	return mixHashes(key, o.server.hash) > mixHashes(key, other.server.hash)
+	return o.server.score(key) > other.server.score(key)
 }
 
 // crowdingWeight returns the weight of the extra slot time for the
@@ -140,7 +140,7 @@
 			continue
 		}
 		n := p.longResponses() && s.Domain == c.location.Domain
-		if preferred == nil || n && !local || n == local && mixHashes(key, s.hash) > mixHashes(key, preferred.hash) {
+		if preferred == nil || n && !local || n == local && s.score(key) > preferred.score(key) {
 			preferred, local = s, n
 		}
 	}
--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -127,10 +127,10 @@
 		state := c.servers[s.key()]
 		if state == nil || state.Addr != s.Addr || state.Run != s.Run {
 			state = newServerState(s)
+			state.pace = initialPace(s, c.servers[s.key()] != nil)
 		}
-		state.Server = s
+		state.setServer(s, c.slowStartRate(s))
 		byName[s.Name] = append(byName[s.Name], state)
-		state.slowStart = state.slowStart.WithRate(c.slowStartRate(s))
 		c.applyNotice(state)
 		servers[s.key()] = state
 		p := pools[s.Service]
@@ -278,7 +278,9 @@
 // count.
 func (c *Core) Done(choice Choice, r yuccaadmission.Result) {
 	s := choice.server
+	recovers := s.recovers(r)
 	s.finish(r)
+	c.updatePace(choice, r, recovers)
 	if r.HoldOff > 0 {
 		c.HoldOff(r.Now, s.Name, r.HoldOff)
 	}
--- a/core/yuccabalancer/hold_off.go
+++ b/core/yuccabalancer/hold_off.go
@@ -22,6 +22,8 @@
 // that time one request goes alone, until it shows that the server takes requests
 // again.
 type holdOff struct {
+	// since is when the server first asked.
+	since time.Time
 	// until is when the server may get a request again, zero if it has not asked.
 	until time.Time
 	// probing is set until the server has then taken a request.
@@ -35,6 +37,9 @@
 		return h
 	}
 	d = min(d, maxHoldOff)
+	if h.since.IsZero() {
+		h.since = now
+	}
 	spread := min(maxHoldOffSpread, time.Duration(holdOffSpread*float64(d)))
 	offset := time.Duration(xxhash.Sum64String(key) % uint64(max(1, spread)))
 	if until := now.Add(d + offset); until.After(h.until) {
--- /dev/null
+++ b/core/yuccabalancer/ramp.go
@@ -0,0 +1,145 @@
+package yuccabalancer
+
+import (
+	"math"
+	"time"
+
+	"yuccawell.example/core/yuccaadmission"
+	"yuccawell.example/core/yuccapace"
+)
+
+const (
+	// minFailedConns is how many connections in a row must have failed for the server to
+	// count as recovering. Fewer are mostly a fault of the network that leaves its objects
+	// warm.
+	minFailedConns = 3
+	// minPause is how long a hold-off must have lasted for that. A short one is a full
+	// queue, and the objects are worth more where they are.
+	minPause = time.Second
+)
+
+// initialPace returns the pace of a server that is new to this entry, or that has replaced
+// another run. A server that is new and not in slow start gets its full part, as this
+// entry itself may be what has just started.
+func initialPace(s Server, replaced bool) yuccapace.Pace {
+	if s.SlowStartUntil.IsZero() && !replaced {
+		return yuccapace.Pace{}
+	}
+	return yuccapace.New(s.SlowStartUntil)
+}
+
+// setServer replaces what is listed about the server. The rate is this entry's part of the
+// rate during slow start.
+func (s *serverState) setServer(next Server, rate float64) {
+	if s.SlowStartUntil.IsZero() && !next.SlowStartUntil.IsZero() {
+		s.pace = yuccapace.New(next.SlowStartUntil)
+	}
+	s.pace = s.pace.WithSlowUntil(next.SlowStartUntil)
+	s.Server = next
+	s.slowStartRate = rate
+	s.slowStart = s.slowStart.WithRate(rate * s.pace.Fraction())
+}
+
+// withinPace updates the server's pace and reports whether its slow start leaves room for a
+// request of this entry. After slow start the pace is part of the score instead.
+func (s *serverState) withinPace(now time.Time) bool {
+	s.pace = s.pace.At(now)
+	if !s.inSlowStart(now) {
+		return true
+	}
+	s.slowStart = s.slowStart.WithRate(s.slowStartRate * s.pace.Fraction())
+	return s.slowStart.Allows(now)
+}
+
+// score returns the server's rendezvous score for the object with the given key. A server
+// with a fraction f of its part has the highest score for f times as many objects as it
+// would otherwise have, and those stay with it as f rises.
+func (s *serverState) score(key uint64) uint64 {
+	score := mixHashes(key, s.hash)
+	if !s.pace.Active() {
+		return score
+	}
+	return uint64(math.Pow(float64(score)/math.MaxUint64, 1/s.pace.Fraction()) * (1 << 63) * 2 * (1 - 1e-15))
+}
+
+// recovers reports whether a result, which has not been recorded yet, ends a time in which
+// this entry avoided the server.
+func (s *serverState) recovers(r yuccaadmission.Result) bool {
+	if !r.Succeeded {
+		return false
+	}
+	h := s.holdOff
+	heldOff := h.probing && !r.Now.Before(h.until) && h.until.Sub(h.since) >= minPause
+	return heldOff || s.connectFailures >= minFailedConns || s.failing && s.failureRate*(1-failureWeight) <= maxFailureRate
+}
+
+// updatePace applies a recorded result to the pace of its server, which begins when the
+// server recovers.
+func (c *Core) updatePace(choice Choice, r yuccaadmission.Result, recovers bool) {
+	s := choice.server
+	switch {
+	case r.Failed && !r.Declined && s.failureRate > maxFailureRate:
+		s.failing = true
+	case recovers:
+		s.failing = false
+		s.pace = yuccapace.New(time.Time{}).At(r.Now)
+		return
+	}
+	p := c.pools[s.Service]
+	if !s.pace.Active() || p == nil {
+		return
+	}
+	sample := yuccapace.Sample{Refused: r.Declined || r.Failed || r.NoResponse}
+	if r.Load != nil {
+		sample.Waiting, sample.Slots = r.Load.Waiting, r.Load.Slots
+	}
+	if r.Succeeded && !choice.Queued {
+		sample.Latency, sample.Usual = r.TimeToHeader, p.latency.usual(choice.cacheState())
+		s.observeRamp(p, sample, choice.cacheState())
+	}
+	s.pace = s.pace.With(r.Now, sample)
+}
+
+// observeRamp counts a response for an object that is not warm in the server's latency, in
+// proportion. While the server is ramping few of its objects are warm, and one that stays
+// slow is to be known as slow at the end.
+func (s *serverState) observeRamp(p *pool, sample yuccapace.Sample, state cacheState) {
+	if state == cacheWarm || sample.Usual <= 0 {
+		return
+	}
+	equivalent := float64(p.latency.warm) * float64(sample.Latency) / float64(sample.Usual)
+	s.warmLatency = ewma(s.warmLatency, time.Duration(equivalent), latencyWeight)
+}
+
+// usual returns the service's latency without queueing for an object of the same kind, zero
+// if it is unknown. A shared object counts as cold, as a server that has started has not had
+// it from other entries either.
+func (w *latencyStats) usual(state cacheState) time.Duration {
+	switch {
+	case state == cacheUnused:
+		return w.mean
+	case state == cacheWarm:
+		return w.warm
+	case w.cold > 0:
+		return max(w.cold, time.Duration(minColdRatio*float64(w.warm)))
+	}
+	return defaultColdRatio * w.warm
+}
+
+// ramping returns how many servers of the pool get less than their full part, and the mean
+// fraction that they get, 1 if there are none.
+func (p *pool) ramping() (int, float64) {
+	n, sum := 0, 0.0
+	for _, servers := range p.regions {
+		for _, s := range servers {
+			if s.pace.Active() {
+				n++
+				sum += s.pace.Fraction()
+			}
+		}
+	}
+	if n == 0 {
+		return 0, 1
+	}
+	return n, sum / float64(n)
+}
--- a/core/yuccabalancer/server_state.go
+++ b/core/yuccabalancer/server_state.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"yuccawell.example/core/yuccaadmission"
+	"yuccawell.example/core/yuccapace"
 	"yuccawell.example/core/yuccaquota"
 )
 
@@ -81,6 +82,14 @@
 	blockedUntil time.Time
 	// slowStart limits this entry's requests during slow start.
 	slowStart yuccaquota.Bucket
+	// slowStartRate is this entry's part of the rate during slow start, in requests a
+	// second.
+	slowStartRate float64
+	// pace is how much of its part the server gets after a start or a recovery.
+	pace yuccapace.Pace
+	// failing is set from the time at which responses that are failures make the server
+	// one that is avoided until it is not avoided any longer.
+	failing bool
 	// limiter limits this entry's requests while the server names a limit.
 	limiter rateLimiter
 	// leaving is set when this run of the server has said that it is about to exit.
--- a/core/yuccabalancer/status.go
+++ b/core/yuccabalancer/status.go
@@ -25,6 +25,11 @@
 	// ColdLatency is the moving average of the latency, without queueing, for
 	// all other objects.
 	ColdLatency time.Duration `json:"cold_ns"`
+	// Ramping is the number of servers that get less than their full part since they have
+	// started or recovered.
+	Ramping int `json:"ramping"`
+	// RampFraction is the mean fraction of its part that such a server gets, 1 without any.
+	RampFraction float64 `json:"ramp"`
 	// Chosen counts the choices by reason since the last reset.
 	Chosen map[Reason]int `json:"chosen"`
 	// Late counts the responses that exceeded their latency budget, by
@@ -47,15 +52,18 @@
 	var all []Status
 	for _, name := range slices.Sorted(maps.Keys(c.pools)) {
 		p := c.pools[name]
+		ramping, fraction := p.ramping()
 		all = append(all, Status{
-			Service:     name,
-			Shares:      p.shares,
-			InFlight:    p.inFlight,
-			MeanLatency: p.meanLatency,
-			WarmLatency: p.latency.warm,
-			ColdLatency: p.latency.cold,
-			Chosen:      maps.Clone(p.chosen),
-			Late:        maps.Clone(p.late),
+			Service:      name,
+			Shares:       p.shares,
+			InFlight:     p.inFlight,
+			MeanLatency:  p.meanLatency,
+			WarmLatency:  p.latency.warm,
+			ColdLatency:  p.latency.cold,
+			Ramping:      ramping,
+			RampFraction: fraction,
+			Chosen:       maps.Clone(p.chosen),
+			Late:         maps.Clone(p.late),
 		})
 	}
 	return all
