--- a/core/yuccabalancer/candidate.go
+++ b/core/yuccabalancer/candidate.go
@@ -129,14 +129,13 @@
 }
 
 // affinityServer returns the server of a region with the highest rendezvous
-// score for the object, without servers in slow start and those that fail
-// often. If the service's responses are long, servers of the entry's own
+// score for the object, without those that fail often. If the service's responses are long, servers of the entry's own
 // failure domain come first. It returns nil when there is none.
 func (c *Core) affinityServer(p *pool, region string, req yuccaadmission.Request, key uint64) *serverState {
 	var preferred *serverState
 	local := false
 	for _, s := range p.regions[region] {
-		if !c.eligible(s, req) || s.inSlowStart(req.Now) || s.failsOften(req.Now) {
+		if !c.eligible(s, req) || s.failsOften(req.Now) {
 			continue
 		}
 		n := p.longResponses() && s.Domain == c.location.Domain
--- a/core/yuccabalancer/ramp.go
+++ b/core/yuccabalancer/ramp.go
@@ -41,7 +41,7 @@
 }
 
 // withinPace updates the server's pace and reports whether its slow start leaves room for a
-// request of this entry. After slow start the pace is part of the score instead.
+// request of this entry. After slow start the pace is only part of the score.
 func (s *serverState) withinPace(now time.Time) bool {
 	s.pace = s.pace.At(now)
 	if !s.inSlowStart(now) {
@@ -97,9 +97,24 @@
 		sample.Latency, sample.Usual = r.TimeToHeader, p.latency.usual(choice.cacheState())
 		s.observeRamp(p, sample, choice.cacheState())
 	}
+	if sample.Distress() && !c.roomElsewhere(p, s, r.Now) {
+		sample = yuccapace.Sample{Refused: r.NoResponse || r.Failed && !r.Declined}
+	}
 	s.pace = s.pace.With(r.Now, sample)
 }
 
+// roomElsewhere reports whether another server of the region that gets its full part has a
+// free slot. Where none has, as when all of a region start at once, requests that one of
+// them does not get would be rejected or late elsewhere too.
+func (c *Core) roomElsewhere(p *pool, s *serverState, now time.Time) bool {
+	for _, other := range p.regions[s.Region] {
+		if other != s && !other.pace.Active() && c.acceptsRequests(other) && other.load(now)+1 <= float64(other.Slots) {
+			return true
+		}
+	}
+	return false
+}
+
 // observeRamp counts a response for an object that is not warm in the server's latency, in
 // proportion. While the server is ramping few of its objects are warm, and one that stays
 // slow is to be known as slow at the end.
--- a/core/yuccapace/pace.go
+++ b/core/yuccapace/pace.go
@@ -18,9 +18,9 @@
 
 const (
 	// initialFraction is the fraction of a server's part at the start of its ramp. Cold
-	// objects take about 3.3 times the slot time of warm ones, so that a quarter of the
-	// part fills about as many slots as the warm server's requests do.
-	initialFraction = 0.25
+	// objects take about 3.3 times the slot time of warm ones. With less, the other servers
+	// of a busy service lack the slots.
+	initialFraction = 0.5
 	// minFraction is the lowest fraction, so that responses keep arriving and a recovery
 	// is noticed.
 	minFraction = 0.05
@@ -28,7 +28,7 @@
 	// at one of many entries, which sees few of them.
 	quietIncrease = 0.1
 	// goodIncrease is how much the fraction rises a second while responses are in order.
-	goodIncrease = 0.3
+	goodIncrease = 0.4
 	// goodAge is how long after a response in order the fraction rises by goodIncrease.
 	goodAge = time.Second
 	// decrease is the factor of the fraction when a response shows distress.
@@ -157,7 +157,7 @@
 	if !p.active {
 		return p
 	}
-	if !s.distress() {
+	if !s.Distress() {
 		p.goodUntil = now.Add(goodAge)
 		return p
 	}
@@ -168,8 +168,8 @@
 	return p
 }
 
-// distress reports whether the result shows that the server cannot take more.
-func (s Sample) distress() bool {
+// Distress reports whether the result shows that the server cannot take more.
+func (s Sample) Distress() bool {
 	slow := s.Latency > 0 && s.Usual > 0 && s.Latency > maxLatencyRatio*s.Usual
 	return s.Refused || slow || s.Waiting > s.Slots
 }
