--- a/core/yuccabalancer/ramp.go
+++ b/core/yuccabalancer/ramp.go
@@ -55,11 +55,17 @@
 // with a fraction f of its part has the highest score for f times as many objects as it
 // would otherwise have, and those stay with it as f rises.
 func (s *serverState) score(key uint64) uint64 {
-	score := mixHashes(key, s.hash)
 	if !s.pace.Active() {
-		return score
+		return mixHashes(key, s.hash)
 	}
-	return uint64(math.Pow(float64(score)/math.MaxUint64, 1/s.pace.Fraction()) * (1 << 63) * 2 * (1 - 1e-15))
+	return scaleScore(mixHashes(key, s.hash), s.pace.Fraction())
+}
+
+// scaleScore returns the score of a server with the given fraction of its part.
+func scaleScore(score uint64, fraction float64) uint64 {
+	// scale is the largest float64 below 1<<64, so that the result fits.
+	const scale = 1<<64 - 1<<11
+	return uint64(math.Pow(float64(score)/(1<<64), 1/fraction) * scale)
 }
 
 // recovers reports whether a result, which has not been recorded yet, ends a time in which
