--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -127,7 +127,7 @@
 		state := c.servers[s.key()]
 		if state == nil || state.Addr != s.Addr || state.Run != s.Run {
 			state = newServerState(s)
-			state.pace = initialPace(s, c.servers[s.key()] != nil)
+			state.setPace(initialPace(s, c.servers[s.key()] != nil))
 		}
 		state.setServer(s, c.slowStartRate(s))
 		byName[s.Name] = append(byName[s.Name], state)
--- a/core/yuccabalancer/exclusion.go
+++ b/core/yuccabalancer/exclusion.go
@@ -54,7 +54,7 @@
 		return isHeldOff
 	case !s.limiter.allows(req.Now):
 		return isLimited
-	case (s.pace.Active() || s.inSlowStart(req.Now)) && !s.withinPace(req.Now):
+	case (s.ramping || s.inSlowStart(req.Now)) && !s.withinPace(req.Now):
 		return isInSlowStart
 	}
 	return notExcluded
--- a/core/yuccabalancer/ramp.go
+++ b/core/yuccabalancer/ramp.go
@@ -31,19 +31,22 @@
 // setServer replaces what is listed about the server. The rate is this entry's part of the
 // rate during slow start.
 func (s *serverState) setServer(next Server, rate float64) {
-	if s.SlowStartUntil.IsZero() && !next.SlowStartUntil.IsZero() {
-		s.pace = yuccapace.New(next.SlowStartUntil)
+	if !s.ramping && !next.SlowStartUntil.IsZero() && !next.SlowStartUntil.Equal(s.SlowStartUntil) {
+		s.setPace(yuccapace.New(next.SlowStartUntil))
 	}
-	s.pace = s.pace.WithSlowUntil(next.SlowStartUntil)
+	s.setPace(s.pace.WithSlowUntil(next.SlowStartUntil))
 	s.Server = next
 	s.slowStartRate = rate
 	s.slowStart = s.slowStart.WithRate(rate * s.pace.Fraction())
 }
 
+// setPace replaces the server's pace.
+func (s *serverState) setPace(p yuccapace.Pace) { s.pace, s.ramping = p, p.Active() }
+
 // withinPace updates the server's pace and reports whether its slow start leaves room for a
 // request of this entry. After slow start the pace is only part of the score.
 func (s *serverState) withinPace(now time.Time) bool {
-	s.pace = s.pace.At(now)
+	s.setPace(s.pace.At(now))
 	if !s.inSlowStart(now) {
 		return true
 	}
@@ -55,7 +58,7 @@
 // with a fraction f of its part has the highest score for f times as many objects as it
 // would otherwise have, and those stay with it as f rises.
 func (s *serverState) score(key uint64) uint64 {
-	if !s.pace.Active() {
+	if !s.ramping {
 		return mixHashes(key, s.hash)
 	}
 	return scaleScore(mixHashes(key, s.hash), s.pace.Fraction())
@@ -88,11 +91,11 @@
 		s.failing = true
 	case recovers:
 		s.failing = false
-		s.pace = yuccapace.New(time.Time{}).At(r.Now)
+		s.setPace(yuccapace.New(time.Time{}).At(r.Now))
 		return
 	}
 	p := c.pools[s.Service]
-	if !s.pace.Active() || p == nil {
+	if !s.ramping || p == nil {
 		return
 	}
 	sample := yuccapace.Sample{Refused: r.Declined || r.Failed || r.NoResponse}
@@ -106,7 +109,7 @@
 	if sample.Distress() && !c.roomElsewhere(p, s, r.Now) {
 		sample = yuccapace.Sample{Refused: r.NoResponse || r.Failed && !r.Declined}
 	}
-	s.pace = s.pace.With(r.Now, sample)
+	s.setPace(s.pace.With(r.Now, sample))
 }
 
 // roomElsewhere reports whether another server of the region that gets its full part has a
@@ -114,7 +117,7 @@
 // them does not get would be rejected or late elsewhere too.
 func (c *Core) roomElsewhere(p *pool, s *serverState, now time.Time) bool {
 	for _, other := range p.regions[s.Region] {
-		if other != s && !other.pace.Active() && c.acceptsRequests(other) && other.load(now)+1 <= float64(other.Slots) {
+		if other != s && !other.ramping && c.acceptsRequests(other) && other.load(now)+1 <= float64(other.Slots) {
 			return true
 		}
 	}
@@ -153,7 +156,7 @@
 	n, sum := 0, 0.0
 	for _, servers := range p.regions {
 		for _, s := range servers {
-			if s.pace.Active() {
+			if s.ramping {
 				n++
 				sum += s.pace.Fraction()
 			}
--- a/core/yuccabalancer/server_state.go
+++ b/core/yuccabalancer/server_state.go
@@ -55,6 +55,8 @@
 	Server
 	// hash is the hash of the server's name, for rendezvous scores.
 	hash uint64
+	// ramping is pace.Active(), which would copy the pace for each server of a choice.
+	ramping bool
 	// inFlight is how many requests this entry has in flight on the server.
 	inFlight int
 	// otherInFlight is how many requests of other entries the last load
