--- a/core/yuccabalancer/candidate.go
+++ b/core/yuccabalancer/candidate.go
@@ -118,7 +118,7 @@
 	if o.cost != other.cost {
 		return o.cost < other.cost
 	}
-	return mixHashes(key, o.server.hash) > mixHashes(key, other.server.hash)
+	return o.server.score(key) > other.server.score(key)
 }
 
 // crowdingWeight returns the weight of the extra slot time for the
@@ -136,22 +136,21 @@
 	return maxCrowdingWeight * max(0, busy/slots-crowdingThreshold) / (1 - crowdingThreshold)
 }
 
-// affinityServer returns the server of a region with the highest rendezvous
-// score for the object, without servers in slow start and those that fail
-// often. If the service's responses are long, servers of the entry's own
-// failure domain come first. It returns nil when there is none.
+// affinityServer returns the server of a region with the highest rendezvous score for the
+// object, without those that fail often. If the service's responses are long, servers of
+// the entry's own failure domain come first. It returns nil when there is none.
 func (c *Core) affinityServer(p *pool, region string, req yuccaadmission.Request, key uint64) *serverState {
 	var preferred *serverState
 	local := false
 	best := uint64(0)
 	for _, s := range p.regions[region] {
 		n := p.longResponses() && s.Domain == c.location.Domain
-		score := mixHashes(key, s.hash)
+		score := s.score(key)
 		if preferred != nil && (local && !n || n == local && score <= best) {
 			continue
 		}
 		// The score is cheaper than these conditions, which few servers have to meet.
-		if c.eligible(s, req) && !s.inSlowStart(req.Now) && !s.failsOften(req.Now) {
+		if c.eligible(s, req) && !s.failsOften(req.Now) {
 			preferred, local, best = s, n, score
 		}
 	}
--- a/core/yuccabalancer/server_state.go
+++ b/core/yuccabalancer/server_state.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"yuccawell.example/core/yuccaadmission"
+	"yuccawell.example/core/yuccapace"
 	"yuccawell.example/core/yuccaquota"
 )
 
@@ -48,6 +49,8 @@
 	Server
 	// hash is the hash of the server's name, for rendezvous scores.
 	hash uint64
+	// ramping is pace.Active(), which would copy the pace for each server of a choice.
+	ramping bool
 	// inFlight is how many requests this entry has in flight on the server.
 	inFlight int
 	// otherInFlight is how many requests of other entries the last load
@@ -81,6 +84,14 @@
 	blockedUntil time.Time
 	// slowStart limits this entry's requests during slow start.
 	slowStart yuccaquota.Bucket
+	// slowStartRate is this entry's part of the rate during slow start, in requests a
+	// second.
+	slowStartRate float64
+	// pace is how much of its part the server gets after a start or a recovery.
+	pace yuccapace.Pace
+	// failing is set from the time at which responses that are failures make the server
+	// one that is avoided until it is not avoided any longer.
+	failing bool
 	// limiter limits this entry's requests while the server names a limit.
 	limiter rateLimiter
 	// leaving is set when this run of the server has said that it is about to exit.
