Bodies that the caller does not get end within 250 ms

A server that declined a request, or sent a response to another one first, could hold the request for as long as it sent the body byte by byte: each byte restarted the timeout. Measured: 215 s until a declined POST went to another server, no end with a mismatched response. Such bodies now have 250 ms, after which the connection is closed and the request continues as after any lost or declining server.

TestEndlessResponsesAreBounded has a server repeat bytes without end in each part of a response; besides the two cases above all were bounded before. Mutants killed: no limit for skipped bodies, none for bodies of declines, no limit on interim responses, none on mismatched responses, none on the length of skipped bodies. A late copy of a response on a reused connection: TestMismatchedResponseIsSkipped fails without the check of the id.

--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -147,9 +147,9 @@
 }
 
 // handleDecline returns the ticket after the server declined. The connection is
-// kept if the body is short enough to be read to its end.
+// kept if the body is short enough, and arrives soon enough, to be read to its end.
 func (a *attempt) handleDecline() {
-	if err := a.exchange.bufferBody(maxDeclineBodyBytes); err == nil && a.exchange.allReadAhead {
+	if err := a.exchange.bufferUnused(maxDeclineBodyBytes); err == nil && a.exchange.allReadAhead {
 		return
 	}
 	a.abort(yuccaadmission.Result{Kind: yuccaerror.Shed})
--- a/core/yuccarelay/exchange.go
+++ b/core/yuccarelay/exchange.go
@@ -36,6 +36,10 @@
 	// maxDeclineBodyBytes is the longest body of a declining response that is
 	// read to keep the connection.
 	maxDeclineBodyBytes = 4 << 10
+	// unusedBodyTimeout bounds the reading of a body that the caller does not get: the
+	// request waits for it. A server that sends it byte by byte would hold the request
+	// for as long as it likes.
+	unusedBodyTimeout = 250 * time.Millisecond
 	// keepAliveMargin is how much earlier than the server the relay closes an
 	// idle connection, so that the server does not close it while a request is
 	// on its way.
@@ -72,6 +76,9 @@
 	readTimeout time.Duration
 	// deadline is when the caller stops waiting; the zero time means never.
 	deadline time.Time
+	// unusedUntil is when a body that the caller does not get must have ended; the zero
+	// time means that the caller gets it.
+	unusedUntil time.Time
 	// bodyLeft is the number of body bytes still to be read from the
 	// connection, -1 if unknown.
 	bodyLeft int64
@@ -143,11 +150,13 @@
 }
 
 // skipBody reads the body of a response that belongs to another request. It
-// fails if the body has no known end or is too long.
+// fails if the body has no known end, is too long or takes longer than
+// unusedBodyTimeout.
 func (x *exchange) skipBody() error {
 	if x.bodyLeft < 0 && x.head.ContentLength() != chunkedLength || x.bodyLeft > maxSkippedBodyBytes {
 		return errWrongResponse
 	}
+	x.unusedUntil = time.Now().Add(unusedBodyTimeout)
 	for x.bodyLeft != 0 {
 		var p [connBufferBytes]byte
 		n, err := x.readBody(p[:])
@@ -161,10 +170,17 @@
 			return err
 		}
 	}
-	x.bodyRead = 0
+	x.bodyRead, x.unusedUntil = 0, time.Time{}
 	return nil
 }
 
+// bufferUnused reads up to n bytes of a body that the caller does not get, within
+// unusedBodyTimeout.
+func (x *exchange) bufferUnused(n int) error {
+	x.unusedUntil = time.Now().Add(unusedBodyTimeout)
+	return x.bufferBody(n)
+}
+
 // bufferBody reads up to n bytes of the body in advance, unless the body is
 // known to be longer. The exchange ends if this reaches the end of the body.
 func (x *exchange) bufferBody(n int) error {
@@ -197,8 +213,10 @@
 // readDeadline returns when the next read from the server times out.
 func (x *exchange) readDeadline() time.Time {
 	end := time.Now().Add(x.readTimeout)
-	if !x.deadline.IsZero() && x.deadline.Before(end) {
-		return x.deadline
+	for _, limit := range [...]time.Time{x.deadline, x.unusedUntil} {
+		if !limit.IsZero() && limit.Before(end) {
+			end = limit
+		}
 	}
 	return end
 }
