A panic in a handler ends only its request or message

Nothing recovered panics, so that a bug met by one request or message of a peer ended the process. The relay now answers such a request with the kind internal (may have run), and returns its slot, token and claim; an attempt that panics has failed. The listener closes the connection of any other handler that panics with 500, and the bus replies with internal and keeps the session. The stack is logged (request_failed, handler_panicked).

Panics in handlers of store events and in background workers still end the process.

--- a/core/yuccafront/listener.go
+++ b/core/yuccafront/listener.go
@@ -25,6 +25,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"yuccawell.example/core/yuccaerror"
 	"yuccawell.example/core/yuccapipeline"
 	"yuccawell.example/core/yuccasleep"
 )
@@ -196,17 +197,33 @@
 // connection for a failure. Of pipelined requests in progress only the last has it.
 func (f *Listener) serve(ctx *fasthttp.RequestCtx) {
 	if f.pipeline == nil {
-		f.handler(ctx)
+		f.handle(ctx)
 		if f.leaving.Load() {
 			ctx.SetConnectionClose()
 		}
 		return
 	}
 	f.pipeline.Begin(ctx)
-	f.handler(ctx)
+	f.handle(ctx)
 	f.pipeline.End(ctx, f.leaving.Load())
 }
 
+// handle calls the handler. A panic ends only this request and its connection; the
+// server would not recover it.
+func (f *Listener) handle(ctx *fasthttp.RequestCtx) {
+	err := func() (err error) {
+		defer yuccaerror.Recover(&err)
+		f.handler(ctx)
+		return nil
+	}()
+	if err != nil {
+		f.log.Error().Err(err).Msg("handler_panicked")
+		ctx.Response.Reset()
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		ctx.SetConnectionClose()
+	}
+}
+
 // discardLogger drops the log output of fasthttp, since every failure is logged as
 // an event of its own.
 type discardLogger struct{}
--- a/core/yuccafront/listener_test.go
+++ b/core/yuccafront/listener_test.go
@@ -51,7 +51,12 @@
 	qt.Assert(t, err, qt.IsNil)
 	addr := socket.Addr().String()
 	_ = socket.Close()
-	relay := func(ctx *fasthttp.RequestCtx) { ctx.SetBody(ctx.Path()) }
+	relay := func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == "/panic" {
+			panic("bug")
+		}
+		ctx.SetBody(ctx.Path())
+	}
 	f := yuccafront.New(yuccafront.Settings{Addr: addr, LookupTTL: 5 * time.Second, DrainDelay: drainDelay}, staticSource{snapshot}, relay, zerolog.Nop())
 	group := &errgroup.Group{}
 	qt.Assert(t, f.Start(context.Background(), group), qt.IsNil)
@@ -119,3 +124,20 @@
 	stop()
 	c.Assert(time.Since(begin) < timeout, qt.IsTrue, qt.Commentf("%v", time.Since(begin)))
 }
+
+// TestPanicInHandlerEndsOnlyItsConnection guards against a bug in a handler that ends the
+// process, and against an error that says that the request is malformed or has not run.
+func TestPanicInHandlerEndsOnlyItsConnection(t *testing.T) {
+	c := qt.New(t)
+	addr, stop := startListener(t, testSnapshot(t), 0)
+	defer stop()
+	for path, want := range map[string]string{"/panic": "HTTP/1.1 500", "/other": "HTTP/1.1 200"} {
+		conn, err := net.Dial("tcp", addr)
+		c.Assert(err, qt.IsNil)
+		response, err := roundTrip(conn, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		c.Assert(err, qt.IsNil)
+		c.Assert(response, qt.Contains, want)
+		c.Assert(strings.Contains(response, "Connection: close"), qt.Equals, path == "/panic")
+		c.Assert(conn.Close(), qt.IsNil)
+	}
+}
--- a/core/yuccapeer/peers.go
+++ b/core/yuccapeer/peers.go
@@ -277,7 +277,7 @@
 	}
 	if h, ok := p.handlers[f.Topic]; ok {
 		ctx, cancel := context.WithTimeout(p.ctx, requestTimeout)
-		_, _ = h(ctx, f.Origin, f.Body)
+		_, _ = p.invoke(ctx, h, f.Origin, f)
 		cancel()
 	}
 	f.Forward, f.MaxIntervalMs = scope, 0
@@ -291,7 +291,7 @@
 	if !ok {
 		return &Frame{Kind: yuccaerror.Protocol.String()}
 	}
-	body, err := h(ctx, s.peer.Name, f.Body)
+	body, err := p.invoke(ctx, h, s.peer.Name, f)
 	switch {
 	case err != nil:
 		return &Frame{Kind: yuccaerror.KindOf(err).String()}
@@ -301,6 +301,20 @@
 	return &Frame{Body: body}
 }
 
+// invoke calls the handler of a frame's topic. A panic fails only this message.
+func (p *Peers) invoke(ctx context.Context, h Handler, from string, f *Frame) (reply []byte, err error) {
+	panicked := true
+	defer func() {
+		if panicked {
+			p.log.Error().Err(err).Str("topic", f.Topic).Str("peer", from).Msg("handler_panicked")
+		}
+	}()
+	defer yuccaerror.Recover(&err)
+	reply, err = h(ctx, from, f.Body)
+	panicked = false
+	return reply, err
+}
+
 // heartbeatInterval implements messageReceiver.
 func (p *Peers) heartbeatInterval() time.Duration {
 	p.mu.Lock()
--- a/core/yuccapeer/session_test.go
+++ b/core/yuccapeer/session_test.go
@@ -48,6 +48,8 @@
 	p.Handle("undecodable", func(context.Context, string, []byte) ([]byte, error) {
 		return nil, yuccaerror.New(yuccaerror.Protocol, "cannot decode")
 	})
+	// Nor does a bug in a handler.
+	p.Handle("panicking", func(context.Context, string, []byte) ([]byte, error) { panic("bug") })
 	group := &errgroup.Group{}
 	c.Assert(p.Start(context.Background(), group), qt.IsNil)
 	defer func() {
@@ -69,6 +71,7 @@
 	frames := []*Frame{
 		{Topic: "from a later build", Body: []byte("x")},
 		{Topic: "undecodable", Body: []byte("x")},
+		{Topic: "panicking", Body: []byte("x")},
 		{Topic: "known", Body: []byte("1"), Forward: Forward(99)},
 		{Kind: "from a later build"},
 		{Topic: "known", Body: []byte("2")},
--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -74,6 +74,18 @@
 	return a
 }
 
+// runRecovered calls run. A panic fails the attempt.
+func (a *attempt) runRecovered() yuccalifecycle.Event {
+	event, err := func() (event yuccalifecycle.Event, err error) {
+		defer yuccaerror.Recover(&err)
+		return a.run(), nil
+	}()
+	if err != nil {
+		return a.fail(yuccaerror.Internal, err)
+	}
+	return event
+}
+
 // run sends the request and reads the header of the response.
 func (a *attempt) run() yuccalifecycle.Event {
 	t := a.task
--- a/core/yuccarelay/ending.go
+++ b/core/yuccarelay/ending.go
@@ -19,6 +19,20 @@
 	t.logFailure(f, t.ctx.Response.StatusCode())
 }
 
+// panicked ends the request after a panic in its handler, with an error response.
+func (t *task) panicked(err error) {
+	t.err = err
+	if t.ended {
+		t.ctx.SetConnectionClose()
+		t.logFailure(ErrorResponse{Kind: yuccaerror.Internal, RunStatus: yuccaerror.MayHaveRun}, 0)
+		return
+	}
+	t.answerError(yuccaerror.Internal, yuccaerror.MayHaveRun)
+	if t.winner != nil {
+		t.winner.abort(yuccaadmission.Result{Kind: yuccaerror.Internal})
+	}
+}
+
 // closeCaller closes the connection to the caller without a response.
 func (t *task) closeCaller() {
 	t.ctx.SetConnectionClose()
@@ -34,6 +48,7 @@
 // key, if any, ends with a as the response for replays; nil means none. It is
 // called once.
 func (t *task) end(a *yuccaidempotency.Response) {
+	t.ended = true
 	if t.stopCallerWatch != nil {
 		t.stopCallerWatch()
 	}
--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -252,12 +252,9 @@
 // Serve handles one request; it is the handler of a fasthttp.Server.
 func (r *Relay) Serve(ctx *fasthttp.RequestCtx) {
 	t := newTask(r, ctx)
-	if err := t.prepare(); err != nil {
-		t.err = err
-		t.answerError(yuccaerror.KindOf(err), yuccaerror.NotRun)
-		return
+	if err := t.serve(); err != nil {
+		t.panicked(err)
 	}
-	t.run()
 }
 
 // Concurrent reports whether a request without a body may run while other requests of
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -90,6 +90,8 @@
 	// outcomes has room for every attempt, so that none blocks on it.
 	outcomes chan outcome
 	attempts []*attempt
+	// ended is set when end has been called.
+	ended bool
 	// winner is the attempt whose response is relayed.
 	winner *attempt
 	// hedgeTimer fires when the request is to be hedged, nil if it never is.
@@ -172,6 +174,18 @@
 	}
 }
 
+// serve handles the request. It returns an error only for a panic.
+func (t *task) serve() (err error) {
+	defer yuccaerror.Recover(&err)
+	if err := t.prepare(); err != nil {
+		t.err = err
+		t.answerError(yuccaerror.KindOf(err), yuccaerror.NotRun)
+		return nil
+	}
+	t.run()
+	return nil
+}
+
 // run executes the commands of the request's lifecycle until it ends.
 func (t *task) run() {
 	t.state = yuccalifecycle.New(t.idempotent).WithMaxAttempts(t.route.MaxAttempts)
@@ -307,7 +321,7 @@
 	a.forceNewConn = len(t.attempts) > 0
 	t.attempts = append(t.attempts, a)
 	t.group.Go(func() error {
-		t.outcomes <- outcome{a, a.run()}
+		t.outcomes <- outcome{a, a.runRecovered()}
 		return nil
 	})
 	if len(t.attempts) == 1 {
