--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -74,6 +74,18 @@
 	return a
 }
 
+// runRecovered calls run. A panic fails the attempt.
+func (a *attempt) runRecovered() yuccalifecycle.Event {
+	event, err := func() (event yuccalifecycle.Event, err error) {
+		defer yuccaerror.Recover(&err)
+		return a.run(), nil
+	}()
+	if err != nil {
+		return a.fail(yuccaerror.Internal, err)
+	}
+	return event
+}
+
 // run sends the request and reads the header of the response.
 func (a *attempt) run() yuccalifecycle.Event {
 	t := a.task
@@ -147,9 +159,9 @@
 }
 
 // handleDecline returns the ticket after the server declined. The connection is
-// kept if the body is short enough to be read to its end.
+// kept if the body is short enough, and arrives soon enough, to be read to its end.
 func (a *attempt) handleDecline() {
-	if err := a.exchange.bufferBody(maxDeclineBodyBytes); err == nil && a.exchange.allReadAhead {
+	if err := a.exchange.bufferUnused(maxDeclineBodyBytes); err == nil && a.exchange.allReadAhead {
 		return
 	}
 	a.abort(yuccaadmission.Result{Kind: yuccaerror.Shed})
