--- a/core/yuccaquota/group.go
+++ b/core/yuccaquota/group.go
@@ -14,9 +14,6 @@
 	// before the two count as unreachable for each other. It covers the time in which all
 	// entries notice the same change.
 	mismatchGrace = 300 * time.Millisecond
-	// dividedShare is how much of the limit entries use that do not hear all others. The
-	// bound on the sum leaves a tenth for this.
-	dividedShare = 1.0
 	// settleTime is how long an entry runs before it relies on its own estimates.
 	settleTime = 5 * time.Second
 	// listSettleTime is how long the list must stay the same before a new entry relies on
@@ -33,6 +30,15 @@
 	staleShare = 0.1
 	// shrinkDelay is how long an entry that is no longer listed is counted.
 	shrinkDelay = 5 * time.Second
+	// minorityShrinkDelay is the same while most entries are not heard: the rest may hold
+	// together.
+	minorityShrinkDelay = 2 * time.Minute
+	// minorityTimeout is after how long the smaller side of a partition gives up most of
+	// its part. The platform takes entries that are silent for a minute from the list of the
+	// larger side, which then uses the whole limit.
+	minorityTimeout = 50 * time.Second
+	// minorityShare is the fraction of its part that it keeps.
+	minorityShare = 0.1
 	// maxPeers bounds how many other entries are remembered.
 	maxPeers = 8192
 )
@@ -75,6 +81,8 @@
 	entries int
 	// fewerSince is since when fewer entries have been known.
 	fewerSince time.Time
+	// majoritySeen is when more than half of the entries were heard last.
+	majoritySeen time.Time
 	// share is the part of every limit that the group uses, from 0 to 1.
 	share float64
 	// stale is set while the reports of several others are late.
@@ -86,14 +94,15 @@
 func newGroup(self string, incarnation uint64, now time.Time) *group {
 	hash := xxhash.Sum64String(self)
 	return &group{
-		self:        self,
-		selfHash:    hash,
-		incarnation: incarnation,
-		start:       now,
-		peers:       map[string]*peer{},
-		view:        hash,
-		entries:     assumedEntries,
-		share:       Evenly(1, assumedEntries),
+		self:         self,
+		selfHash:     hash,
+		incarnation:  incarnation,
+		start:        now,
+		peers:        map[string]*peer{},
+		view:         hash,
+		majoritySeen: now,
+		entries:      assumedEntries,
+		share:        Evenly(1, assumedEntries),
 	}
 }
 
@@ -127,7 +136,7 @@
 		known[name] = true
 	}
 	g.view = g.selfHash
-	announced, elder, late := 0, false, 0
+	announced, elder, heard, late := 0, false, 1, 0
 	for name, p := range g.peers {
 		if now.Sub(p.arrivedAt) > staleTime && !p.silent {
 			late++
@@ -143,11 +152,12 @@
 			continue
 		}
 		known[name] = true
+		heard++
 		g.view ^= p.hash
 		announced, elder = max(announced, p.entries), elder || p.synced
 	}
-	g.count(now, len(known), announced, elder)
-	g.share = g.shareOf(g.members(now))
+	g.count(now, len(known), announced, heard, elder)
+	g.share = g.shareOf(now, g.members(now))
 	g.stale = float64(late) > max(1, staleShare*float64(g.entries))
 	return silent
 }
@@ -173,13 +183,17 @@
 }
 
 // shareOf returns the part of a limit that a number of entries use together.
-func (g *group) shareOf(members int) float64 {
-	return min(1, dividedShare*float64(members)/float64(max(1, g.entries)))
+func (g *group) shareOf(now time.Time, members int) float64 {
+	share := min(1, float64(members)/float64(max(1, g.entries)))
+	if now.Sub(g.majoritySeen) > minorityTimeout {
+		share *= minorityShare
+	}
+	return share
 }
 
 // count updates the number of entries that limits are divided by. It rises at once, and
 // falls after a delay.
-func (g *group) count(now time.Time, listed, announced int, elder bool) {
+func (g *group) count(now time.Time, listed, announced, heard int, elder bool) {
 	if listed != g.listed {
 		g.listed, g.listedSince = listed, now
 	}
@@ -187,12 +201,18 @@
 	if !elder && !g.old(now) && now.Sub(g.listedSince) < listSettleTime {
 		target = max(target, assumedEntries)
 	}
+	delay := shrinkDelay
+	if 2*heard > g.entries {
+		g.majoritySeen = now
+	} else {
+		delay = minorityShrinkDelay
+	}
 	switch {
 	case target >= g.entries || !g.old(now):
 		g.entries, g.fewerSince = target, time.Time{}
 	case g.fewerSince.IsZero():
 		g.fewerSince = now
-	case now.Sub(g.fewerSince) >= shrinkDelay:
+	case now.Sub(g.fewerSince) >= delay:
 		g.entries, g.fewerSince = target, time.Time{}
 	}
 }
--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -179,6 +180,7 @@
 			}
 			delete(l.removed, name)
 			n.accounts[name], n.byHash[a.hash] = old, old
+			l.activate(old)
 			continue
 		}
 		a.at, a.allowance = now, 1
@@ -274,7 +276,7 @@
 		return
 	}
 	if restarted {
-		l.forget(now, p.name)
+		l.forget(now, p)
 	}
 	for _, u := range r.Usages {
 		if a := l.byHash[u.Account]; a != nil && u.Rate >= 0 {
@@ -294,21 +296,30 @@
 		a.tokens, a.at = l.group.share*a.limit.capacity(), now
 	}
 	for _, u := range r.Usages {
-		if a := l.byHash[u.Account]; a != nil {
+		if a := l.byHash[u.Account]; a != nil && !math.IsNaN(u.Tokens) {
 			a.tokens = min(a.tokens, u.Tokens)
 		}
 	}
 	l.synced = true
 }
 
-// forget drops what an entry has reported.
-func (l *Ledger) forget(now time.Time, name string) {
-	for _, a := range l.active {
-		for i := range a.others {
-			if o := &a.others[i]; o.peer.name == name {
-				l.refill(now, a)
-				a.setRate(o, 0)
-				o.known = false
+// forget drops what entries have reported, also of accounts at rest: what an entry admits
+// while it is not heard is its own part and no debt.
+func (l *Ledger) forget(now time.Time, peers ...*peer) {
+	if len(peers) == 0 {
+		return
+	}
+	gone := func(o otherUsage) bool { return slices.Contains(peers, o.peer) }
+	for _, accounts := range []map[string]*account{l.accounts, l.removed} {
+		for _, a := range accounts {
+			if !slices.ContainsFunc(a.others, gone) {
+				continue
+			}
+			l.refill(now, a)
+			a.others = slices.DeleteFunc(a.others, gone)
+			a.othersRate = 0
+			for _, o := range a.others {
+				a.othersRate += o.rate
 			}
 		}
 	}
@@ -322,9 +333,7 @@
 		l.refill(now, a)
 	}
 	l.tickedAt = now
-	for _, p := range l.group.update(now, list) {
-		l.forget(now, p.name)
-	}
+	l.forget(now, l.group.update(now, list)...)
 	l.synced = l.synced || l.group.old(now)
 	for name, a := range l.removed {
 		if now.Sub(a.removedAt) > keptTime {
@@ -438,8 +447,7 @@
 // other returns the usage of another entry.
 func (a *account) other(p *peer) *otherUsage {
 	for i := range a.others {
-		if o := &a.others[i]; o.peer.name == p.name {
-			o.peer = p
+		if o := &a.others[i]; o.peer == p {
 			return o
 		}
 	}
--- a/core/yuccausage/exchange.go
+++ b/core/yuccausage/exchange.go
@@ -110,9 +110,9 @@
 	x.metrics.countRefused(account)
 	if e := x.refused.Info(); e.Enabled() {
 		x.mu.Lock()
-		limit, arrivals, oldest := x.ledger.Usage(now, account)
+		limit, admitted, oldest := x.ledger.Usage(now, account)
 		x.mu.Unlock()
-		e.Str("account", account).Float64("rate", limit.Rate).Float64("burst", limit.Burst).Float64("usage", arrivals).Dur("oldest", oldest).Dur("wait", wait).Msg("quota_exceeded")
+		e.Str("account", account).Float64("rate", limit.Rate).Float64("burst", limit.Burst).Float64("usage", admitted).Dur("oldest", oldest).Dur("wait", wait).Msg("quota_exceeded")
 	}
 	return yuccaerror.NewRetryAfter(wait, yuccaerror.QuotaExceeded, "account %s is over its quota", account)
 }
@@ -152,8 +152,8 @@
 	}
 }
 
-// tick updates the ledger and sends the other entries its report. Entries hear one another
-// also while no account has a limit, but seldom.
+// tick updates the ledger and sends the other entries its report, but nothing while no
+// account has a limit.
 func (x *Exchange) tick() {
 	entries := x.entries()
 	x.mu.Lock()
@@ -197,6 +197,11 @@
 // handleUsage records the message of another entry. It returns an error of kind Protocol
 // when the message cannot be decoded or its lists differ in length.
 func (x *Exchange) handleUsage(_ context.Context, from string, body []byte) ([]byte, error) {
+	return x.handleAt(time.Now(), from, body)
+}
+
+// handleAt is handleUsage for a message that arrives at a given time.
+func (x *Exchange) handleAt(now time.Time, from string, body []byte) ([]byte, error) {
 	var m Usage
 	if err := proto.Unmarshal(body, &m); err != nil {
 		return nil, yuccaerror.New(yuccaerror.Protocol, "decode usage of entry %s: %w", from, err)
@@ -219,6 +224,6 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.ledger.Receive(time.Now(), from, r)
+	x.ledger.Receive(now, from, r)
 	return nil, nil
 }
