--- a/core/yuccaquota/group.go
+++ b/core/yuccaquota/group.go
@@ -13,7 +13,7 @@
 	// mismatchGrace is how long another entry may hear other entries than this one does
 	// before the two count as unreachable for each other. It covers the time in which all
 	// entries notice the same change.
-	mismatchGrace = 300 * time.Millisecond
+	mismatchGrace = 200 * time.Millisecond
 	// settleTime is how long an entry runs before it relies on its own estimates.
 	settleTime = 5 * time.Second
 	// listSettleTime is how long the list must stay the same before a new entry relies on
@@ -53,6 +53,8 @@
 	seq uint64
 	// arrivedAt is when the newest report arrived.
 	arrivedAt time.Time
+	// fresh is set if the entry has been heard since its start.
+	fresh bool
 	// silent is set while no report arrives.
 	silent bool
 	// mismatchSince is since when the entry hears other entries than this one.
@@ -115,11 +117,11 @@
 	case p != nil && (r.Incarnation < p.incarnation || r.Incarnation == p.incarnation && r.Seq <= p.seq):
 		return nil, false
 	case p == nil:
-		p = &peer{name: from, hash: xxhash.Sum64String(from), incarnation: r.Incarnation}
+		p = &peer{name: from, hash: xxhash.Sum64String(from), incarnation: r.Incarnation, fresh: !r.Synced}
 		g.peers[from] = p
 	case r.Incarnation != p.incarnation:
 		restarted = true
-		p.incarnation = r.Incarnation
+		p.incarnation, p.fresh = r.Incarnation, true
 	}
 	p.seq, p.arrivedAt, p.silent = r.Seq, now, false
 	g.newcomers = g.newcomers || !r.Synced
@@ -143,7 +145,7 @@
 		}
 		if now.Sub(p.arrivedAt) > silenceTimeout {
 			if !p.silent {
-				p.silent, p.mismatchSince = true, time.Time{}
+				p.silent, p.fresh, p.mismatchSince = true, false, time.Time{}
 				silent = append(silent, p)
 			}
 			if !known[name] && now.Sub(p.arrivedAt) > shrinkDelay {
--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -32,12 +32,12 @@
 	calmError   = 0.02
 	// freeRequests is how many requests of an account all entries together may admit at
 	// once without knowing of one another.
-	freeRequests = 20
+	freeRequests = 25
 	// maxWait bounds the time after which a refused request is told to come back.
 	maxWait = 5 * time.Second
 	// burstShare is the part of a limit's burst that the bucket holds. The rest is for a
 	// surge at all entries before they know of one another.
-	burstShare = 0.8
+	burstShare = 0.7
 	// burstRate and burstTokens are the tokens that a bucket holds besides, in seconds of
 	// the rate and in requests. They keep chance from refusing requests of an account that
 	// is below its limit.
@@ -77,11 +77,13 @@
 	Whole bool
 	// Usages holds the usage of accounts. The slice is valid until the next call of Tick.
 	Usages []Usage
+	// viewChanged is set if View differs from that of the last report.
+	viewChanged bool
 }
 
-// Needed reports whether the others have to get the report: it holds something, or the
-// last one was a while ago.
-func (r Report) Needed() bool { return len(r.Usages) > 0 || r.Seq%emptyReports == 0 }
+// Needed reports whether the others have to get the report: it holds something, the entry
+// hears others than before, or the last report was a while ago.
+func (r Report) Needed() bool { return len(r.Usages) > 0 || r.viewChanged || r.Seq%emptyReports == 0 }
 
 // Usage is what an entry has admitted of one account.
 type Usage struct {
@@ -281,7 +283,7 @@
 	for _, u := range r.Usages {
 		if a := l.byHash[u.Account]; a != nil && u.Rate >= 0 {
 			l.refill(now, a)
-			a.record(now, p, u, restarted)
+			a.record(now, p, u)
 			l.activate(a)
 		}
 	}
@@ -328,7 +330,7 @@
 // Tick adapts the estimates to which entries are heard, and returns the report for the
 // other entries. The list names the entries of the system. Call it once in each Interval.
 func (l *Ledger) Tick(now time.Time, list []string) Report {
-	elapsed := now.Sub(l.tickedAt)
+	elapsed, view := now.Sub(l.tickedAt), l.group.view
 	for _, a := range l.active {
 		l.refill(now, a)
 	}
@@ -348,6 +350,7 @@
 		Entries:     l.group.listed,
 		Synced:      l.synced,
 		Whole:       l.seq%wholeReports == 0 || l.synced && l.group.newcomers && l.seq%newcomerReports == 0,
+		viewChanged: l.group.view != view,
 	}
 	if r.Whole {
 		l.group.newcomers = false
@@ -430,15 +433,16 @@
 func (a *account) used() uint64 { return a.admitted - a.returned }
 
 // record replaces the requests that were counted for another entry by those that it
-// reports.
-func (a *account) record(now time.Time, p *peer, u Usage, restarted bool) {
+// reports. Those of its first report are new if it has been heard since its start.
+func (a *account) record(now time.Time, p *peer, u Usage) {
 	o := a.other(p)
 	switch {
 	case o.known:
 		counted := o.rate * now.Sub(o.at).Seconds()
 		a.tokens -= float64(int64(u.Admitted-o.admitted)) - counted
-	case restarted:
-		a.tokens -= float64(u.Admitted)
+	case p.fresh:
+		// Bounded, as the entry may have admitted them out of reach.
+		a.tokens -= min(float64(u.Admitted), a.limit.capacity())
 	}
 	a.setRate(o, min(maxRate, u.Rate))
 	o.known, o.admitted, o.at = true, u.Admitted, now
