--- a/core/yuccaquota/group.go
+++ b/core/yuccaquota/group.go
@@ -159,15 +159,19 @@
 		announced, elder = max(announced, p.entries), elder || p.synced
 	}
 	g.count(now, len(known), announced, heard, elder)
-	g.share = g.shareOf(now, g.members(now))
+	g.share = g.shareOf(now, g.members(now, heard))
 	g.stale = float64(late) > max(1, staleShare*float64(g.entries))
 	return silent
 }
 
 // members returns the number of entries that hear the same entries as this one, itself
 // included.
-func (g *group) members(now time.Time) int {
-	members := 1
+func (g *group) members(now time.Time, heard int) int {
+	members, grace := 1, mismatchGrace
+	if 2*heard <= g.entries {
+		// Most entries are out of reach, so the others may not hear one another either.
+		grace = 0
+	}
 	for _, p := range g.peers {
 		switch {
 		case p.silent:
@@ -177,7 +181,7 @@
 		case p.mismatchSince.IsZero():
 			p.mismatchSince = now
 		}
-		if p.mismatchSince.IsZero() || now.Sub(p.mismatchSince) < mismatchGrace {
+		if p.mismatchSince.IsZero() || now.Sub(p.mismatchSince) < grace {
 			members++
 		}
 	}
--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -37,7 +37,7 @@
 	maxWait = 5 * time.Second
 	// burstShare is the part of a limit's burst that the bucket holds. The rest is for a
 	// surge at all entries before they know of one another.
-	burstShare = 0.7
+	burstShare = 0.65
 	// burstRate and burstTokens are the tokens that a bucket holds besides, in seconds of
 	// the rate and in requests. They keep chance from refusing requests of an account that
 	// is below its limit.
@@ -47,6 +47,9 @@
 	// left, an entry may admit between two reports. It bounds what all entries admit in a
 	// surge before they know of one another.
 	growth = 1.25
+	// plentyTokens is the fraction of the bucket from which an entry may admit more than
+	// its mean rate by the standard deviation of its requests.
+	plentyTokens = 0.5
 	// minWait is the least such time.
 	minWait = 50 * time.Millisecond
 	// stallTime is the age of the last tick from which tokens are no longer added: the
@@ -489,6 +492,10 @@
 		expected = min(expected, (tokens+added)*a.rate/(a.rate+a.othersRate))
 	}
 	more := growth * (expected + Evenly(tokens+added, g.entries))
+	if g.share == 1 && tokens > plentyTokens*a.limit.capacity() {
+		// Arrivals vary by chance, and nobody else is near the limit.
+		more += math.Sqrt(expected)
+	}
 	if g.stale {
 		more = Evenly(added, g.entries)
 	}
