--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,12 +32,12 @@
 	calmError   = 0.02
 	// freeRequests is how many requests of an account all entries together may admit at
 	// once without knowing of one another.
-	freeRequests = 20
+	freeRequests = 25
 	// maxWait bounds the time after which a refused request is told to come back.
 	maxWait = 5 * time.Second
 	// burstShare is the part of a limit's burst that the bucket holds. The rest is for a
 	// surge at all entries before they know of one another.
-	burstShare = 0.8
+	burstShare = 0.65
 	// burstRate and burstTokens are the tokens that a bucket holds besides, in seconds of
 	// the rate and in requests. They keep chance from refusing requests of an account that
 	// is below its limit.
@@ -46,6 +47,9 @@
 	// left, an entry may admit between two reports. It bounds what all entries admit in a
 	// surge before they know of one another.
 	growth = 1.25
+	// plentyTokens is the fraction of the bucket from which an entry may admit more than
+	// its mean rate by the standard deviation of its requests.
+	plentyTokens = 0.5
 	// minWait is the least such time.
 	minWait = 50 * time.Millisecond
 	// stallTime is the age of the last tick from which tokens are no longer added: the
@@ -76,11 +80,13 @@
 	Whole bool
 	// Usages holds the usage of accounts. The slice is valid until the next call of Tick.
 	Usages []Usage
+	// viewChanged is set if View differs from that of the last report.
+	viewChanged bool
 }
 
-// Needed reports whether the others have to get the report: it holds something, or the
-// last one was a while ago.
-func (r Report) Needed() bool { return len(r.Usages) > 0 || r.Seq%emptyReports == 0 }
+// Needed reports whether the others have to get the report: it holds something, the entry
+// hears others than before, or the last report was a while ago.
+func (r Report) Needed() bool { return len(r.Usages) > 0 || r.viewChanged || r.Seq%emptyReports == 0 }
 
 // Usage is what an entry has admitted of one account.
 type Usage struct {
@@ -179,6 +185,7 @@
 			}
 			delete(l.removed, name)
 			n.accounts[name], n.byHash[a.hash] = old, old
+			l.activate(old)
 			continue
 		}
 		a.at, a.allowance = now, 1
@@ -274,12 +281,12 @@
 		return
 	}
 	if restarted {
-		l.forget(now, p.name)
+		l.forget(now, p)
 	}
 	for _, u := range r.Usages {
 		if a := l.byHash[u.Account]; a != nil && u.Rate >= 0 {
 			l.refill(now, a)
-			a.record(now, p, u, restarted)
+			a.record(now, p, u)
 			l.activate(a)
 		}
 	}
@@ -294,21 +301,30 @@
 		a.tokens, a.at = l.group.share*a.limit.capacity(), now
 	}
 	for _, u := range r.Usages {
-		if a := l.byHash[u.Account]; a != nil {
+		if a := l.byHash[u.Account]; a != nil && !math.IsNaN(u.Tokens) {
 			a.tokens = min(a.tokens, u.Tokens)
 		}
 	}
 	l.synced = true
 }
 
-// forget drops what an entry has reported.
-func (l *Ledger) forget(now time.Time, name string) {
-	for _, a := range l.active {
-		for i := range a.others {
-			if o := &a.others[i]; o.peer.name == name {
-				l.refill(now, a)
-				a.setRate(o, 0)
-				o.known = false
+// forget drops what entries have reported, also of accounts at rest: what an entry admits
+// while it is not heard is its own part and no debt.
+func (l *Ledger) forget(now time.Time, peers ...*peer) {
+	if len(peers) == 0 {
+		return
+	}
+	gone := func(o otherUsage) bool { return slices.Contains(peers, o.peer) }
+	for _, accounts := range []map[string]*account{l.accounts, l.removed} {
+		for _, a := range accounts {
+			if !slices.ContainsFunc(a.others, gone) {
+				continue
+			}
+			l.refill(now, a)
+			a.others = slices.DeleteFunc(a.others, gone)
+			a.othersRate = 0
+			for _, o := range a.others {
+				a.othersRate += o.rate
 			}
 		}
 	}
@@ -317,14 +333,12 @@
 // Tick adapts the estimates to which entries are heard, and returns the report for the
 // other entries. The list names the entries of the system. Call it once in each Interval.
 func (l *Ledger) Tick(now time.Time, list []string) Report {
-	elapsed := now.Sub(l.tickedAt)
+	elapsed, view := now.Sub(l.tickedAt), l.group.view
 	for _, a := range l.active {
 		l.refill(now, a)
 	}
 	l.tickedAt = now
-	for _, p := range l.group.update(now, list) {
-		l.forget(now, p.name)
-	}
+	l.forget(now, l.group.update(now, list)...)
 	l.synced = l.synced || l.group.old(now)
 	for name, a := range l.removed {
 		if now.Sub(a.removedAt) > keptTime {
@@ -339,6 +353,7 @@
 		Entries:     l.group.listed,
 		Synced:      l.synced,
 		Whole:       l.seq%wholeReports == 0 || l.synced && l.group.newcomers && l.seq%newcomerReports == 0,
+		viewChanged: l.group.view != view,
 	}
 	if r.Whole {
 		l.group.newcomers = false
@@ -421,15 +436,16 @@
 func (a *account) used() uint64 { return a.admitted - a.returned }
 
 // record replaces the requests that were counted for another entry by those that it
-// reports.
-func (a *account) record(now time.Time, p *peer, u Usage, restarted bool) {
+// reports. Those of its first report are new if it has been heard since its start.
+func (a *account) record(now time.Time, p *peer, u Usage) {
 	o := a.other(p)
 	switch {
 	case o.known:
 		counted := o.rate * now.Sub(o.at).Seconds()
 		a.tokens -= float64(int64(u.Admitted-o.admitted)) - counted
-	case restarted:
-		a.tokens -= float64(u.Admitted)
+	case p.fresh:
+		// Bounded, as the entry may have admitted them out of reach.
+		a.tokens -= min(float64(u.Admitted), a.limit.capacity())
 	}
 	a.setRate(o, min(maxRate, u.Rate))
 	o.known, o.admitted, o.at = true, u.Admitted, now
@@ -438,8 +454,7 @@
 // other returns the usage of another entry.
 func (a *account) other(p *peer) *otherUsage {
 	for i := range a.others {
-		if o := &a.others[i]; o.peer.name == p.name {
-			o.peer = p
+		if o := &a.others[i]; o.peer == p {
 			return o
 		}
 	}
@@ -477,6 +492,10 @@
 		expected = min(expected, (tokens+added)*a.rate/(a.rate+a.othersRate))
 	}
 	more := growth * (expected + Evenly(tokens+added, g.entries))
+	if g.share == 1 && tokens > plentyTokens*a.limit.capacity() {
+		// Arrivals vary by chance, and nobody else is near the limit.
+		more += math.Sqrt(expected)
+	}
 	if g.stale {
 		more = Evenly(added, g.entries)
 	}
