--- a/core/yuccausage/bench_test.go
+++ b/core/yuccausage/bench_test.go
@@ -29,6 +29,8 @@
 	x.ledger = yuccaquota.NewLedger("e0", 1, now.Add(-time.Hour))
 	x.ledger.Tick(now, []string{"e0"})
 	x.SetQuotas(limits)
+	now = now.Add(time.Second)
+	x.ledger.Tick(now, []string{"e0"})
 	for _, name := range names {
 		if err := x.Take(now, name); err != nil {
 			b.Fatal(err)
