--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -267,12 +267,12 @@
 	return Choice{server: best.server, Reason: reason, Queued: best.queueWait > 0, latencyBudget: req.LatencyBudget, hasObject: req.Object != 0}
 }
 
-// spillover returns the best server of the other regions if the latency budget
-// would be exceeded on the best one of the object's region, a spillover token is
-// available, and the other server costs less. A rejection counts as another
+// spillover returns the best server of the other regions if the best one of the object's
+// region has just declined a request or would exceed the latency budget, a spillover token
+// is available, and the other server costs less. A rejection counts as another
 // latency budget, which is about how long a rejected caller waits.
 func (c *Core) spillover(p *pool, others []string, req yuccaadmission.Request, key uint64, best candidate) (candidate, bool) {
-	if p.spilloverTokens < 1 || req.LatencyBudget <= 0 || best.latency <= req.LatencyBudget {
+	if p.spilloverTokens < 1 || req.LatencyBudget <= 0 || !best.full && best.latency <= req.LatencyBudget {
 		return candidate{}, false
 	}
 	limit := best.cost
@@ -280,7 +280,7 @@
 		limit += req.LatencyBudget
 	}
 	o := c.bestServerElsewhere(p, others, req, key)
-	return o, o.server != nil && o.cost+crossRegionDelay < limit
+	return o, o.server != nil && !o.full && o.cost+crossRegionDelay < limit
 }
 
 // Done records the result of a request and removes it from the in-flight
--- a/core/yuccabalancer/load.go
+++ b/core/yuccabalancer/load.go
@@ -28,8 +28,8 @@
 	negligibleAge = 8
 )
 
-// regionLoad is the load of the servers of one service in one region. It answers the
-// load in which many entries each send few requests to a server, so that the last report
+// regionLoad is the load of the servers of one service in one region. It addresses the
+// case in which many entries each send few requests to a server, so that the last report
 // of most servers is older than their queues.
 type regionLoad struct {
 	// perSlot is the moving average of the requests of other entries per slot.
--- a/core/yuccabalancer/load_test.go
+++ b/core/yuccabalancer/load_test.go
@@ -215,3 +215,20 @@
 	mean := core.MeanInFlight(start.Add(1100 * time.Millisecond))["s"]
 	c.Assert(mean > 0.99 && mean < 1.01, qt.IsTrue, qt.Commentf("%v", mean))
 }
+
+// TestFullRegionSpillsOver has the only server of a region decline a request. It guards
+// against requests that are then rejected while another region has free slots.
+func TestFullRegionSpillsOver(t *testing.T) {
+	c := qt.New(t)
+	core := newCore(topology(1, 4, "a", "b"))
+	object := uint64(1)
+	for answer(core, 0, object, 100*time.Millisecond, nil) != "a0" {
+		object++
+	}
+	choice := core.Choose(patient(time.Second, object))
+	c.Assert(choice.Server(), qt.Equals, "a0")
+	core.Done(choice, yuccaadmission.Result{Now: start.Add(time.Second), Declined: true})
+	choice = core.Choose(patient(time.Second, object))
+	c.Assert(choice.Kind, qt.Equals, yuccaerror.None)
+	c.Assert(choice.Server(), qt.Equals, "b0")
+}
--- a/core/yuccabalancer/ramp.go
+++ b/core/yuccabalancer/ramp.go
@@ -13,7 +13,7 @@
 	// count as recovering. Fewer are mostly a fault of the network that leaves its objects
 	// warm.
 	minFailedConns = 3
-	// minPause is how long a hold-off must have lasted for that. A short one is a full
+	// minPause is how long a hold-off must have lasted for the server to count as recovering. A short one is a full
 	// queue, and the objects are worth more where they are.
 	minPause = time.Second
 )
@@ -125,8 +125,8 @@
 }
 
 // observeRamp counts a response for an object that is not warm in the server's latency, in
-// proportion. While the server is ramping few of its objects are warm, and one that stays
-// slow is to be known as slow at the end.
+// proportion. While the server is ramping few of its objects are warm, and a server that
+// stays slow must be recognized as slow when the ramp ends.
 func (s *serverState) observeRamp(p *pool, sample yuccapace.Sample, state cacheState) {
 	if state == cacheWarm || sample.Usual <= 0 {
 		return
--- a/core/yuccacapacity/choice.go
+++ b/core/yuccacapacity/choice.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// unevenFactor is how many times the capacity of an entry the largest one has where
-	// the entry counts as small. Where no entry is small, all are named.
+	// unevenFactor is the ratio of the largest entry's capacity to that of another entry
+	// from which the other one counts as small. Where no entry is small, all are named.
 	unevenFactor = 4
 	// reserveShare is the share of the capacity of the named entries that the demand may
 	// take. Demand grows by up to 55% within seconds, which leaves 0.22 of the capacity.
@@ -120,7 +120,7 @@
 }
 
 // Large returns the names of the entries of a region that are not small, judged by their
-// capacities alone, or all names if a capacity is unknown. Lookups name these entries at any
+// capacities, or all names if a capacity is unknown or a figure is implausible. Lookups name these entries at any
 // load.
 func Large(all []Entry) []string {
 	var names []string
--- a/core/yuccaliveness/lookup.go
+++ b/core/yuccaliveness/lookup.go
@@ -88,6 +88,9 @@
 		region = ""
 	}
 	r := s.regions[region]
+	if r != nil && r.ready == ready && now.Sub(r.at) < choiceTTL {
+		return r
+	}
 	if r == nil {
 		r = &regionChoice{}
 		s.regions[region] = r
--- a/core/yuccaoverload/classes.go
+++ b/core/yuccaoverload/classes.go
@@ -7,7 +7,7 @@
 // requests wait for a shorter time than the more urgent ones that share the service
 // with them, and rejects them at once when they would wait longer:
 //
-//	if wait > classes.MaxWait(req) {
+//	if wait > classes.MaxWait(req.Priority, req.LatencyBudget) {
 //		classes.Add(now, req.Priority, false, slack)
 //		return rejected
 //	}
@@ -39,7 +39,7 @@
 )
 
 // Classes holds the recent requests of one service by priority. The zero value has
-// none. It answers the load in which requests of several priorities together need more
+// none. It addresses overload in which requests of several priorities together need more
 // slots than there are.
 type Classes struct {
 	// classes are sorted by priority, the most urgent first.
@@ -70,7 +70,8 @@
 
 // MaxWait returns how long a request may wait for a slot, given the time that it may
 // wait if it is the most urgent one. A less urgent request waits no longer than lets the
-// more urgent ones be in time, unless its class gets less than fairShare.
+// more urgent ones be in time, unless its class gets less than fairShare. It does not wait
+// at all while a more urgent class is late without a wait.
 func (k *Classes) MaxWait(priority int, own time.Duration) time.Duration {
 	if len(k.classes) < 2 || k.classes[0].priority >= priority {
 		return own
--- a/core/yuccaoverload/line.go
+++ b/core/yuccaoverload/line.go
@@ -22,8 +22,8 @@
 )
 
 // Line is a virtual line of rejected callers: each is told to return after the one before
-// it, at the rate at which requests complete. The zero value is an empty line. It answers
-// the load in which many callers are rejected at one moment, and would all return at
+// it, at the rate at which requests complete. The zero value is an empty line. It addresses
+// the case in which many callers are rejected at one moment, and would all return at
 // another one and be rejected again.
 type Line struct {
 	// completed is the decayed number of completed requests.
@@ -41,8 +41,8 @@
 }
 
 // Join returns how long a rejected caller should wait. There is room at the earliest
-// after the time soonest. The wait is at most a third of the time left to the caller;
-// zero means that this is unknown. A caller who finds the line longer than that gets a
+// after the time soonest. The wait is at most MaxReturn, and at most a
+// third of left, the time until the caller gives up, where zero means unknown. A caller who finds the line longer than that gets a
 // random place in it, since all at its end would return too late to be in time.
 func (l *Line) Join(now time.Time, soonest, left time.Duration, random uint64) time.Duration {
 	l.decay(now)
@@ -56,7 +56,7 @@
 		return min(limit, MinReturn) + time.Duration(fraction*float64(max(0, limit-MinReturn)))
 	}
 	l.end = now.Add(position + l.step())
-	return min(limit, time.Duration((1+returnSpread*(2*fraction-1))*float64(position)))
+	return min(limit, max(MinReturn, time.Duration((1+returnSpread*(2*fraction-1))*float64(position))))
 }
 
 // step returns the time between two completed requests.
--- a/core/yuccapace/pace.go
+++ b/core/yuccapace/pace.go
@@ -1,10 +1,10 @@
 // Package yuccapace decides how much of its part of the requests a server gets after it
-// has started or recovered. It answers the load in which a server with cold objects or a
-// cold processor gets its full part at once, queues it and makes it late, and the one in
-// which a server that is warm is held back by a fixed time.
+// has started or recovered. It avoids two faults: a server with a cold cache or processor
+// that gets its full part at once responds late, and a fixed ramp holds back a server that
+// is already warm.
 //
 // A Pace is the state of one server at one entry, a proxy instance of the system. Its
-// Fraction rises with time, faster while responses are in order, and is halved when one
+// Fraction rises with time, faster while responses are normal, and is halved when one
 // shows that the server cannot take more:
 //
 //	pace := yuccapace.New(slowStartUntil)
@@ -24,12 +24,12 @@
 	// minFraction is the lowest fraction, so that responses keep arriving and a recovery
 	// is noticed.
 	minFraction = 0.05
-	// quietIncrease is how much the fraction rises a second without recent responses, as
+	// quietIncrease is how much the fraction rises per second without recent responses, as
 	// at one of many entries, which sees few of them.
 	quietIncrease = 0.1
-	// goodIncrease is how much the fraction rises a second while responses are in order.
+	// goodIncrease is how much the fraction rises per second while responses are normal.
 	goodIncrease = 0.4
-	// goodAge is how long after a response in order the fraction rises by goodIncrease.
+	// goodAge is how long after a normal response the fraction rises by goodIncrease.
 	goodAge = time.Second
 	// decrease is the factor of the fraction when a response shows distress.
 	decrease = 0.5
@@ -58,7 +58,7 @@
 	begunAt time.Time
 	// at is when fraction was last updated.
 	at time.Time
-	// goodUntil is when responses cease to be recent.
+	// goodUntil is until when fraction rises by goodIncrease rather than quietIncrease.
 	goodUntil time.Time
 	// decreasedAt is when fraction was last halved.
 	decreasedAt time.Time
--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -14,9 +14,9 @@
 	// emptyReports is how many intervals lie between two reports if there is nothing to
 	// report. The others need them to hear the entry.
 	emptyReports = 2
-	// wholeReports is the number of intervals from a report of all accounts to the next.
+	// wholeReports is the number of intervals between two whole reports; see Report.Whole.
 	wholeReports = 20
-	// newcomerReports is the same while an entry that has just started lacks the tokens.
+	// newcomerReports is the same while an entry that has just started is not synced.
 	newcomerReports = 3
 	// rateTime is the time constant of the mean rate that is reported.
 	rateTime = 400 * time.Millisecond
@@ -33,7 +33,7 @@
 	// freeRequests is how many requests of an account all entries together may admit at
 	// once without knowing of one another.
 	freeRequests = 25
-	// maxWait bounds the time after which a refused request is told to come back.
+	// maxWait is the longest time after which a refused request may be retried.
 	maxWait = 5 * time.Second
 	// burstShare is the part of a limit's burst that the bucket holds. The rest is for a
 	// surge at all entries before they know of one another.
@@ -50,10 +50,10 @@
 	// plentyTokens is the fraction of the bucket from which an entry may admit more than
 	// its mean rate by the standard deviation of its requests.
 	plentyTokens = 0.5
-	// minWait is the least such time.
+	// minWait is the shortest time after which a refused request may be retried.
 	minWait = 50 * time.Millisecond
 	// stallTime is the age of the last tick from which tokens are no longer added: the
-	// process stood still, and others may have used them.
+	// process was suspended, and other entries may have used them.
 	stallTime = 3 * reportInterval
 	// maxRate bounds the rates in reports, in requests a second.
 	maxRate = 1e9
@@ -245,7 +245,7 @@
 }
 
 // Usage returns the limit of an account, the rate at which all entries admit its requests,
-// and the age of the oldest report of another entry.
+// in requests a second, and the longest time since any entry that is heard last reported.
 func (l *Ledger) Usage(now time.Time, name string) (limit Limit, admitted float64, oldest time.Duration) {
 	if a := l.accounts[name]; a != nil {
 		limit, admitted = a.limit, a.rate+a.othersRate
@@ -309,7 +309,7 @@
 }
 
 // forget drops what entries have reported, also of accounts at rest: what an entry admits
-// while it is not heard is its own part and no debt.
+// while it is not heard comes from its own part of the limit.
 func (l *Ledger) forget(now time.Time, peers ...*peer) {
 	if len(peers) == 0 {
 		return
@@ -367,8 +367,13 @@
 		}
 		a.updateRate(elapsed)
 		a.allow(l.group)
-		if len(l.usages) < MaxUsages && (r.Whole || a.due(now)) {
+		switch {
+		case !r.Whole && !a.due(now):
+		case len(l.usages) < MaxUsages:
 			l.usages = append(l.usages, a.report(now))
+		default:
+			// A new entry takes the accounts that a whole report lacks for unused ones.
+			r.Whole = false
 		}
 		if a.resting(l.group.share) {
 			a.active = false
@@ -406,7 +411,7 @@
 	rate float64
 	// saving is set while a request has been refused for want of an allowance.
 	saving bool
-	// waiting is the number of refused requests that have been told to come back.
+	// waiting is the number of refused requests whose callers are expected to retry.
 	waiting float64
 	// others holds the usage that other entries have reported.
 	others []otherUsage
@@ -499,11 +504,11 @@
 	if g.stale {
 		more = Evenly(added, g.entries)
 	}
-	most := Evenly(freeRequests, g.entries)
-	if most > 1 || a.saving {
-		most = 1
+	least := Evenly(freeRequests, g.entries)
+	if least > 1 || a.saving {
+		least = 1
 	}
-	a.allowance = min(max(most, more+min(1, more)), a.allowance+more)
+	a.allowance = min(max(least, more+min(1, more)), a.allowance+more)
 }
 
 // due reports whether the usage belongs into the next report: when the others, who count
--- a/core/yuccaquota/ledger_test.go
+++ b/core/yuccaquota/ledger_test.go
@@ -327,3 +327,22 @@
 	_, _, peers = l.Remembered()
 	c.Assert(peers <= 8192, qt.IsTrue)
 }
+
+// TestCutReportIsNotWhole guards against a new entry that takes the accounts beyond the
+// length of a report for unused ones.
+func TestCutReportIsNotWhole(t *testing.T) {
+	limits := map[string]yuccaquota.Limit{}
+	for i := range yuccaquota.MaxUsages + 1 {
+		limits[fmt.Sprint(i)] = yuccaquota.Limit{Rate: 1, Burst: 1}
+	}
+	l, now := settled(limits)
+	for name := range limits {
+		l.Take(now, name)
+	}
+	for range 40 {
+		now = now.Add(l.Interval())
+		if r := l.Tick(now, []string{"e1"}); r.Whole && len(r.Usages) == yuccaquota.MaxUsages {
+			t.Fatal("a report that lacks accounts says that it has all")
+		}
+	}
+}
--- a/core/yuccarelay/exchange.go
+++ b/core/yuccarelay/exchange.go
@@ -61,7 +61,7 @@
 	errStalled        = errors.New("server sends no data or is too slow")
 	errCallerBody     = errors.New("request body from the caller is incomplete")
 	errWrongResponse  = errors.New("response is invalid or belongs to another request")
-	errLinkLost       = errors.New("no response, and the link brings no bytes")
+	errLinkLost       = errors.New("no response, and the link to the servers delivers no data")
 )
 
 // exchange is one request and its response on one connection. It is the reader
--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -134,7 +134,7 @@
 	Broken(c net.Conn, server string)
 	// Silent records that no byte of a response has come for a while on a connection to
 	// a server, which was opened at a time. It is called again while that goes on. It
-	// reports whether the connection is lost, because the path brings no bytes.
+	// reports whether the connection is lost, because the path delivers no data.
 	Silent(c net.Conn, server string, openedAt time.Time) (lost bool)
 }
 
--- a/core/yuccasocket/socket.go
+++ b/core/yuccasocket/socket.go
@@ -15,7 +15,8 @@
 const (
 	// NoData means that a read would block.
 	NoData State = iota
-	// Closed means that the peer has closed the connection and no data is unread.
+	// Closed means that the peer has closed the connection and no data is unread, or that
+	// a read fails.
 	Closed
 	// DataReady means that data is unread.
 	DataReady
--- a/core/yuccatunnel/detector.go
+++ b/core/yuccatunnel/detector.go
@@ -23,7 +23,7 @@
 // Detector decides whether an entry is cut off from all servers. It answers the
 // pattern in which every new direct connection fails, or breaks before a byte of a
 // response, while another entry reaches the same servers. One server that is reached
-// directly on a new connection shows that the links work. It also answers the pattern in
+// directly on a new connection shows that the links work. It also detects the case in
 // which connections are accepted and then silent. Overloaded servers are silent too, so
 // that silence is only a reason to verify the links: Silenced compares this entry's
 // probes of servers with those of other entries. It is not safe for concurrent use. The
--- a/core/yuccausage/exchange.go
+++ b/core/yuccausage/exchange.go
@@ -85,7 +85,7 @@
 func (x *Exchange) SetQuotas(limits map[string]yuccaquota.Limit) {
 	x.quotas.Lock()
 	defer x.quotas.Unlock()
-	// Prepared without the lock, so that requests do not wait for many accounts.
+	// Prepared without the lock, so that requests wait only for Apply.
 	prepared := x.ledger.Prepare(limits)
 	x.mu.Lock()
 	x.ledger.Apply(time.Now(), prepared)
--- a/core/yuccaversion/exchange.go
+++ b/core/yuccaversion/exchange.go
@@ -62,7 +62,7 @@
 	*yuccakernel.Worker
 
 	bus Bus
-	// decode returns the candidate of a value that another entry has handed on.
+	// decode returns the candidate of a value that another entry has sent.
 	decode func(value []byte) (Candidate, error)
 	log    zerolog.Logger
 
@@ -212,6 +212,10 @@
 	x.log.Warn().Err(err).Str("from", from).Uint64("version", version).Msg("routes_not_fetched")
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if yuccaerror.Is(err, yuccaerror.Invalid) {
+		x.state.RecordUnusable(time.Now(), version)
+		return
+	}
 	x.state.RecordFailure(time.Now(), from)
 }
 
@@ -222,7 +226,7 @@
 	}
 	c, err := x.decode(value)
 	if err != nil {
-		return err
+		return yuccaerror.Wrap(yuccaerror.Invalid, err)
 	}
 	if c.Version != version {
 		return yuccaerror.New(yuccaerror.Protocol, "config has version %d, announced as %d", c.Version, version)
--- a/core/yuccaversion/state.go
+++ b/core/yuccaversion/state.go
@@ -3,7 +3,7 @@
 // entries that do not get it from the platform.
 //
 // Within a process the version in force only rises. A restarted entry has no version, and
-// the platform may have come back from an older copy, or another entry may hand on one. So
+// the platform may have been restored from an older copy, or another entry may send an older config. So
 // each heartbeat announces the version in force, a restarted entry takes no config that is
 // older than an announced one, and any entry fetches a newer config from one that announces
 // it.
@@ -48,7 +48,7 @@
 type Source struct {
 	// Accounts is set if the config has accounts, whose keys it may have revoked.
 	Accounts bool
-	// Restored is set if the platform has ever come back from an older copy.
+	// Restored is set if the platform has ever been restored from an older copy.
 	Restored bool
 }
 
@@ -64,6 +64,10 @@
 	listed []string
 	// others holds the last announcement of each other entry by name.
 	others map[string]announcement
+	// unusable is the last version that could not be put in force, and unusableUntil is
+	// until when it is not fetched again.
+	unusable      uint64
+	unusableUntil time.Time
 	// behindSince is when a version above inForce was first announced, zero if none is.
 	behindSince time.Time
 }
@@ -128,7 +132,17 @@
 	s.others[from] = a
 }
 
-// Accepts reports whether a version may be put in force. The load pattern is a restart of
+// RecordUnusable records that a version cannot be put in force, whichever entry sends it.
+func (s *State) RecordUnusable(now time.Time, version uint64) {
+	s.unusable, s.unusableUntil = version, now.Add(failureTimeout)
+}
+
+// usable reports whether a version may be fetched.
+func (s *State) usable(now time.Time, version uint64) bool {
+	return version != s.unusable || !now.Before(s.unusableUntil)
+}
+
+// Accepts reports whether a version may be put in force. It addresses a restart of
 // an entry after the platform has come back from an older copy, or while it is unavailable
 // and others have different versions: the older config may hold keys that a newer one has
 // revoked. Where that is possible, an entry without a config first waits until it has heard
@@ -173,13 +187,13 @@
 
 // FetchFrom returns the entry from which to fetch the highest announced version, and that
 // version. It returns false if no version above the one in force and above known, which
-// this entry has but not in force, has been announced for a while, or if nobody can be
-// asked at the moment. The load pattern is a new version that all entries but one lack: the
+// this entry has but not in force, has been announced for a while, or if no entry can be
+// asked at the moment. It addresses a new version that all entries but one lack: the
 // entries that announce it share the load.
 func (s *State) FetchFrom(now time.Time, known uint64) (name string, version uint64, ok bool) {
 	known = max(known, s.inForce)
 	for _, a := range s.others {
-		if a.fresh(now) {
+		if a.fresh(now) && s.usable(now, a.version) {
 			version = max(version, a.version)
 		}
 	}
@@ -196,7 +210,7 @@
 	var names []string
 	version = 0
 	for other, a := range s.others {
-		if a.version <= known || a.version < version || !a.fresh(now) || now.Sub(a.lastFailure) < fetchRetryDelay {
+		if a.version <= known || a.version < version || !a.fresh(now) || !s.usable(now, a.version) || now.Sub(a.lastFailure) < fetchRetryDelay {
 			continue
 		}
 		if a.version > version {
--- a/core/yuccaversion/state_test.go
+++ b/core/yuccaversion/state_test.go
@@ -100,3 +100,25 @@
 	c.Assert(fetch(time.Second, 0), qt.Equals, "e2")
 	c.Assert(fetch(5*time.Second, 0), qt.Equals, "")
 }
+
+// TestUnusableVersionIsNotFetchedFromAll guards against a version that this entry cannot
+// put in force and then fetches from one entry after the other without a pause.
+func TestUnusableVersionIsNotFetchedFromAll(t *testing.T) {
+	c := qt.New(t)
+	s := yuccaversion.NewState("e1", start)
+	s.SetInForce(2)
+	for _, from := range []string{"e2", "e3"} {
+		s.Observe(start, from, 4)
+	}
+	s.FetchFrom(start, 0)
+	later := start.Add(time.Second)
+	_, _, ok := s.FetchFrom(later, 0)
+	c.Assert(ok, qt.IsTrue)
+	s.RecordUnusable(later, 4)
+	_, _, ok = s.FetchFrom(later, 0)
+	c.Assert(ok, qt.IsFalse)
+	s.Observe(later, "e3", 5)
+	s.FetchFrom(later, 0)
+	_, version, ok := s.FetchFrom(later.Add(time.Second), 0)
+	c.Assert(ok && version == 5, qt.IsTrue)
+}
