--- a/core/yuccaquota/ledger_test.go
+++ b/core/yuccaquota/ledger_test.go
@@ -47,7 +47,7 @@
 	c := qt.New(t)
 	l, now := settled(one)
 	full := takeAll(l, now)
-	c.Assert(full >= 20 && full <= 30, qt.IsTrue, qt.Commentf("%d", full))
+	c.Assert(full, qt.Equals, 21)
 	wait, ok := l.Take(now, "a")
 	c.Assert(ok, qt.IsFalse)
 	c.Assert(wait > 0, qt.IsTrue)
