--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -36,10 +36,16 @@
 	trendArrivals = 3
 	// trendGain is how much of the trend is added to a claim.
 	trendGain = 2
+	// fallen is the ratio of the demand to the longer mean at which requests have gone
+	// elsewhere. Above it, the larger of the two is claimed.
+	fallen = 0.5
 	// demandMargin is how much more than the arrival rate is claimed.
 	demandMargin = 1.25
-	// refillTime is the time in which a claim refills the bucket.
-	refillTime = time.Second
+	// firstRefillTime is the time in which a claim adds a first token, and refillTime that
+	// in which it fills the bucket. Unclaimed parts fill it sooner; while there are none,
+	// tokens that nobody uses are not worth much.
+	firstRefillTime = time.Second
+	refillTime      = 10 * time.Second
 	// claimStep is the least change of a claim that is reported, relative to the claim or
 	// to the even part if that is larger.
 	claimStep = 0.15
@@ -440,10 +446,7 @@
 		a.arrivals = 0
 	}
 	a.bucket.refill(now)
-	// The trend of a few arrivals is chance.
-	trend := max(trendGain*(a.demand-a.slow), -a.demand) * a.demand / (a.demand + trendArrivals)
-	wanted := demandMargin*a.demand + trend + a.bucket.Missing()/refillTime.Seconds()
-	units := uint32(min(maxClaim, wanted/a.limit.Rate*claimUnits))
+	units := uint32(min(maxClaim, a.wanted()/a.limit.Rate*claimUnits))
 	if units == 0 && now.Sub(a.usedAt) < residence && l.claiming < maxResidents {
 		units = 1
 	}
@@ -461,6 +464,19 @@
 	}
 }
 
+// wanted returns the rate that the entry has use for.
+func (a *account) wanted() float64 {
+	missing := a.bucket.Missing()
+	first := min(1, missing) / firstRefillTime.Seconds()
+	if a.demand+1 < fallen*a.slow {
+		// The tokens that are left serve the last requests.
+		return first + max(0, demandMargin*a.demand-a.bucket.tokens)
+	}
+	// The trend of a few arrivals is chance.
+	trend := max(0, trendGain*(a.demand-a.slow)) * a.demand / (a.demand + trendArrivals)
+	return first + demandMargin*max(a.demand, a.slow) + trend + missing/refillTime.Seconds()
+}
+
 // settled returns the part that the entry has claimed for so long that all others know
 // it or have stopped using this entry's part.
 func (l *Ledger) settled(a *account) float64 {
