--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -258,7 +258,7 @@
 	if s.holders > 0 && l.idleRank(a) >= s.holders {
 		capacity = 0
 	}
-	a.bucket.SetPart(now, l.usable(a.limit)*l.group.base(), l.group.start.Add(probation), capacity)
+	a.bucket.SetPart(now, usableRate*a.limit.Rate*l.group.base(), l.group.start.Add(probation), capacity)
 	a.epoch = l.epoch
 }
 
@@ -279,14 +279,6 @@
 	return rank
 }
 
-// usable returns the part of the rate that is handed out.
-func (l *Ledger) usable(limit Limit) float64 {
-	if l.group.entries == 1 {
-		return limit.Rate
-	}
-	return usableRate * limit.Rate
-}
-
 // Take uses one request of the account's limit. It returns whether the request may run,
 // and if not, after which time it may. Accounts without a limit always may.
 func (l *Ledger) Take(now time.Time, name string) (wait time.Duration, ok bool) {
@@ -512,7 +504,7 @@
 		part = fairShare(own, l.others, whole)
 		capacity = s.floor + s.shared*part
 	}
-	a.bucket.SetPart(now, l.usable(a.limit)*part, time.Time{}, capacity)
+	a.bucket.SetPart(now, usableRate*a.limit.Rate*part, time.Time{}, capacity)
 	a.epoch = l.epoch
 }
 
