--- a/core/yuccaquota/group.go
+++ b/core/yuccaquota/group.go
@@ -17,6 +17,8 @@
 	// higher claim takes effect after this time.
 	shortTimeout = 500 * time.Millisecond
 	longTimeout  = 600 * time.Millisecond
+	// minTimeoutTicks is the smaller number of intervals in a timeout.
+	minTimeoutTicks = uint64(longTimeout / longInterval)
 	// probation is how long an entry must be heard without a gap before its idle part is
 	// used. It is the length of the window of the bound, so that repeated partitions
 	// spend the tolerance once in a window.
@@ -124,6 +126,9 @@
 	return shortTimeout
 }
 
+// timeoutTicks returns the number of intervals in a timeout.
+func (g *group) timeoutTicks() int { return int(g.timeout() / g.interval()) }
+
 // receive records a report. It returns nil for one that is not newer than the last.
 func (g *group) receive(now time.Time, from string, r Report) (p *peer, restarted bool) {
 	p = g.peers[from]
@@ -138,7 +143,7 @@
 		g.peers[from] = p
 	default:
 		p.offset += time.Duration(maxDrift * float64(now.Sub(p.arrivedAt)))
-		p.complete = p.complete && r.Seq <= p.seq+claimRepeats
+		p.complete = p.complete && r.Seq <= p.seq+minTimeoutTicks
 	}
 	p.complete = p.complete || r.Whole
 	offset := now.Sub(g.start) - r.Sent
--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -14,9 +14,6 @@
 	claimUnits = 10_000
 	// maxClaim bounds a claim, in units. It fits into two bytes of a message.
 	maxClaim = 1.6 * claimUnits
-	// claimRepeats is in how many reports a changed claim is sent, so that the loss of
-	// some of them does no harm. More are not lost without the sender being silent.
-	claimRepeats = 5
 	// wholeInterval is the number of reports from one with all claims to the next.
 	wholeInterval = 10
 	// maxSettleTicks is the largest number of ticks that a higher claim needs before it
@@ -48,7 +45,7 @@
 	refillTime      = 10 * time.Second
 	// claimStep is the least change of a claim that is reported, relative to the claim or
 	// to the even part if that is larger.
-	claimStep = 0.15
+	claimStep = 0.2
 	// residence is how long after its last request an entry claims to keep its tokens.
 	residence = 30 * time.Second
 	// stallTicks is the number of intervals after which a missing tick shows that the
@@ -154,7 +151,8 @@
 	slow float64
 	// published holds the own claim as reported at the last ticks, newest first.
 	published [maxSettleTicks]uint32
-	// repeats is in how many more reports the claim is sent.
+	// repeats is in how many more reports the claim is sent. More are not lost without
+	// this entry being silent.
 	repeats int
 	// peers holds the claims of other entries.
 	peers []peerClaim
@@ -452,7 +450,7 @@
 	step := claimStep * max(float64(last), claimUnits*l.group.base())
 	if (units == 0) != (last == 0) || (units <= 1) != (last <= 1) || math.Abs(float64(units)-float64(last)) > step {
 		a.published[0] = units
-		a.repeats = claimRepeats
+		a.repeats = l.group.timeoutTicks()
 	}
 }
 
@@ -460,7 +458,7 @@
 func (a *account) wanted() float64 {
 	missing := a.bucket.Missing()
 	first := min(1, missing) / firstRefillTime.Seconds()
-	if a.demand+1 < fallen*a.slow {
+	if a.demand+0.5 < fallen*a.slow {
 		// The tokens that are left serve the last requests.
 		return first + max(0, demandMargin*a.demand-a.bucket.tokens)
 	}
@@ -472,7 +470,7 @@
 // settled returns the part that the entry has claimed for so long that all others know
 // it or have stopped using this entry's part.
 func (l *Ledger) settled(a *account) float64 {
-	ticks := int(l.group.timeout()/l.group.interval()) + 2
+	ticks := l.group.timeoutTicks() + 2
 	if l.group.entries == 1 {
 		ticks = 1
 	}
--- a/core/yuccausage/exchange.go
+++ b/core/yuccausage/exchange.go
@@ -193,6 +193,10 @@
 // handleUsage records the message of another entry. It returns an error of kind Protocol
 // when the message cannot be decoded or its lists differ in length.
 func (x *Exchange) handleUsage(_ context.Context, from string, body []byte) ([]byte, error) {
+	return x.handleAt(time.Now(), from, body)
+}
+
+func (x *Exchange) handleAt(now time.Time, from string, body []byte) ([]byte, error) {
 	var m Usage
 	if err := proto.Unmarshal(body, &m); err != nil {
 		return nil, yuccaerror.New(yuccaerror.Protocol, "decode usage of entry %s: %w", from, err)
@@ -215,6 +219,6 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.ledger.Receive(time.Now(), from, r)
+	x.ledger.Receive(now, from, r)
 	return nil, nil
 }
