--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -136,7 +137,7 @@
 	name  string
 	hash  uint64
 	limit Limit
-	// epoch is that of the ledger when the bucket's part was set.
+	// epoch is that of the ledger when the bucket's part was set; zero means not yet.
 	epoch  uint64
 	bucket SharedBucket
 	// active is set while the account is listed as active.
@@ -156,6 +157,10 @@
 	repeats int
 	// peers holds the claims of other entries.
 	peers []peerClaim
+	// addedAt is when the limit was added, and full is set if the bucket was full then. The
+	// bucket is set up at the first use.
+	addedAt time.Time
+	full    bool
 	// removedAt is when the limit was removed.
 	removedAt time.Time
 }
@@ -186,13 +191,16 @@
 type Limits struct {
 	accounts map[string]*account
 	byHash   map[uint64]*account
+	// added and removed hold the accounts that had no limit and those that have none now.
+	added, removed []*account
 	// changed holds the new limits of accounts that had other ones.
 	changed map[*account]Limit
 }
 
-// Prepare readies limits by account. It may run while other methods run, except Apply.
+// Prepare readies limits by account. It may run while other methods run, except Apply, so
+// that requests do not wait for it.
 func (l *Ledger) Prepare(limits map[string]Limit) Limits {
-	n := Limits{make(map[string]*account, len(limits)), make(map[uint64]*account, len(limits)), map[*account]Limit{}}
+	n := Limits{accounts: make(map[string]*account, len(limits)), byHash: make(map[uint64]*account, len(limits)), changed: map[*account]Limit{}}
 	for name, limit := range limits {
 		if limit.Rate <= 0 {
 			continue
@@ -200,11 +208,17 @@
 		a, ok := l.accounts[name]
 		if !ok {
 			a = &account{name: name, hash: xxhash.Sum64String(name), limit: limit}
+			n.added = append(n.added, a)
 		} else if a.limit != limit {
 			n.changed[a] = limit
 		}
 		n.accounts[name], n.byHash[a.hash] = a, a
 	}
+	for name, a := range l.accounts {
+		if _, ok := n.accounts[name]; !ok {
+			n.removed = append(n.removed, a)
+		}
+	}
 	return n
 }
 
@@ -212,28 +226,21 @@
 // the first time is full, unless the entry has just started: then the account may be an
 // old one whose tokens have been used.
 func (l *Ledger) Apply(now time.Time, n Limits) {
-	for name, a := range l.accounts {
-		if _, ok := n.accounts[name]; !ok {
-			a.removedAt = now
-			l.removed[name] = a
-		}
-	}
-	for name, a := range n.accounts {
-		if _, ok := l.accounts[name]; ok {
-			continue
-		}
-		if old, ok := l.removed[name]; ok {
-			if old.limit != a.limit {
-				n.changed[old] = a.limit
-			}
-			delete(l.removed, name)
-			n.accounts[name], n.byHash[a.hash] = old, old
+	for _, a := range n.added {
+		old, ok := l.removed[a.name]
+		if !ok {
+			a.addedAt, a.full = now, l.group.old(now)
 			continue
 		}
-		l.setIdle(now, a)
-		if l.group.old(now) {
-			a.bucket.Fill()
+		if old.limit != a.limit {
+			n.changed[old] = a.limit
 		}
+		delete(l.removed, a.name)
+		n.accounts[a.name], n.byHash[a.hash] = old, old
+	}
+	for _, a := range n.removed {
+		a.removedAt = now
+		l.removed[a.name] = a
 	}
 	l.accounts, l.byHash = n.accounts, n.byHash
 	for a, limit := range n.changed {
@@ -256,7 +263,14 @@
 	if s.holders > 0 && l.idleRank(a) >= s.holders {
 		capacity = 0
 	}
-	a.bucket.SetPart(now, usableRate*a.limit.Rate*l.group.base(), l.group.start.Add(probation), capacity)
+	since := now
+	if a.epoch == 0 {
+		since = a.addedAt
+	}
+	a.bucket.SetPart(since, usableRate*a.limit.Rate*l.group.base(), l.group.start.Add(probation), capacity)
+	if a.epoch == 0 && a.full {
+		a.bucket.Fill()
+	}
 	a.epoch = l.epoch
 }
 
@@ -292,7 +306,7 @@
 	}
 	a.usedAt = now
 	a.arrivals++
-	l.activate(a)
+	l.activate(now, a)
 	if a.bucket.Take(now) {
 		return 0, true
 	}
@@ -307,7 +321,10 @@
 }
 
 // activate lists the account as active.
-func (l *Ledger) activate(a *account) {
+func (l *Ledger) activate(now time.Time, a *account) {
+	if a.epoch == 0 {
+		l.setIdle(now, a)
+	}
 	if !a.active {
 		a.active = true
 		l.active = append(l.active, a)
@@ -336,7 +353,7 @@
 	for _, c := range r.Claims {
 		if a := l.byHash[c.Account]; a != nil {
 			a.setClaim(p, r.Seq, min(c.Units, maxClaim))
-			l.activate(a)
+			l.activate(now, a)
 		}
 	}
 	if r.Whole {
@@ -385,13 +402,11 @@
 			l.epoch++
 		}
 	}
-	for name, a := range l.removed {
-		if now.Sub(a.removedAt) > keptTime {
-			delete(l.removed, name)
-		}
-	}
 	l.seq++
 	r := Report{Incarnation: l.incarnation, Seq: l.seq, Sent: now.Sub(l.group.start), View: l.group.view, Entries: l.group.listed, Old: l.group.old(now), Whole: l.seq%wholeInterval == 1}
+	if r.Whole {
+		maps.DeleteFunc(l.removed, func(_ string, a *account) bool { return now.Sub(a.removedAt) > keptTime })
+	}
 	l.claims, l.claiming = l.claims[:0], 0
 	whole := l.group.whole(now)
 	active := l.active[:0]
--- a/core/yuccaquota/ledger_test.go
+++ b/core/yuccaquota/ledger_test.go
@@ -41,7 +41,7 @@
 	now := start.Add(10 * time.Second)
 	l.Apply(now, l.Prepare(one))
 	full := takeAll(l, now)
-	c.Assert(full, qt.Equals, int(l.Capacity("a")))
+	c.Assert(full, qt.Equals, int(l.Capacity(now, "a")))
 	wait, ok := l.Take(now, "a")
 	c.Assert(ok, qt.IsFalse)
 	c.Assert(wait > 0, qt.IsTrue)
@@ -186,7 +186,7 @@
 				now := start.Add(20 * time.Second)
 				tickUntil(l, start, now, names...)
 				l.Apply(now, l.Prepare(map[string]yuccaquota.Limit{"a": test.limit}))
-				sum += l.Capacity("a")
+				sum += l.Capacity(now, "a")
 				if _, ok := l.Take(now, "a"); ok {
 					first++
 				}
--- a/core/yuccaquota/model_test.go
+++ b/core/yuccaquota/model_test.go
@@ -56,3 +56,26 @@
 		}
 	})
 }
+
+// TestLongPartition guards against two sides that both rely on their list: after a minute
+// one side removes the silent entries from the list, and the other one cannot see that.
+func TestLongPartition(t *testing.T) {
+	for _, removing := range []bool{false, true} {
+		s := &sim{entries: 7, limit: yuccaquota.Limit{Rate: 200}, new: newLedgerNode, seed: 1}
+		minority := func(i int) bool { return i < 3 }
+		s.load = func(time.Duration, int) float64 { return 3 }
+		s.cut = func(at time.Duration, a, b int) bool { return at >= warm && minority(a) != minority(b) }
+		s.list = func(at time.Duration, i int) []string {
+			switch {
+			case at < warm+time.Minute || minority(i) != removing:
+				return s.names
+			case removing:
+				return s.names[:3]
+			}
+			return s.names[3:]
+		}
+		if worst := s.run(110 * time.Second).worst(); worst > 1 {
+			t.Errorf("the minority removes: %v: the sum of 5 s is %.2f of the bound", removing, worst)
+		}
+	}
+}
