--- a/core/yuccaquota/ledger_test.go
+++ b/core/yuccaquota/ledger_test.go
@@ -90,15 +90,14 @@
 type pair struct {
 	now         time.Time
 	busy, other *yuccaquota.Ledger
+	list        []string
 	// deliver passes the reports of the other entry on.
 	deliver func(r yuccaquota.Report)
 }
 
-var pairList = []string{"e1", "e2"}
-
-// newPair returns a pair after 20 s.
-func newPair() *pair {
-	p := &pair{start, yuccaquota.NewLedger("e1", 1, start), yuccaquota.NewLedger("e2", 1, start), nil}
+// newPair returns a pair after 20 s with a list of entries.
+func newPair(list ...string) *pair {
+	p := &pair{now: start, busy: yuccaquota.NewLedger("e1", 1, start), other: yuccaquota.NewLedger("e2", 1, start), list: list}
 	p.deliver = func(r yuccaquota.Report) { p.busy.Receive(p.now, "e2", r) }
 	limits := map[string]yuccaquota.Limit{"a": {Rate: 1000}}
 	p.busy.Apply(start, p.busy.Prepare(limits))
@@ -111,8 +110,8 @@
 func (p *pair) run(d time.Duration) (admitted int) {
 	for end := p.now.Add(d); p.now.Before(end); p.now = p.now.Add(100 * time.Millisecond) {
 		admitted += takeAll(p.busy, p.now)
-		p.other.Receive(p.now, "e1", p.busy.Tick(p.now, pairList))
-		r := p.other.Tick(p.now, pairList)
+		p.other.Receive(p.now, "e1", p.busy.Tick(p.now, p.list))
+		r := p.other.Tick(p.now, p.list)
 		r.Claims = slices.Clone(r.Claims)
 		p.deliver(r)
 	}
@@ -156,7 +155,7 @@
 			}
 		}, half, half},
 		{"an old report comes again", func(p *pair) {
-			old := p.other.Tick(p.now, pairList)
+			old := p.other.Tick(p.now, p.list)
 			old.Claims = []yuccaquota.Claim{}
 			old.Whole = true
 			deliver := p.deliver
@@ -180,7 +179,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			p := newPair()
+			p := newPair("e1", "e2")
 			test.edit(p)
 			p.run(time.Second)
 			soon := p.run(time.Second)
@@ -196,16 +195,43 @@
 // entries that have taken it back meanwhile.
 func TestStandstill(t *testing.T) {
 	c := qt.New(t)
-	p := newPair()
+	p := newPair("e1", "e2")
 	takeAll(p.busy, p.now)
 	p.now = p.now.Add(2 * time.Second)
 	admitted := takeAll(p.busy, p.now)
-	p.busy.Tick(p.now, pairList)
+	p.busy.Tick(p.now, p.list)
 	p.now = p.now.Add(100 * time.Millisecond)
 	admitted += takeAll(p.busy, p.now)
 	c.Assert(admitted <= 300, qt.IsTrue, qt.Commentf("%d at once", admitted))
 }
 
+// TestPauseKeepsPart guards against an account whose requests pause for some seconds and
+// that then has to claim its part anew.
+func TestPauseKeepsPart(t *testing.T) {
+	p := newPair("e1", "e2")
+	for range 100 {
+		p.now = p.now.Add(100 * time.Millisecond)
+		p.other.Receive(p.now, "e1", p.busy.Tick(p.now, p.list))
+		p.deliver(p.other.Tick(p.now, p.list))
+	}
+	admitted := p.run(time.Second)
+	qt.Assert(t, admitted > 1100, qt.IsTrue, qt.Commentf("%d", admitted))
+}
+
+// TestUnlistedEntryCountsForAWhile guards against an entry that is taken from the list while
+// it still admits, and against one that counts for ever.
+func TestUnlistedEntryCountsForAWhile(t *testing.T) {
+	c := qt.New(t)
+	p := newPair("e1", "e2", "e3")
+	p.list = p.list[:2]
+	p.run(2 * time.Second)
+	admitted := p.run(time.Second)
+	c.Assert(admitted < 700, qt.IsTrue, qt.Commentf("%d", admitted))
+	p.run(4 * time.Second)
+	admitted = p.run(time.Second)
+	c.Assert(admitted > 900, qt.IsTrue, qt.Commentf("%d", admitted))
+}
+
 // TestLedgerForgets guards against memory that grows with accounts that are removed and
 // entries that are gone.
 func TestLedgerForgets(t *testing.T) {
