Quotas: assumed entries no longer count as known ones

When the lists of a new deployment settled later than 5 s after the start, the 128 entries that a new entry assumes fell only after the two minutes that apply while most known entries are not heard.

--- a/core/yuccaquota/group.go
+++ b/core/yuccaquota/group.go
@@ -95,6 +95,8 @@
 	listedSince time.Time
 	// entries is the number of entries that rates are divided by.
 	entries int
+	// counted is the same without the entries that are assumed at first.
+	counted int
 	// fewerSince is since when fewer entries have been known.
 	fewerSince time.Time
 	// majoritySeen is when more than half of the entries were heard last.
@@ -215,30 +217,27 @@
 		g.listed, g.listedSince = listed, now
 	}
 	target := max(listed, announced)
-	if !elder && !g.old(now) && now.Sub(g.listedSince) < listSettleTime {
-		target = max(target, assumedEntries)
-	}
-	if 2*heard > target {
-		g.majoritySeen = now
-	}
 	switch {
-	case target >= g.entries:
-		g.entries, g.fewerSince = target, time.Time{}
+	case target >= g.counted:
+		g.counted, g.fewerSince = target, time.Time{}
 	case g.fewerSince.IsZero():
 		g.fewerSince = now
-		fallthrough
 	default:
 		delay := shrinkDelay
-		switch {
-		case !g.old(now):
-			delay = 0
-		case 2*heard <= g.entries:
+		if 2*heard <= g.counted {
 			delay = minorityShrinkDelay
 		}
 		if now.Sub(g.fewerSince) >= delay {
-			g.entries, g.fewerSince = target, time.Time{}
+			g.counted, g.fewerSince = target, time.Time{}
 		}
 	}
+	if 2*heard > g.counted {
+		g.majoritySeen = now
+	}
+	g.entries = g.counted
+	if !elder && !g.old(now) && now.Sub(g.listedSince) < listSettleTime {
+		g.entries = max(g.entries, assumedEntries)
+	}
 }
 
 // old reports whether the entry has run for so long that others may rely on its count.
