--- a/core/yuccausage/exchange.go
+++ b/core/yuccausage/exchange.go
@@ -152,8 +152,8 @@
 	}
 }
 
-// tick updates the ledger and sends the other entries its report. Entries hear one another
-// also while no account has a limit, but seldom.
+// tick updates the ledger and sends its report to the other entries, but nothing while no
+// account has a limit.
 func (x *Exchange) tick() {
 	entries := x.entries()
 	x.mu.Lock()
@@ -196,6 +196,7 @@
 	return x.handleAt(time.Now(), from, body)
 }
 
+// handleAt is handleUsage for a message that arrives at a given time.
 func (x *Exchange) handleAt(now time.Time, from string, body []byte) ([]byte, error) {
 	var m Usage
 	if err := proto.Unmarshal(body, &m); err != nil {
