--- a/core/yuccabalancer/load.go
+++ b/core/yuccabalancer/load.go
@@ -39,7 +39,7 @@
 // load estimates how many requests of all entries the server has in flight, at a mean
 // latency of the service. The last load report counts fully at first. After that the
 // server's own mean counts, and the older the report the more the mean of the region,
-// of which this entry hears more often.
+// of which this entry gets more reports.
 func (s *serverState) load(now time.Time, meanLatency time.Duration) float64 {
 	age := max(0, now.Sub(s.reportedAt))
 	mean := s.meanOtherInFlight
--- a/core/yuccaquota/evaluation_test.go
+++ b/core/yuccaquota/evaluation_test.go
@@ -107,7 +107,7 @@
 			}
 			s.cut = func(at time.Duration, _, _ int) bool { return at >= warm }
 		}},
-		{"one hears all, the others only it", warm, warm + 10*time.Second, 0, func(s *sim) {
+		{"one reaches all, the others only it", warm, warm + 10*time.Second, 0, func(s *sim) {
 			s.load = func(_ time.Duration, i int) float64 { return min(7.5, 10*float64(i)) }
 			s.cut = func(at time.Duration, a, b int) bool { return at >= warm && a*b != 0 }
 		}},
--- a/core/yuccaquota/group.go
+++ b/core/yuccaquota/group.go
@@ -25,7 +25,7 @@
 	assumedEntries = 128
 	// staleTime is the age of reports from which entries may have lost one another. If
 	// more than staleShare of the others are that late, an entry keeps to its own part
-	// until it hears them again or they count as silent.
+	// until their reports arrive again or they count as silent.
 	staleTime  = 300 * time.Millisecond
 	staleShare = 0.1
 	// shrinkDelay is how long an entry that is no longer listed is counted.
@@ -57,7 +57,7 @@
 	fresh bool
 	// silent is set while no report arrives.
 	silent bool
-	// mismatchSince is since when the entry hears other entries than this one.
+	// mismatchSince is since when the entry gets reports from other entries than this one does.
 	mismatchSince time.Time
 	// view, entries and synced are those of the newest report.
 	view    uint64
--- a/core/yuccaquota/report.go
+++ b/core/yuccaquota/report.go
@@ -6,7 +6,7 @@
 	Incarnation uint64
 	// Seq numbers the reports of an incarnation.
 	Seq uint64
-	// View is a hash of the names of the entries that the sender hears.
+	// View is a hash of the names of the entries whose reports reach the sender.
 	View uint64
 	// Entries is the number of entries that the sender knows.
 	Entries int
@@ -21,7 +21,7 @@
 }
 
 // Needed reports whether the others have to get the report: it holds something, the entry
-// hears others than before, or the last report was a while ago.
+// gets reports from others than before, or the last report was a while ago.
 func (r Report) Needed() bool { return len(r.Usages) > 0 || r.viewChanged || r.Seq%emptyReports == 0 }
 
 // Usage is what an entry has admitted of one account.
