--- a/core/yuccafront/listener_test.go
+++ b/core/yuccafront/listener_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -141,3 +143,39 @@
 		c.Assert(conn.Close(), qt.IsNil)
 	}
 }
+
+// TestStopUnderLoadCutsNoRequest stops the listener while callers send one request after
+// another, each on a new connection or on the one before. It guards against a request that
+// was accepted and gets no response.
+func TestStopUnderLoadCutsNoRequest(t *testing.T) {
+	const callers = 24
+	addr, stop := startListener(t, testSnapshot(t), 300*time.Millisecond)
+	var group errgroup.Group
+	var served atomic.Int64
+	for i := range callers {
+		group.Go(func() error {
+			for {
+				conn, err := net.Dial("tcp", addr)
+				if err != nil {
+					return nil
+				}
+				for response := ""; !strings.Contains(response, "Connection: close"); {
+					if response, err = roundTrip(conn, "GET /x HTTP/1.1\r\nHost: s\r\n\r\n"); err != nil {
+						_ = conn.Close()
+						return fmt.Errorf("request without a response after %d others: %w", served.Load(), err)
+					}
+					served.Add(1)
+					if i%2 == 0 {
+						break
+					}
+				}
+				_ = conn.Close()
+			}
+		})
+	}
+	for served.Load() < 10*callers {
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	qt.Assert(t, group.Wait(), qt.IsNil)
+}
