Empty the listening socket before it closes

Cause: the kernel completes handshakes that the process has not accepted yet, and resets them when the listening socket closes. A client may have sent a request by then. Go also opens multipath sockets by default, on which the socket options that could prevent this are not supported.

Change: the listener opens a plain TCP socket. Before it closes, new connections are ignored with IP_MINTTL while handshakes that have begun complete and are accepted for 50 ms. Connections inherit the option, so it is cleared on each; data that was dropped meanwhile is sent again after 200 ms at least, so unused connections now get 500 ms in place of 200 ms.

Not chosen, and not tried: a backlog of zero, with which Linux still queues one connection, and a socket filter, which would have to tell the packets of handshakes under way from new ones.

--- a/core/yuccafront/listener.go
+++ b/core/yuccafront/listener.go
@@ -61,8 +61,9 @@
 	// idleTimeout is how long a connection may stay idle between two requests.
 	idleTimeout = 2 * time.Minute
 	// newConnGrace is how long a connection that was accepted last has for its first
-	// request when the listener stops.
-	newConnGrace = 200 * time.Millisecond
+	// request when the listener stops. It covers a packet that is sent again, which takes
+	// 200 ms at least.
+	newConnGrace = 500 * time.Millisecond
 )
 
 // Listener is the service that accepts clients' connections. Create one with New or
@@ -74,7 +75,7 @@
 	server   *fasthttp.Server
 	// pipeline is nil if no requests run concurrently.
 	pipeline *yuccapipeline.Pipeline
-	socket   net.Listener
+	socket   *drainableSocket
 	leaving  atomic.Bool
 	done     chan struct{}
 
@@ -120,13 +121,14 @@
 
 // Start implements yuccakernel.Service. It returns an error if it cannot listen on
 // the address.
-func (f *Listener) Start(_ context.Context, group *errgroup.Group) error {
-	l, err := net.Listen("tcp", f.settings.Addr)
+func (f *Listener) Start(ctx context.Context, group *errgroup.Group) error {
+	socket, err := listen(ctx, f.settings.Addr, f.log)
 	if err != nil {
 		return err
 	}
-	f.log.Info().Str("addr", l.Addr().String()).Msg("listening")
-	f.socket = l
+	f.log.Info().Str("addr", socket.Addr().String()).Msg("listening")
+	f.socket = socket
+	var l net.Listener = socket
 	if f.pipeline != nil {
 		l = f.pipeline.Listener(l)
 	}
@@ -141,7 +143,7 @@
 	defer close(f.done)
 	f.leaving.Store(true)
 	yuccasleep.For(ctx, f.settings.DrainDelay)
-	_ = f.socket.Close()
+	f.socket.drain(ctx)
 	// The server closes idle connections itself, but waits for those without a request.
 	unused := time.AfterFunc(newConnGrace, f.closeNewConns)
 	defer unused.Stop()
