Do nothing on timers while nothing can have changed

Cause: at 110 entries an entry without callers took 31 ms of processor time a second. Profiles: 18% of it in timers that decide although nothing has changed (usage reports each 100 ms without any limit, versions each 50 ms without a newer one) and in sorting the live entries for each decision; most of the rest is heartbeats.

--- a/core/yuccaliveness/monitor.go
+++ b/core/yuccaliveness/monitor.go
@@ -297,10 +297,6 @@
 	if err := proto.Unmarshal(body, &heartbeat); err != nil {
 		return nil, yuccaerror.New(yuccaerror.Protocol, "decode heartbeat of entry %s: %w", from, err)
 	}
-	inFlight := map[string]float64{}
-	for service, v := range heartbeat.GetInFlight() {
-		inFlight[service] = float64(v)
-	}
 	e := Entry{
 		Name:        from,
 		Region:      heartbeat.GetRegion(),
@@ -321,7 +317,7 @@
 	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.state.RecordHeartbeat(time.Now(), e, inFlight)
+	s.state.RecordHeartbeat(time.Now(), e, heartbeat.GetInFlight())
 	if e.Leaving {
 		s.expireChoices()
 	}
--- a/core/yuccaliveness/state.go
+++ b/core/yuccaliveness/state.go
@@ -79,11 +79,13 @@
 	// createdAt is when the state was created.
 	createdAt time.Time
 	// listed holds the entries in the platform's list by name.
-	listed map[string]listedEntry
+	listed map[string]*listedEntry
+	// names holds the sorted names of the listed entries.
+	names []string
 	// large holds the sorted names of the listed entries that are large in their region.
 	large []string
 	// heartbeats holds the last heartbeat of each other entry by name.
-	heartbeats map[string]heartbeatRecord
+	heartbeats map[string]*heartbeatRecord
 }
 
 // listedEntry is an entry in the platform's list.
@@ -99,26 +101,27 @@
 	// receivedAt is when the heartbeat arrived, by the receiver's clock.
 	receivedAt time.Time
 	// inFlight is the mean number of requests in flight by service.
-	inFlight map[string]float64
+	inFlight map[string]float32
 }
 
 // NewState returns the state of the entry self before any other entry is known.
 func NewState(self Entry, now time.Time) *State {
-	return &State{self: self, createdAt: now, listed: map[string]listedEntry{}, heartbeats: map[string]heartbeatRecord{}}
+	return &State{self: self, createdAt: now, listed: map[string]*listedEntry{}, heartbeats: map[string]*heartbeatRecord{}}
 }
 
 // UpdateList replaces the platform's list of entries. An entry that stays in the
 // list with the same incarnation keeps the time at which it was first listed.
 func (s *State) UpdateList(now time.Time, entries []Entry) {
 	previous := s.listed
-	s.listed = map[string]listedEntry{}
+	s.listed = make(map[string]*listedEntry, len(entries))
 	for _, e := range entries {
 		firstListed := now
 		if p, ok := previous[e.Name]; ok && p.Incarnation == e.Incarnation {
 			firstListed = p.firstListed
 		}
-		s.listed[e.Name] = listedEntry{e, firstListed}
+		s.listed[e.Name] = &listedEntry{e, firstListed}
 	}
+	s.names = slices.Sorted(maps.Keys(s.listed))
 	s.large = s.largeNames()
 	for name, h := range s.heartbeats {
 		if _, ok := s.listed[name]; !ok && now.Sub(h.receivedAt) > forgetTimeout {
@@ -133,11 +136,12 @@
 // RecordHeartbeat records a heartbeat of the entry e with its mean number of
 // requests in flight by service. It ignores heartbeats of this entry itself and
 // of an earlier incarnation than the last recorded one.
-func (s *State) RecordHeartbeat(now time.Time, e Entry, inFlight map[string]float64) {
-	if e.Name == s.self.Name || s.heartbeats[e.Name].Incarnation > e.Incarnation {
+func (s *State) RecordHeartbeat(now time.Time, e Entry, inFlight map[string]float32) {
+	last := s.heartbeats[e.Name]
+	if e.Name == s.self.Name || last != nil && last.Incarnation > e.Incarnation {
 		return
 	}
-	s.heartbeats[e.Name] = heartbeatRecord{e, now, inFlight}
+	s.heartbeats[e.Name] = &heartbeatRecord{e, now, inFlight}
 }
 
 // SetCapacity replaces the capacity of this entry.
@@ -189,17 +193,25 @@
 // come back from a copy that lacks them. This one is missing until it is listed or
 // receives heartbeats.
 func (s *State) Names(now time.Time) []string {
-	names := map[string]bool{}
-	for name := range s.listed {
-		names[name] = true
-	}
+	var unlisted []string
+	heard := false
 	for name, h := range s.heartbeats {
-		if now.Sub(h.receivedAt) < Timeout && !h.Leaving {
-			names[name] = true
-			names[s.self.Name] = true
+		if now.Sub(h.receivedAt) >= Timeout || h.Leaving {
+			continue
+		}
+		heard = true
+		if _, listed := s.listed[name]; !listed {
+			unlisted = append(unlisted, name)
 		}
 	}
-	return slices.Sorted(maps.Keys(names))
+	if _, listed := s.listed[s.self.Name]; heard && !listed {
+		unlisted = append(unlisted, s.self.Name)
+	}
+	names := append(slices.Clone(s.names), unlisted...)
+	if len(unlisted) > 0 {
+		slices.Sort(names)
+	}
+	return names
 }
 
 // LargeNames returns the sorted names of the listed entries that are large in their
@@ -228,42 +240,62 @@
 // listed entry that is not leaving, without capacities, since nothing recent is known of
 // them.
 func (s *State) Alive(now time.Time) []Entry {
-	var all []Entry
-	if !s.self.Leaving {
-		all = append(all, s.self)
-	}
+	all := make([]Entry, 0, len(s.names)+1)
 	isolated := !s.receivesHeartbeats(now)
-	for name, r := range s.listed {
-		h, ok := s.heartbeats[name]
-		ok = ok && h.Incarnation >= r.Incarnation
-		recent := ok && now.Sub(h.receivedAt) < Timeout
-		newlyListed := !ok && now.Sub(r.firstListed) < Timeout
-		leaving := r.Leaving || ok && h.Leaving
-		if name != s.self.Name && !leaving && (recent || newlyListed || isolated) {
-			e := r.Entry
-			if ok {
-				e.Utilization, e.Starting = h.Utilization, h.Starting
-			}
-			if ok && h.Capacity != (yuccacapacity.Capacity{}) {
-				e.Capacity = h.Capacity
-			}
-			if isolated {
-				e.Capacity = yuccacapacity.Capacity{}
-			}
-			all = append(all, e)
+	for _, name := range s.names {
+		if name != s.self.Name && s.alive(now, name, isolated) {
+			all = append(all, s.described(name, isolated))
 		}
 	}
-	slices.SortFunc(all, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
-	return all
+	if s.self.Leaving {
+		return all
+	}
+	i, _ := slices.BinarySearchFunc(all, s.self.Name, func(e Entry, name string) int { return cmp.Compare(e.Name, name) })
+	return slices.Insert(all, i, s.self)
+}
+
+// alive reports whether a listed entry other than this one accepts new clients.
+func (s *State) alive(now time.Time, name string, isolated bool) bool {
+	r := s.listed[name]
+	h, ok := s.currentHeartbeat(name)
+	if r.Leaving || ok && h.Leaving {
+		return false
+	}
+	recent := ok && now.Sub(h.receivedAt) < Timeout
+	newlyListed := !ok && now.Sub(r.firstListed) < Timeout
+	return recent || newlyListed || isolated
+}
+
+// described returns a listed entry with what its heartbeats tell.
+func (s *State) described(name string, isolated bool) Entry {
+	e := s.listed[name].Entry
+	if h, ok := s.currentHeartbeat(name); ok {
+		e.Utilization, e.Starting = h.Utilization, h.Starting
+		if h.Capacity != (yuccacapacity.Capacity{}) {
+			e.Capacity = h.Capacity
+		}
+	}
+	if isolated {
+		e.Capacity = yuccacapacity.Capacity{}
+	}
+	return e
+}
+
+// currentHeartbeat returns the last heartbeat of a listed entry, and false if there is none
+// of its listed incarnation or a later one.
+func (s *State) currentHeartbeat(name string) (*heartbeatRecord, bool) {
+	h, ok := s.heartbeats[name]
+	return h, ok && h.Incarnation >= s.listed[name].Incarnation
 }
 
 // DomainPeers returns the sorted names of the other alive entries of this entry's
 // failure domain.
 func (s *State) DomainPeers(now time.Time) []string {
 	var names []string
-	for _, e := range s.Alive(now) {
-		if e.Domain == s.self.Domain && e.Name != s.self.Name {
-			names = append(names, e.Name)
+	isolated := !s.receivesHeartbeats(now)
+	for _, name := range s.names {
+		if name != s.self.Name && s.listed[name].Domain == s.self.Domain && s.alive(now, name, isolated) {
+			names = append(names, name)
 		}
 	}
 	return names
@@ -282,7 +314,8 @@
 		alive = append(alive, e.Name)
 	}
 	for name, r := range s.listed {
-		silent := now.Sub(s.heartbeats[name].receivedAt) > deregisterTimeout && now.Sub(r.firstListed) > deregisterTimeout
+		h, heard := s.heartbeats[name]
+		silent := (!heard || now.Sub(h.receivedAt) > deregisterTimeout) && now.Sub(r.firstListed) > deregisterTimeout
 		if name != s.self.Name && silent && slices.Contains(yuccapeer.RendezvousTop("gone "+name, alive, 1), s.self.Name) {
 			expired = append(expired, name)
 		}
@@ -306,18 +339,21 @@
 // to those in the other entries' heartbeats.
 func (s *State) Demand(now time.Time, own map[string]float64) map[string]yuccabalancer.Demand {
 	demand := map[string]yuccabalancer.Demand{}
-	add := func(region string, inFlight map[string]float64) {
-		for service, v := range inFlight {
-			if demand[service] == nil {
-				demand[service] = yuccabalancer.Demand{}
-			}
-			demand[service][region] += v
+	add := func(region, service string, inFlight float64) {
+		if demand[service] == nil {
+			demand[service] = yuccabalancer.Demand{}
 		}
+		demand[service][region] += inFlight
+	}
+	for service, v := range own {
+		add(s.self.Region, service, v)
 	}
-	add(s.self.Region, own)
 	for _, h := range s.heartbeats {
-		if now.Sub(h.receivedAt) < demandTTL {
-			add(h.Region, h.inFlight)
+		if now.Sub(h.receivedAt) >= demandTTL {
+			continue
+		}
+		for service, v := range h.inFlight {
+			add(h.Region, service, float64(v))
 		}
 	}
 	return demand
--- a/core/yuccaliveness/state_test.go
+++ b/core/yuccaliveness/state_test.go
@@ -85,8 +85,8 @@
 func TestDemandByRegion(t *testing.T) {
 	c := qt.New(t)
 	s := yuccaliveness.NewState(entry("a", "r", 1), start)
-	s.RecordHeartbeat(at(1), entry("b", "r", 1), map[string]float64{"x": 2})
-	s.RecordHeartbeat(at(1), entry("c", "q", 1), map[string]float64{"x": 5, "y": 1})
+	s.RecordHeartbeat(at(1), entry("b", "r", 1), map[string]float32{"x": 2})
+	s.RecordHeartbeat(at(1), entry("c", "q", 1), map[string]float32{"x": 5, "y": 1})
 	demand := s.Demand(at(2), map[string]float64{"x": 1})
 	c.Assert(demand["x"]["r"], qt.Equals, 3.0)
 	c.Assert(demand["x"]["q"], qt.Equals, 5.0)
--- a/core/yuccausage/exchange.go
+++ b/core/yuccausage/exchange.go
@@ -29,6 +29,9 @@
 const (
 	// topic is the bus topic of Usage.
 	topic = "account.usage"
+	// idleInterval is the time between two ticks while no account has a limit. They keep the
+	// ledger's view of the other entries up to date.
+	idleInterval = time.Second
 	// refusedLinesPerSecond limits the log lines about refused requests.
 	refusedLinesPerSecond = 5
 )
@@ -56,6 +59,8 @@
 	// limited is set while an account has a limit. It lets requests pass without a lock
 	// while there is none.
 	limited atomic.Bool
+	// changed holds a value if limits have been set since run has last waited.
+	changed chan struct{}
 
 	// quotas serializes SetQuotas.
 	quotas sync.Mutex
@@ -73,6 +78,7 @@
 		refused: log.Sample(yuccalog.NewRateSampler(refusedLinesPerSecond)),
 		log:     log,
 		metrics: newMetrics(),
+		changed: make(chan struct{}, 1),
 		ledger:  yuccaquota.NewLedger(self, incarnation, time.Now()),
 	}
 	x.Worker = yuccakernel.NewWorker(x.run)
@@ -87,11 +93,21 @@
 	defer x.quotas.Unlock()
 	// Prepared without the lock, so that requests wait only for Apply.
 	prepared := x.ledger.Prepare(limits)
+	entries := x.entries()
 	x.mu.Lock()
-	x.ledger.Apply(time.Now(), prepared)
+	now := time.Now()
+	if !x.limited.Load() {
+		// The last tick may be older than the ledger expects.
+		x.ledger.Tick(now, entries)
+	}
+	x.ledger.Apply(now, prepared)
 	n := x.ledger.Len()
 	x.mu.Unlock()
 	x.limited.Store(n > 0)
+	select {
+	case x.changed <- struct{}{}:
+	default:
+	}
 	x.log.Info().Int("accounts", n).Msg("quotas_set")
 }
 
@@ -140,18 +156,24 @@
 
 func (x *Exchange) run(ctx context.Context) {
 	for {
-		x.mu.Lock()
-		interval := x.ledger.Interval()
-		x.mu.Unlock()
 		select {
-		case <-time.After(interval):
+		case <-time.After(x.interval()):
 			x.tick()
+		case <-x.changed:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// interval returns the time until the next tick.
+func (x *Exchange) interval() time.Duration {
+	if !x.limited.Load() {
+		return idleInterval
+	}
+	return x.ledger.Interval()
+}
+
 // tick updates the ledger and sends the other entries its report, but nothing while no
 // account has a limit.
 func (x *Exchange) tick() {
--- a/core/yuccausage/exchange_test.go
+++ b/core/yuccausage/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,19 +74,31 @@
 func (b *bus) Handle(_ string, h yuccapeer.Handler) { b.handler = h }
 func (b *bus) Publish(_ string, body []byte)        { b.messages, b.length = b.messages+1, b.length+len(body) }
 
-// TestNothingIsSentWithoutQuotas guards against messages in deployments whose config has
-// no account with a quota.
-func TestNothingIsSentWithoutQuotas(t *testing.T) {
+// TestLittleIsDoneWithoutQuotas guards against messages, and against more than a tick each
+// second, in deployments whose config has no account with a quota. The first quota has to
+// take effect at once all the same.
+func TestLittleIsDoneWithoutQuotas(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		var group errgroup.Group
 		b := &bus{}
-		x := yuccausage.New("e0", 1, b, func() []string { return []string{"e0"} }, zerolog.Nop())
+		var ticks atomic.Int64
+		entries := func() []string {
+			ticks.Add(1)
+			return []string{"e0"}
+		}
+		x := yuccausage.New("e0", 1, b, entries, zerolog.Nop())
 		c.Assert(x.Start(t.Context(), &group), qt.IsNil)
 		c.Assert(x.Take(time.Now(), "a"), qt.IsNil)
 		x.SetQuotas(map[string]yuccaquota.Limit{"a": {}})
 		time.Sleep(10 * time.Second)
 		c.Assert(b.messages, qt.Equals, 0)
+		c.Assert(ticks.Load() <= 11, qt.IsTrue, qt.Commentf("%d", ticks.Load()))
+		x.SetQuotas(map[string]yuccaquota.Limit{"a": {Rate: 10, Burst: 10}})
+		time.Sleep(400 * time.Millisecond)
+		synctest.Wait()
+		c.Assert(b.messages > 0, qt.IsTrue)
+		c.Assert(x.Take(time.Now(), "a"), qt.IsNil)
 		c.Assert(x.Stop(context.Background()), qt.IsNil)
 		c.Assert(group.Wait(), qt.IsNil)
 	})
--- a/core/yuccaversion/exchange.go
+++ b/core/yuccaversion/exchange.go
@@ -19,7 +19,8 @@
 	topicAnnouncement = "config.version"
 	// topicFetch is the topic of calls for a part of the config in force.
 	topicFetch = "config.fetch"
-	// tickInterval is the time between two decisions.
+	// tickInterval is the time between two decisions while a config waits to be put in force
+	// or to be fetched.
 	tickInterval = 50 * time.Millisecond
 	// partBytes is the length of one part. It leaves room in a message of the bus.
 	partBytes = yuccapeer.MaxBodyBytes - 4<<10
@@ -65,6 +66,8 @@
 	// decode returns the candidate of a value that another entry has sent.
 	decode func(value []byte) (Candidate, error)
 	log    zerolog.Logger
+	// changed holds a value if something may have to be decided.
+	changed chan struct{}
 
 	// applying is held while a config is put in force. It is acquired before mu.
 	applying sync.Mutex
@@ -79,7 +82,7 @@
 
 // New returns the exchange of the named entry.
 func New(self string, bus Bus, decode func(value []byte) (Candidate, error), log zerolog.Logger) *Exchange {
-	x := &Exchange{bus: bus, decode: decode, log: log, state: NewState(self, time.Now())}
+	x := &Exchange{bus: bus, decode: decode, log: log, changed: make(chan struct{}, 1), state: NewState(self, time.Now())}
 	x.Worker = yuccakernel.NewWorker(x.run)
 	bus.Handle(topicAnnouncement, x.handleAnnouncement)
 	bus.Handle(topicFetch, x.handleFetch)
@@ -98,6 +101,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.state.Observe(time.Now(), from, version)
+	if version > x.state.InForce() {
+		x.notify()
+	}
 }
 
 // UpdateList records the names of the entries in the platform's list.
@@ -115,9 +121,18 @@
 		x.pending = &c
 	}
 	x.mu.Unlock()
+	defer x.notify()
 	return x.applyPending()
 }
 
+// notify makes run decide.
+func (x *Exchange) notify() {
+	select {
+	case x.changed <- struct{}{}:
+	default:
+	}
+}
+
 // applyPending puts the pending config in force if that is possible.
 func (x *Exchange) applyPending() error {
 	x.applying.Lock()
@@ -166,31 +181,57 @@
 	return c
 }
 
+// run decides while there is something to decide. Most of the time there is nothing, so that
+// an entry that has the newest config doesn't wake up.
 func (x *Exchange) run(ctx context.Context) {
 	var group errgroup.Group
 	// One fetch at a time.
 	group.SetLimit(1)
+	for ctx.Err() == nil {
+		select {
+		case <-x.changed:
+			x.decideWhileBehind(ctx, &group)
+		case <-ctx.Done():
+		}
+	}
+	_ = group.Wait()
+}
+
+// decideWhileBehind decides once in each tickInterval until no config waits.
+func (x *Exchange) decideWhileBehind(ctx context.Context, group *errgroup.Group) {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
-	for {
+	for x.behind() {
 		select {
 		case <-tick.C:
-			if err := x.applyPending(); err != nil {
-				x.log.Warn().Err(err).Msg("routes_refused")
-			}
-			if from, version, ok := x.fetchFrom(time.Now()); ok {
-				group.TryGo(func() error {
-					x.fetch(ctx, from, version)
-					return nil
-				})
-			}
+			x.decide(ctx, group)
 		case <-ctx.Done():
-			_ = group.Wait()
 			return
 		}
 	}
 }
 
+// behind reports whether a config waits to be put in force or fetched.
+func (x *Exchange) behind() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.pending != nil || x.state.Behind(time.Now())
+}
+
+// decide puts the pending config in force if that is possible, and starts the fetch of a
+// newer one.
+func (x *Exchange) decide(ctx context.Context, group *errgroup.Group) {
+	if err := x.applyPending(); err != nil {
+		x.log.Warn().Err(err).Msg("routes_refused")
+	}
+	if from, version, ok := x.fetchFrom(time.Now()); ok {
+		group.TryGo(func() error {
+			x.fetch(ctx, from, version)
+			return nil
+		})
+	}
+}
+
 // fetchFrom returns the entry from which to fetch a version, and the version.
 func (x *Exchange) fetchFrom(now time.Time) (from string, version uint64, ok bool) {
 	x.mu.Lock()
--- a/core/yuccaversion/state.go
+++ b/core/yuccaversion/state.go
@@ -185,6 +185,20 @@
 	return holdTimeout
 }
 
+// Behind reports whether FetchFrom may return an entry now or later: a version above the one
+// in force is announced, or was when FetchFrom was last called.
+func (s *State) Behind(now time.Time) bool {
+	if !s.behindSince.IsZero() {
+		return true
+	}
+	for _, a := range s.others {
+		if a.version > s.inForce && a.fresh(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // FetchFrom returns the entry from which to fetch the highest announced version, and that
 // version. It returns false if no version above the one in force and above known, which
 // this entry has but not in force, has been announced for a while, or if no entry can be
--- a/core/yuccaversion/state_test.go
+++ b/core/yuccaversion/state_test.go
@@ -122,3 +122,23 @@
 	_, version, ok := s.FetchFrom(later.Add(time.Second), 0)
 	c.Assert(ok && version == 5, qt.IsTrue)
 }
+
+// TestBehind guards against an entry that keeps deciding although no newer version is
+// announced any more, and against one that misses a newer version.
+func TestBehind(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	s := yuccaversion.NewState("e0", now)
+	s.SetInForce(5)
+	s.Observe(now, "e1", 5)
+	c.Assert(s.Behind(now), qt.IsFalse)
+	s.Observe(now, "e1", 6)
+	c.Assert(s.Behind(now), qt.IsTrue)
+	_, _, ok := s.FetchFrom(now, 0)
+	c.Assert(ok, qt.IsFalse)
+	later := now.Add(10 * time.Second)
+	c.Assert(s.Behind(later), qt.IsTrue)
+	_, _, ok = s.FetchFrom(later, 0)
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(s.Behind(later), qt.IsFalse)
+}
