Switches for single mechanisms, and a table of what each is worth

Cause: which of the mechanisms of placement earn anything was judged by single trials, and operators could not rule one out during an incident.

The comment on initialFraction gives its reason.

--- a/core/yuccabalancer/candidate.go
+++ b/core/yuccabalancer/candidate.go
@@ -84,7 +84,7 @@
 			p.candidates = append(p.candidates, c.estimate(p, s, req, s == preferred))
 		}
 	}
-	weight := crowdingWeight(p.candidates)
+	weight := crowdingWeight(p.candidates, c.parts.maxCrowdingWeight)
 	var best candidate
 	for _, o := range p.candidates {
 		o.cost = o.latency + time.Duration(weight*float64(o.extraSlotTime))
@@ -123,8 +123,8 @@
 
 // crowdingWeight returns the weight of the extra slot time for the
 // candidates' utilization: zero up to crowdingThreshold, then rising
-// linearly to maxCrowdingWeight.
-func crowdingWeight(candidates []candidate) float64 {
+// linearly to most.
+func crowdingWeight(candidates []candidate, most float64) float64 {
 	busy, slots := 0.0, 0.0
 	for _, o := range candidates {
 		busy += o.slotsInUse
@@ -133,7 +133,7 @@
 	if slots == 0 {
 		return 0
 	}
-	return maxCrowdingWeight * max(0, busy/slots-crowdingThreshold) / (1 - crowdingThreshold)
+	return most * max(0, busy/slots-crowdingThreshold) / (1 - crowdingThreshold)
 }
 
 // affinityServer returns the server of a region with the highest rendezvous score for the
--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -7,6 +7,7 @@
 	"yuccawell.example/core/yuccaerror"
 	"yuccawell.example/core/yuccaoverload"
 	"yuccawell.example/core/yuccaquota"
+	"yuccawell.example/core/yuccaswitch"
 )
 
 const (
@@ -42,11 +43,18 @@
 	// senders holds the other entries that have said that they are senders of a server
 	// that names a limit, by the name of the server.
 	senders map[string][]string
+	// parts are the mechanisms that are in use.
+	parts parts
 }
 
 // NewCore returns a Core that has no servers.
-func NewCore(p Location) *Core {
+func NewCore(p Location) *Core { return NewCoreWithout(p, yuccaswitch.Set{}) }
+
+// NewCoreWithout returns a Core that has no servers and does without the mechanisms that are
+// off.
+func NewCoreWithout(p Location, off yuccaswitch.Set) *Core {
 	return &Core{
+		parts:    newParts(off),
 		location: p,
 		servers:  map[string]*serverState{},
 		pools:    map[string]*pool{},
@@ -128,9 +136,9 @@
 		state := c.servers[s.key()]
 		if state == nil || state.Addr != s.Addr || state.Run != s.Run {
 			state = newServerState(s)
-			state.setPace(initialPace(s, c.servers[s.key()] != nil))
+			state.setPace(c.initialPace(s, c.servers[s.key()] != nil))
 		}
-		state.setServer(s, c.slowStartRate(s))
+		state.setServer(s, c.slowStartRate(s), c.parts.newPace)
 		byName[s.Name] = append(byName[s.Name], state)
 		c.applyNotice(state)
 		servers[s.key()] = state
@@ -166,7 +174,7 @@
 // poolWithoutServers returns a pool for the service without servers, with
 // the statistics of its present pool if there is one.
 func (c *Core) poolWithoutServers(service string) *pool {
-	p := newPool()
+	p := c.parts.newPool()
 	if old := c.pools[service]; old != nil {
 		*p = *old
 		p.regions, p.slots = map[string][]*serverState{}, map[string]float64{}
@@ -188,7 +196,7 @@
 		c.updateSlots(p)
 		goal := Spread(c.location.Region, demand[service], p.slots)
 		if len(goal) > 0 && p.used {
-			p.shares = p.shares.Toward(goal, maxShiftPerSecond*elapsed.Seconds())
+			p.shares = p.shares.Toward(goal, c.parts.maxShiftPerSecond*elapsed.Seconds())
 		}
 	}
 }
@@ -216,6 +224,7 @@
 // Choose chooses a server for a request and counts the request as in flight
 // there. Each choice with a server must be passed to Done once.
 func (c *Core) Choose(req yuccaadmission.Request) Choice {
+	req = c.parts.request(req)
 	p := c.pools[req.Service]
 	if p == nil {
 		return Choice{Reason: Refused, Kind: yuccaerror.NoServer, RetryAfter: maxRetryAfter}
@@ -244,7 +253,7 @@
 	if len(regions) == 0 {
 		return Choice{Reason: Refused, Kind: yuccaerror.NoServer, RetryAfter: c.retryAfter(p, req), Excluded: c.exclusions(p, req)}
 	}
-	p.spilloverTokens = min(spilloverBurst, p.spilloverTokens+spilloverRatio)
+	p.spilloverTokens = min(c.parts.spilloverBurst, p.spilloverTokens+spilloverRatio)
 	best := c.bestServer(p, regions[0], req, key, c.affinityServer(p, regions[0], req, key))
 	reason := ByObject
 	if !best.preferred {
@@ -286,10 +295,11 @@
 // Done records the result of a request and removes it from the in-flight
 // count.
 func (c *Core) Done(choice Choice, r yuccaadmission.Result) {
+	r = c.parts.result(r)
 	s := choice.server
 	p := c.pools[s.Service]
 	if p == nil {
-		p = newPool()
+		p = c.parts.newPool()
 	}
 	recovers := s.recovers(r)
 	s.finish(r, p.latency.mean)
--- a/core/yuccabalancer/picker.go
+++ b/core/yuccabalancer/picker.go
@@ -6,6 +6,7 @@
 
 	"yuccawell.example/core/yuccaadmission"
 	"yuccawell.example/core/yuccaerror"
+	"yuccawell.example/core/yuccaswitch"
 )
 
 // Picker is a Core that is safe for concurrent use. Make one with New.
@@ -17,7 +18,12 @@
 }
 
 // New returns a Picker that rejects every request until Update is called.
-func New(p Location) *Picker { return &Picker{core: NewCore(p)} }
+func New(p Location) *Picker { return NewWithout(p, yuccaswitch.Set{}) }
+
+// NewWithout is New without the mechanisms that are off.
+func NewWithout(p Location, off yuccaswitch.Set) *Picker {
+	return &Picker{core: NewCoreWithout(p, off)}
+}
 
 // Update replaces the topology.
 func (p *Picker) Update(w Topology) {
--- a/core/yuccabalancer/pool.go
+++ b/core/yuccabalancer/pool.go
@@ -56,7 +56,7 @@
 	// loads holds the load of the service's servers by region.
 	loads map[string]*regionLoad
 	// line holds the rejected callers that are to return.
-	line yuccaoverload.Line
+	line returnLine
 	// classes holds the recent requests by priority.
 	classes yuccaoverload.Classes
 	// candidates is a buffer that is reused for each choice.
@@ -67,8 +67,8 @@
 }
 
 // newPool returns a pool without servers and with a full spillover bucket.
-func newPool() *pool {
-	return &pool{regions: map[string][]*serverState{}, slots: map[string]float64{}, spilloverTokens: spilloverBurst, chosen: map[Reason]int{}, late: map[Cause]int{}, loads: map[string]*regionLoad{}}
+func (p parts) newPool() *pool {
+	return &pool{regions: map[string][]*serverState{}, slots: map[string]float64{}, spilloverTokens: p.spilloverBurst, line: p.newLine(), chosen: map[Reason]int{}, late: map[Cause]int{}, loads: map[string]*regionLoad{}}
 }
 
 // regionLoad returns the load of a region.
--- a/core/yuccabalancer/ramp.go
+++ b/core/yuccabalancer/ramp.go
@@ -21,18 +21,18 @@
 // initialPace returns the pace of a server that is new to this entry, or that has replaced
 // another run. A server that is new and not in slow start gets its full part, as this
 // entry itself may be what has just started.
-func initialPace(s Server, replaced bool) yuccapace.Pace {
+func (c *Core) initialPace(s Server, replaced bool) yuccapace.Pace {
 	if s.SlowStartUntil.IsZero() && !replaced {
 		return yuccapace.Pace{}
 	}
-	return yuccapace.New(s.SlowStartUntil)
+	return c.parts.newPace(s.SlowStartUntil)
 }
 
 // setServer replaces what is listed about the server. The rate is this entry's part of the
-// rate during slow start.
-func (s *serverState) setServer(next Server, rate float64) {
+// rate during slow start, and newPace returns the pace of a server that has started.
+func (s *serverState) setServer(next Server, rate float64, newPace func(time.Time) yuccapace.Pace) {
 	if !s.ramping && !next.SlowStartUntil.IsZero() && !next.SlowStartUntil.Equal(s.SlowStartUntil) {
-		s.setPace(yuccapace.New(next.SlowStartUntil))
+		s.setPace(newPace(next.SlowStartUntil))
 	}
 	s.setPace(s.pace.WithSlowUntil(next.SlowStartUntil))
 	s.Server = next
@@ -91,7 +91,7 @@
 		s.failing = true
 	case recovers:
 		s.failing = false
-		s.setPace(yuccapace.New(time.Time{}).At(r.Now))
+		s.setPace(c.parts.newPace(time.Time{}).At(r.Now))
 		return
 	}
 	p := c.pools[s.Service]
--- a/core/yuccadiscovery/status.go
+++ b/core/yuccadiscovery/status.go
@@ -20,6 +20,8 @@
 	Leaving bool `json:"leaving"`
 	// Routes is the version of the routes in force. Zero means no routes.
 	Routes uint64 `json:"routes"`
+	// Off lists the mechanisms that are switched off, sorted.
+	Off []string `json:"off"`
 	// Servers is the number of known backend servers, draining ones included.
 	Servers int `json:"servers"`
 	// Age is the time since the last update of the backend servers from the
--- a/core/yuccaoverload/line.go
+++ b/core/yuccaoverload/line.go
@@ -42,14 +42,12 @@
 
 // Join returns how long a rejected caller should wait. There is room at the earliest
 // after the time soonest. The wait is at most MaxReturn, and at most a
-// third of left, the time until the caller gives up, where zero means unknown. A caller who finds the line longer than that gets a
-// random place in it, since all at its end would return too late to be in time.
+// third of left, the time until the caller gives up, where zero means unknown. A caller who
+// finds the line longer than that gets a random place in it, since all at its end would
+// return too late to be in time.
 func (l *Line) Join(now time.Time, soonest, left time.Duration, random uint64) time.Duration {
 	l.decay(now)
-	limit := MaxReturn
-	if left > 0 {
-		limit = min(limit, time.Duration(maxLeftShare*float64(left)))
-	}
+	limit := maxWait(left)
 	fraction := float64(random>>11) / (1 << 53)
 	position := max(MinReturn, soonest, l.end.Sub(now))
 	if position >= limit {
@@ -75,3 +73,24 @@
 	}
 	l.at = now
 }
+
+// Independent tells each rejected caller when to return without regard to the others. It is
+// what replaces a Line that is switched off.
+type Independent struct{}
+
+// Complete does nothing.
+func (Independent) Complete(time.Time) {}
+
+// Join returns how long a rejected caller should wait: soonest, within the limits of
+// Line.Join.
+func (Independent) Join(_ time.Time, soonest, left time.Duration, _ uint64) time.Duration {
+	return min(maxWait(left), max(MinReturn, soonest))
+}
+
+// maxWait returns the longest time that a caller may be asked to wait.
+func maxWait(left time.Duration) time.Duration {
+	if left <= 0 {
+		return MaxReturn
+	}
+	return min(MaxReturn, time.Duration(maxLeftShare*float64(left)))
+}
--- a/core/yuccapace/pace.go
+++ b/core/yuccapace/pace.go
@@ -17,9 +17,9 @@
 import "time"
 
 const (
-	// initialFraction is the fraction of a server's part at the start of its ramp. Cold
-	// objects take about 3.3 times the slot time of warm ones. With less, the other servers
-	// of a busy service lack the slots.
+	// initialFraction is the fraction of a server's part at the start of its ramp. A server
+	// that is cold still does useful work. With a lower fraction, the other servers of a
+	// busy service lack the slots.
 	initialFraction = 0.5
 	// minFraction is the lowest fraction, so that responses keep arriving and a recovery
 	// is noticed.
--- a/core/yuccasim/placement.go
+++ b/core/yuccasim/placement.go
@@ -32,7 +32,8 @@
 // newPlacementPolicy returns the policy of an entry and schedules its demand
 // reports. The reports of the entries are evenly spread over the interval.
 func newPlacementPolicy(m *sim, entry int) *placementPolicy {
-	p := &placementPolicy{sim: m, entry: entry, demand: make([]float64, m.entries()), core: yuccabalancer.NewCore(yuccabalancer.Location{Entry: entryName(entry), Region: regionName(entryRegion(entry))})}
+	location := yuccabalancer.Location{Entry: entryName(entry), Region: regionName(entryRegion(entry))}
+	p := &placementPolicy{sim: m, entry: entry, demand: make([]float64, m.entries()), core: yuccabalancer.NewCoreWithout(location, m.setup.Off)}
 	m.after(time.Duration(entry)*demandInterval/time.Duration(m.entries()), func() { m.every(demandInterval, m.setup.length(), p.shareDemand) })
 	return p
 }
--- a/core/yuccasim/run.go
+++ b/core/yuccasim/run.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"yuccawell.example/core/yuccaswitch"
 )
 
 // Options select the runs: one for each combination of service, workload, load,
@@ -22,6 +24,8 @@
 	Policies []string
 	// Workloads are the workloads; none means the zero Workload.
 	Workloads []Workload
+	// Off are the mechanisms that the policy ObjectPlacement does without.
+	Off yuccaswitch.Set
 	// Requests is the minimum expected number of requests in a run.
 	Requests int
 	// Length is the minimum virtual time of a run.
@@ -56,7 +60,7 @@
 		for _, s := range d.Services {
 			for _, w := range workloads {
 				for _, l := range o.Loads {
-					all = append(all, o.scenarios(Setup{Workload: w, Service: s.withWork(w), Load: l, Seed: o.Seed, Requests: o.Requests, Length: o.Length})...)
+					all = append(all, o.scenarios(Setup{Workload: w, Service: s.withWork(w), Load: l, Off: o.Off, Seed: o.Seed, Requests: o.Requests, Length: o.Length})...)
 				}
 			}
 		}
--- a/core/yuccasim/setup.go
+++ b/core/yuccasim/setup.go
@@ -21,6 +21,8 @@
 import (
 	"cmp"
 	"time"
+
+	"yuccawell.example/core/yuccaswitch"
 )
 
 // Service describes a service and its backend servers.
@@ -189,6 +191,8 @@
 	Load Load
 	// Policy is the name of the policy.
 	Policy string
+	// Off are the mechanisms that the policy ObjectPlacement does without.
+	Off yuccaswitch.Set
 	// Seed is the seed of all random numbers.
 	Seed uint64
 	// Requests is the minimum expected number of requests.
--- a/ctl/discovery.go
+++ b/ctl/discovery.go
@@ -68,14 +68,14 @@
 	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
 	defer w.Flush()
 	row := func(cells ...string) { _, _ = w.Write([]byte(strings.Join(cells, "\t") + "\n")) }
-	row("ENTRY", "REGION", "DOMAIN", "STATE", "ROUTES", "SERVERS", "TOLD", "ENTRIES", "EVACUATED")
+	row("ENTRY", "REGION", "DOMAIN", "STATE", "ROUTES", "SERVERS", "TOLD", "ENTRIES", "EVACUATED", "OFF")
 	for _, e := range all {
 		if e.FetchError != "" {
 			row(e.Addr, "", "", e.FetchError)
 			continue
 		}
 		row(e.Name, e.Region, e.Domain, e.state(), formatUint(e.Routes), formatUint(uint64(e.Servers)),
-			e.Age.Round(time.Millisecond).String()+" ago", formatUint(uint64(len(e.Entries))), strings.Join(e.Evacuated, ","))
+			e.Age.Round(time.Millisecond).String()+" ago", formatUint(uint64(len(e.Entries))), strings.Join(e.Evacuated, ","), strings.Join(e.Off, ","))
 	}
 	row("")
 	row("ENTRY", "SERVICE", "BUSY", "PACE", "WARM", "COLD", "SHARES")
--- a/ctl/discovery_test.go
+++ b/ctl/discovery_test.go
@@ -25,7 +25,7 @@
 func TestStatusOfAddresses(t *testing.T) {
 	status := yuccadiscovery.Status{
 		Name: "edge-1", Region: "catania", Domain: "ct-a", Ready: true, Routes: 7, Servers: 12, Age: 1500 * time.Millisecond,
-		Evacuated: []string{"pa-b"}, Entries: []string{"edge-1", "edge-2"},
+		Evacuated: []string{"pa-b"}, Off: []string{"line", "ramp"}, Entries: []string{"edge-1", "edge-2"},
 		Services: []yuccabalancer.Status{{
 			Service: "search", InFlight: 3, MeanLatency: 20 * time.Millisecond, WarmLatency: 10 * time.Millisecond, ColdLatency: 40 * time.Millisecond,
 			Shares: yuccabalancer.TrafficSplit{"catania": 0.75, "palermo": 0.25},
@@ -41,7 +41,7 @@
 		exit  int
 		want  string
 	}{
-		{"entry table", []string{serveStatus(t, status)}, 0, "ready  7       12       1.5s ago  2        pa-b"},
+		{"entry table", []string{serveStatus(t, status)}, 0, "ready  7       12       1.5s ago  2        pa-b       line,ramp"},
 		{"service table", []string{serveStatus(t, status)}, 0, "3     20ms  10ms  40ms  catania:0.75,palermo:0.25"},
 		{"leaving", []string{serveStatus(t, leaving)}, 0, "leaving"},
 		{"starting", []string{serveStatus(t, starting)}, 0, "not ready"},
--- a/standin/bench.go
+++ b/standin/bench.go
@@ -24,14 +24,18 @@
 		Loads:       yuccasim.Loads(),
 		Policies:    yuccasim.Policies(),
 	}
-	var full, objects bool
-	var entries int
+	var full, objects, ablation bool
+	var entries, seeds int
 	c := &cobra.Command{
 		Use:     "bench",
 		Short:   "Compare load balancing policies in a simulation on virtual time",
 		Example: "  yucca-standin bench --seed 1",
 		Args:    cobra.NoArgs,
 		Run: func(c *cobra.Command, _ []string) {
+			if ablation {
+				yuccasim.PrintAblation(c.OutOrStdout(), yuccasim.Ablate(o.Seed, seeds, entries, o.Length))
+				return
+			}
 			if objects {
 				yuccasim.PrintOnTimeRatios(c.OutOrStdout(), yuccasim.Run(yuccasim.ObjectOptions(o.Seed, o.Requests, o.Length)))
 				return
@@ -53,6 +57,8 @@
 	c.Flags().DurationVar(&o.Length, "length", benchLength, "minimum virtual time of a run")
 	c.Flags().BoolVar(&full, "full", false, "print one row for each run")
 	c.Flags().BoolVar(&objects, "places", false, "compare object placement with other policies")
+	c.Flags().BoolVar(&ablation, "ablate", false, "simulate the overload of --overload entries with one mechanism after the other switched off")
+	c.Flags().IntVar(&seeds, "seeds", 5, "number of seeds of --ablate")
 	c.Flags().IntVar(&entries, "overload", 0, "simulate overload with that many entries")
 	return c
 }
