yuccactl causes: late and refused requests from the entries' logs

Change: yuccaexplain.CountCauses adds up what the lines of placement say, by service and by period: choices, refusals, late answers by cause. yuccactl causes prints it as two tables with a bar for each period, or as JSON. It works on the logs of any deployment. The clairvoyant bound beside it and the split by kind and region are not built.

--- a/ctl/command.go
+++ b/ctl/command.go
@@ -58,7 +58,7 @@
 	root.PersistentFlags().StringVar(&a.settingsPath, "settings", "yuccactl.toml", "settings file")
 	root.PersistentFlags().BoolVar(&a.jsonOutput, "json", false, "print JSON")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return yuccaerror.Wrap(yuccaerror.Usage, err) })
-	root.AddCommand(a.checkCommand(), a.applyCommand(), a.showCommand(), a.diffCommand(), a.statusCommand(), a.planCommand(), a.reportCommand(), a.explainCommand(), a.versionCommand())
+	root.AddCommand(a.checkCommand(), a.applyCommand(), a.showCommand(), a.diffCommand(), a.statusCommand(), a.planCommand(), a.reportCommand(), a.explainCommand(), a.causesCommand(), a.versionCommand())
 	return root
 }
 
--- a/ctl/command_test.go
+++ b/ctl/command_test.go
@@ -52,7 +52,9 @@
 	env.write(t, "good.txt", validRules)
 	env.write(t, "more.txt", drainRules)
 	env.write(t, "bad.txt", invalidRules)
-	env.write(t, "entries.log", "time=2026-05-01T17:19:53Z level=info event=request_failed entry=e1 kind=shed request=abc status=503 run=no\n")
+	env.write(t, "entries.log", "time=2026-05-01T17:19:53Z level=info event=request_failed entry=e1 kind=shed request=abc status=503 run=no\n"+
+		`time=2026-05-01T17:19:54Z level=info event=placement chosen={"object":6,"refused":1} entry=e1 late={"queue":2} service=search`)
+	env.write(t, "other.log", "time=2026-05-01T17:19:53Z level=info event=listening entry=e1\n")
 	return env
 }
 
@@ -140,6 +142,11 @@
 		{"version", []string{"version"}, 0, "yuccactl"},
 		{"explain", []string{"explain", "abc", "@entries.log"}, 0, "e1: shed, status 503"},
 		{"explain what no line names", []string{"explain", "other", "@entries.log"}, 1, "No line names request other"},
+		{"causes", []string{"causes", "@entries.log"}, 0, "search    6       1        2     2"},
+		{"causes over time", []string{"causes", "--every", "10s", "@entries.log"}, 0, "17:19:50  6       1        2     2      ######"},
+		{"causes json", []string{"causes", "--json", "@entries.log"}, 0, `"placed": 6`},
+		{"causes of a log without placement", []string{"causes", "@other.log"}, 1, "no line says"},
+		{"causes of no time", []string{"causes", "--every", "0s", "@entries.log"}, 2, "--every must be above 0"},
 		{"diff without file", []string{"diff"}, 2, "accepts 1 arg"},
 	}
 	for _, test := range tests {
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -22,20 +22,29 @@
 			return yuccaerror.Wrap(yuccaerror.Usage, cobra.RangeArgs(1, 2)(c, args))
 		},
 		RunE: func(c *cobra.Command, args []string) error {
-			in := c.InOrStdin()
-			if len(args) == 2 {
-				f, err := os.Open(args[1])
-				if err != nil {
-					return yuccaerror.Wrap(yuccaerror.Invalid, err)
-				}
-				defer func() { _ = f.Close() }()
-				in = f
+			in, closeInput, err := openInput(c, args[1:])
+			if err != nil {
+				return err
 			}
+			defer closeInput()
 			return a.explain(in, args[0])
 		},
 	}
 }
 
+// openInput opens the file that the only argument names, or standard input if there is none.
+// The caller calls closeInput when it has read the input.
+func openInput(c *cobra.Command, args []string) (in io.Reader, closeInput func(), err error) {
+	if len(args) == 0 {
+		return c.InOrStdin(), func() {}, nil
+	}
+	f, err := os.Open(args[0])
+	if err != nil {
+		return nil, nil, yuccaerror.Wrap(yuccaerror.Invalid, err)
+	}
+	return f, func() { _ = f.Close() }, nil
+}
+
 // explain prints the explanation of the request with the given ID from the log
 // lines that it reads. It fails with kind NotFound if no line names the request.
 func (a *app) explain(in io.Reader, id string) error {
