Leave out small entries at once when missing entries join

A directory that learned of a small entry before it learned that the second large one was ready named the small entry, and kept it for shrinkDelay (20 s), which is meant for a demand that may return. TestMissingEntriesJoin replays the three orders in which this happens and failed in all of them.

Change: when a large entry joins that was in no decision for 20 s, or such an entry of a failure domain without another one, the small entries are chosen anew. An entry that comes and goes keeps the delay (TestReturningEntryChangesNothingAtOnce).

--- a/core/yuccacapacity/choice.go
+++ b/core/yuccacapacity/choice.go
@@ -25,7 +25,8 @@
 	shrinkMargin = 1.25
 	// shrinkDelay is how long the remaining entries must have had room for the demand
 	// before others are left out, as their callers reconnect. It is longer than the
-	// usual swing of the demand between regions.
+	// usual swing of the demand between regions. It does not hold when entries join that
+	// were missing; see gained.
 	shrinkDelay = 20 * time.Second
 	// saturatedFactor is the share of its capacity that a saturated entry counts for.
 	saturatedFactor = 0.5
@@ -52,6 +53,8 @@
 type Choice struct {
 	// settled is set when the region has been uneven before.
 	settled bool
+	// seen holds when each entry was last part of a decision, for shrinkDelay.
+	seen map[string]time.Time
 	// named holds the named entries, largest first, or by name if all are named alike.
 	named []member
 	// alike is set if every lookup names all entries.
@@ -80,14 +83,14 @@
 // Next returns the decision at now for the entries of the region, which follows c.
 func (c Choice) Next(now time.Time, all []Entry) Choice {
 	if !decidable(all) {
-		return nameAll(all, c.settled)
+		return c.nameAll(now, all)
 	}
 	members := rank(all, meanCost(all))
 	large, small := split(members)
 	if len(small) == 0 {
-		return nameAll(all, c.settled)
+		return c.nameAll(now, all)
 	}
-	n := Choice{settled: true, demand: demandOf(members)}
+	n := Choice{settled: true, seen: c.nextSeen(now, all), demand: demandOf(members)}
 	var extras map[string]bool
 	extras, n.roomySince = c.nextExtras(now, n.demand, large, small)
 	n.named = slices.Clone(large)
@@ -111,12 +114,15 @@
 }
 
 // nameAll returns the decision to name all entries in each response.
-func nameAll(all []Entry, settled bool) Choice {
-	c := Choice{settled: settled, alike: true, named: make([]member, 0, len(all))}
+func (c Choice) nameAll(now time.Time, all []Entry) Choice {
+	n := Choice{settled: c.settled, alike: true, named: make([]member, 0, len(all))}
+	if c.settled {
+		n.seen = c.nextSeen(now, all)
+	}
 	for _, e := range all {
-		c.named = append(c.named, member{Entry: e})
+		n.named = append(n.named, member{Entry: e})
 	}
-	return c
+	return n
 }
 
 // Large returns the names of the entries of a region that are not small, judged by their
@@ -172,6 +178,35 @@
 	return demand
 }
 
+// nextSeen returns when each entry was last part of a decision, with the one at now.
+func (c Choice) nextSeen(now time.Time, all []Entry) map[string]time.Time {
+	seen := make(map[string]time.Time, len(all))
+	for name, at := range c.seen {
+		if now.Sub(at) < shrinkDelay {
+			seen[name] = at
+		}
+	}
+	for _, e := range all {
+		seen[e.Name] = now
+	}
+	return seen
+}
+
+// gained reports whether a new large entry has joined, or a new entry of a failure domain
+// that has no other one. Small entries that were named for lack of it are then left out
+// without a delay: missing entries made them necessary, and not a demand that may return.
+// An entry that was part of a decision within shrinkDelay is not new, so that callers do
+// not follow every change of one that comes and goes.
+func (c Choice) gained(large, small []member) bool {
+	isNew := func(m member) bool { return c.seen[m.Name].IsZero() }
+	domains := map[string]int{}
+	for _, m := range slices.Concat(large, small) {
+		domains[m.Domain]++
+	}
+	only := func(m member) bool { return isNew(m) && domains[m.Domain] == 1 }
+	return slices.ContainsFunc(large, isNew) || slices.ContainsFunc(small, only)
+}
+
 // nextExtras returns the small entries that are named besides the large ones, and since
 // when fewer of them have been enough.
 func (c Choice) nextExtras(now time.Time, demand float64, large, small []member) (extras map[string]bool, roomySince time.Time) {
@@ -179,7 +214,7 @@
 		return slices.ContainsFunc(c.named, func(n member) bool { return n.Name == m.Name })
 	}
 	roomy := leastExtras(demand*shrinkMargin, large, small, func(member) bool { return false })
-	if !c.settled {
+	if !c.settled || c.gained(large, small) {
 		return roomy, time.Time{}
 	}
 	extras = leastExtras(demand, large, small, kept)
--- a/core/yuccacapacity/choice_test.go
+++ b/core/yuccacapacity/choice_test.go
@@ -271,6 +271,51 @@
 	c.Assert(f.maxLoad(1500) < 0.75, qt.IsTrue)
 }
 
+// TestMissingEntriesJoin lists entries that join a region in the order in which a directory
+// learns that they are ready. It guards against small entries that stay named for
+// shrinkDelay because others were not known to be ready at first.
+func TestMissingEntriesJoin(t *testing.T) {
+	tests := []struct {
+		name  string
+		order []string
+		want  []string
+	}{
+		{"a large entry last", []string{"large00", "small00", "small01", "large01"}, []string{"large00", "large01"}},
+		{"a small entry before its domain's large one", []string{"small01", "large00", "large01", "small00"}, []string{"large00", "large01"}},
+		{"the only entry of a domain last", []string{"large00", "small00", "small01"}, []string{"large00", "small01"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(2, 2, 2)
+			all := f.entries
+			f.entries = nil
+			for _, name := range test.order {
+				i := slices.IndexFunc(all, func(e yuccacapacity.Entry) bool { return e.Name == name })
+				f.entries = append(f.entries, all[i])
+				f.choice = f.choice.Next(f.now, f.entries)
+			}
+			qt.Assert(t, f.choice.Named(), qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// TestReturningEntryChangesNothingAtOnce guards against callers that follow every change of
+// a large entry that comes and goes.
+func TestReturningEntryChangesNothingAtOnce(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(2, 4, 2)
+	all := slices.Clone(f.entries)
+	f.run(10*time.Second, 10)
+	f.assertNamed(c, 2, 0)
+	f.remove(func(e yuccacapacity.Entry) bool { return e.Name == "large01" })
+	f.assertNamed(c, 1, 2)
+	f.entries = all
+	f.run(5*time.Second, 10)
+	f.assertNamed(c, 2, 2)
+	f.run(30*time.Second, 10)
+	f.assertNamed(c, 2, 0)
+}
+
 // TestDomainDies removes all large entries of a failure domain, then all large ones: two
 // failure domains stay named, and the small entries of the other domain carry what is sent
 // there.
