Choose gateways between failure domains among the strong entries

Gateways were chosen by hash alone. A gateway sends what all entries of the other domains publish to each entry of its own: 3.3 MB a second at 96 entries, while the links of half of the entries carry 1.3 MB. Reports and heartbeats then come late or are dropped.

Change: the entries of a domain with at least 0.75 of the largest capacity, judged from the list, become gateways before others. Sessions announce version 2, so that entries beside an older build also act as gateways where that build expects them.

--- a/core/yuccacapacity/choice.go
+++ b/core/yuccacapacity/choice.go
@@ -14,6 +14,9 @@
 	// unevenFactor is the ratio of the largest entry's capacity to that of another entry
 	// from which the other one counts as small. Where no entry is small, all are named.
 	unevenFactor = 4
+	// strongShare is the part of the largest entry's capacity from which another entry can
+	// do as much work for other entries.
+	strongShare = 0.75
 	// reserveShare is the share of the capacity of the named entries that the demand may
 	// take. Demand grows by up to 55% within seconds, which leaves 0.22 of the capacity.
 	reserveShare = 0.5
@@ -143,6 +146,23 @@
 	return names
 }
 
+// Strong returns the names of the entries that are about as large as the largest one, judged
+// by their capacities, or none if a capacity is unknown. They suit work that one entry does
+// for many others.
+func Strong(all []Entry) []string {
+	if !decidable(all) {
+		return nil
+	}
+	var names []string
+	members := rank(all, cost{priorCores, priorMegabits})
+	for _, m := range members {
+		if m.rate >= strongShare*members[0].rate {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
 // split divides the ranked members of a region into large and small ones.
 func split(members []member) (large, small []member) {
 	i := slices.IndexFunc(members, func(m member) bool { return m.rate <= members[0].rate/unevenFactor })
--- a/core/yuccaliveness/monitor.go
+++ b/core/yuccaliveness/monitor.go
@@ -151,6 +151,14 @@
 	return s.state.LargeNames()
 }
 
+// StrongNames returns the sorted names of the listed entries that can work for the others of
+// their failure domain. State.StrongNames has the rules.
+func (s *Monitor) StrongNames() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.StrongNames()
+}
+
 // ToDeregister returns the names of the silent entries that this entry has to
 // remove from the platform's list.
 func (s *Monitor) ToDeregister() []string {
@@ -219,7 +227,8 @@
 	for _, v := range s.balancer.StatusAndReset() {
 		s.log.Info().
 			Str("service", v.Service).
-			Stringer("shares", v.Shares).
+			Stringer("shares", v.Common).
+			Stringer("near", v.Near).
 			Int("busy", v.InFlight).
 			Dur("pace", v.MeanLatency).
 			Dur("warm", v.WarmLatency).
--- a/core/yuccaliveness/state.go
+++ b/core/yuccaliveness/state.go
@@ -82,8 +82,9 @@
 	listed map[string]*listedEntry
 	// names holds the sorted names of the listed entries.
 	names []string
-	// large holds the sorted names of the listed entries that are large in their region.
-	large []string
+	// large holds the sorted names of the listed entries that are large in their region, and
+	// strong those of the listed entries that are strong in their failure domain.
+	large, strong []string
 	// heartbeats holds the last heartbeat of each other entry by name.
 	heartbeats map[string]*heartbeatRecord
 }
@@ -122,7 +123,8 @@
 		s.listed[e.Name] = &listedEntry{e, firstListed}
 	}
 	s.names = slices.Sorted(maps.Keys(s.listed))
-	s.large = s.largeNames()
+	s.large = s.namesBy(Entry.region, yuccacapacity.Large)
+	s.strong = s.namesBy(Entry.domain, yuccacapacity.Strong)
 	for name, h := range s.heartbeats {
 		if _, ok := s.listed[name]; !ok && now.Sub(h.receivedAt) > forgetTimeout {
 			delete(s.heartbeats, name)
@@ -219,20 +221,30 @@
 // whatever the load.
 func (s *State) LargeNames() []string { return s.large }
 
-// largeNames returns the sorted names of the listed entries that are large in their region.
-func (s *State) largeNames() []string {
-	regions := map[string][]yuccacapacity.Entry{}
+// StrongNames returns the sorted names of the listed entries that are about as large as the
+// largest of their failure domain, by yuccacapacity.Strong. Like LargeNames it depends on the
+// list only.
+func (s *State) StrongNames() []string { return s.strong }
+
+// namesBy returns the sorted names of the listed entries that are selected among those with
+// the same key.
+func (s *State) namesBy(key func(Entry) string, selected func([]yuccacapacity.Entry) []string) []string {
+	groups := map[string][]yuccacapacity.Entry{}
 	for name, e := range s.listed {
-		regions[e.Region] = append(regions[e.Region], yuccacapacity.Entry{Name: name, Capacity: e.Capacity})
+		groups[key(e.Entry)] = append(groups[key(e.Entry)], yuccacapacity.Entry{Name: name, Capacity: e.Capacity})
 	}
 	var names []string
-	for _, all := range regions {
-		names = append(names, yuccacapacity.Large(all)...)
+	for _, all := range groups {
+		names = append(names, selected(all)...)
 	}
 	slices.Sort(names)
 	return names
 }
 
+func (e Entry) region() string { return e.Region }
+
+func (e Entry) domain() string { return e.Domain }
+
 // Alive returns the entries that accept new clients, sorted by name. A listed
 // entry without a heartbeat of its present incarnation counts as alive until
 // Timeout after it was first listed. An entry that receives no heartbeats at all
--- a/core/yuccapeer/connect.go
+++ b/core/yuccapeer/connect.go
@@ -56,7 +56,7 @@
 // rebuildMesh chooses the peers to keep sessions with and triggers dials. The
 // caller holds mu.
 func (p *Peers) rebuildMesh() {
-	p.mesh = newMesh(p.settings.Name, p.settings.Domain, p.members(), p.mayBeAlive)
+	p.mesh = newMesh(p.settings.Name, p.settings.Domain, p.members(), gatewayRule{p.mayBeAlive, p.strong, p.mixed()})
 	select {
 	case p.meshChanged <- struct{}{}:
 	default:
@@ -95,6 +95,17 @@
 	return connected || !tried || t.failures < lostAfterFailures
 }
 
+// mixed reports whether a peer is of a build that does not know strong entries. The caller
+// holds mu.
+func (p *Peers) mixed() bool {
+	for _, s := range p.sessions {
+		if s.peer.Highest < strongGatewaysVersion {
+			return true
+		}
+	}
+	return false
+}
+
 // hello returns this entry's Hello.
 func (p *Peers) hello() *Hello {
 	return &Hello{
@@ -181,8 +192,11 @@
 		old.close()
 	}
 	p.sessions[s.peer.Name] = s
-	if !p.isListed(s.peer.Name) {
+	listed := p.isListed(s.peer.Name)
+	if !listed {
 		p.remember(s.peer)
+	}
+	if !listed || s.peer.Highest < strongGatewaysVersion {
 		p.rebuildMesh()
 	}
 	return true
--- /dev/null
+++ b/core/yuccapeer/gateway_test.go
@@ -0,0 +1,41 @@
+package yuccapeer
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestGatewaysAreStrong guards against gateways whose links do not carry what all entries of
+// a large fleet publish, and against domains with too few gateways.
+func TestGatewaysAreStrong(t *testing.T) {
+	tests := []struct {
+		name         string
+		strong, weak int
+		wantStrong   int
+	}{
+		{"more strong ones than gateways", 5, 40, 2},
+		{"as many", 2, 40, 2},
+		{"one", 1, 40, 1},
+		{"none", 0, 40, 0},
+		{"all", 9, 0, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			rule := gatewayRule{strong: map[string]bool{"elsewhere": true}}
+			var members []string
+			for i := range test.strong + test.weak {
+				members = append(members, fmt.Sprint("e", i))
+				rule.strong[members[i]] = i < test.strong
+			}
+			chosen := rule.gateways("d", members)
+			c.Assert(chosen, qt.HasLen, GatewaysPerDomain)
+			c.Assert(chosen[0], qt.Not(qt.Equals), chosen[1])
+			strong := slices.DeleteFunc(chosen, func(name string) bool { return !rule.strong[name] })
+			c.Assert(strong, qt.HasLen, test.wantStrong)
+		})
+	}
+}
--- a/core/yuccapeer/hello.go
+++ b/core/yuccapeer/hello.go
@@ -12,7 +12,10 @@
 	// lowestVersion is the lowest supported version.
 	lowestVersion = 1
 	// highestVersion is the highest supported version.
-	highestVersion = 1
+	highestVersion = 2
+	// strongGatewaysVersion is the version from which entries choose gateways among the
+	// strong ones. The format of the messages is that of version 1.
+	strongGatewaysVersion = 2
 )
 
 // negotiate returns the highest version that both sides support; a is this
--- a/core/yuccapeer/mesh.go
+++ b/core/yuccapeer/mesh.go
@@ -9,10 +9,6 @@
 	"yuccawell.example/core/yuccastore"
 )
 
-// GatewaysPerDomain is how many entries of a failure domain forward messages
-// between it and the other domains.
-const GatewaysPerDomain = 2
-
 // RendezvousTop returns the count members with the highest rendezvous hash for
 // a role, the highest first, or all if there are fewer. Entries that see the
 // same members choose the same ones, and the loss of a member moves only the
@@ -50,10 +46,8 @@
 	gateway bool
 }
 
-// newMesh returns the mesh of the entry self. An entry that is not alive is not
-// chosen as a gateway. All entries must hash the same role, which is the text
-// "summarizer " and the name of the failure domain.
-func newMesh(self, domain string, entries []yuccastore.Instance, alive func(name string) bool) mesh {
+// newMesh returns the mesh of the entry self.
+func newMesh(self, domain string, entries []yuccastore.Instance, rule gatewayRule) mesh {
 	m := mesh{self: self, domain: domain, domainPeers: map[string]string{}, gatewayPeers: map[string]string{}}
 	domains := map[string][]string{domain: {self}}
 	addrs := map[string]string{}
@@ -65,11 +59,11 @@
 		if e.Domain == domain {
 			m.domainPeers[e.Name] = e.Peer
 		}
-		if alive(e.Name) {
+		if rule.alive(e.Name) {
 			domains[e.Domain] = append(domains[e.Domain], e.Name)
 		}
 	}
-	m.gateway = slices.Contains(RendezvousTop("summarizer "+domain, domains[domain], GatewaysPerDomain), self)
+	m.gateway = slices.Contains(rule.gateways(domain, domains[domain]), self)
 	if !m.gateway {
 		return m
 	}
@@ -77,7 +71,7 @@
 		if other == domain {
 			continue
 		}
-		for _, name := range RendezvousTop("summarizer "+other, names, GatewaysPerDomain) {
+		for _, name := range rule.gateways(other, names) {
 			m.gatewayPeers[name] = addrs[name]
 		}
 	}
--- a/core/yuccapeer/peers.go
+++ b/core/yuccapeer/peers.go
@@ -61,6 +61,8 @@
 	mu sync.Mutex
 	// entries are the known entries, as given to Update.
 	entries []yuccastore.Instance
+	// strong holds the names of the entries that are chosen as gateways before others.
+	strong map[string]bool
 	// unlisted maps the name of an entry that the list lacks to what its Hello said.
 	unlisted map[string]unlistedPeer
 	// mesh is derived from entries, unlisted and the state of the sessions and dials.
@@ -102,7 +104,7 @@
 		log:         log,
 		handlers:    map[string]Handler{},
 		unlisted:    map[string]unlistedPeer{},
-		mesh:        newMesh(settings.Name, settings.Domain, nil, nil),
+		mesh:        newMesh(settings.Name, settings.Domain, nil, gatewayRule{}),
 		sessions:    map[string]*session{},
 		targets:     map[string]*target{},
 		duplicates:  newDuplicateFilter(),
@@ -160,6 +162,19 @@
 	p.updateMesh()
 }
 
+// SetStrong replaces the names of the entries that become gateways before the others of
+// their failure domain. All entries must derive them from the same list. It takes effect
+// with the next Update.
+func (p *Peers) SetStrong(names []string) {
+	strong := make(map[string]bool, len(names))
+	for _, name := range names {
+		strong[name] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.strong = strong
+}
+
 // Connected returns the sorted names of the entries with an open session.
 func (p *Peers) Connected() []string {
 	p.mu.Lock()
