Write queued frames of a session together

Cause: a gateway of a large fleet writes each forwarded frame to each peer by itself, which wakes up both sides thousands of times a second.

Change: at most one write to a session in 10 ms; frames that are queued meanwhile go into the same write. The first frame after a pause goes at once. The format stays.

--- a/core/yuccapeer/session.go
+++ b/core/yuccapeer/session.go
@@ -6,6 +6,7 @@
 	"io"
 	"log"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"yuccawell.example/core/yuccaerror"
+	"yuccawell.example/core/yuccasleep"
 )
 
 const (
@@ -35,6 +37,12 @@
 	maxSilence = time.Minute
 	// sendQueueLength is the capacity of a session's send queue in frames.
 	sendQueueLength = 256
+	// minWriteGap is the shortest time between two writes to a session. Frames that are
+	// queued meanwhile are written together, since a gateway of a large fleet forwards more
+	// frames than it can write, and its peers wake up for, one by one.
+	minWriteGap = 10 * time.Millisecond
+	// maxWriteBytes is the length from which no further frame is added to a write.
+	maxWriteBytes = 64 << 10
 	// maxConcurrentCalls limits the calls of one peer that are handled at a
 	// time.
 	maxConcurrentCalls = 64
@@ -176,6 +184,7 @@
 // interval it writes a heartbeat, which announces the interval to the peer.
 func (s *session) sendLoop(ctx context.Context, r messageReceiver) error {
 	announced := time.Duration(0)
+	var written time.Time
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -194,14 +203,31 @@
 			if announced == r.heartbeatInterval() {
 				timer.Reset(announced)
 			}
-			if err := s.write(body); err != nil {
+			yuccasleep.For(ctx, minWriteGap-time.Since(written))
+			if err := s.write(s.withQueued(body)); err != nil {
 				return err
 			}
+			written = time.Now()
 		}
 	}
 }
 
-// write writes an encoded frame to the first stream.
+// withQueued returns an encoded frame with those that are queued behind it.
+func (s *session) withQueued(body []byte) []byte {
+	// The other sessions send the same slice.
+	frames := slices.Clip(body)
+	for len(frames) < maxWriteBytes {
+		select {
+		case next := <-s.sendQueue:
+			frames = append(frames, next...)
+		default:
+			return frames
+		}
+	}
+	return frames
+}
+
+// write writes encoded frames to the first stream.
 func (s *session) write(body []byte) error {
 	_ = s.stream.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := s.stream.Write(body); err != nil {
--- a/core/yuccapeer/session_test.go
+++ b/core/yuccapeer/session_test.go
@@ -33,6 +33,24 @@
 	return m
 }
 
+// TestQueuedFramesAreJoined guards against a frame that is sent to several peers and gets what
+// is queued for one of them, and against writes without a bound.
+func TestQueuedFramesAreJoined(t *testing.T) {
+	c := qt.New(t)
+	shared := append(make([]byte, 0, 64), "shared,"...)
+	a, b := &session{sendQueue: make(chan []byte, 100)}, &session{sendQueue: make(chan []byte, 100)}
+	a.sendQueue <- []byte("one,")
+	a.sendQueue <- []byte("two")
+	b.sendQueue <- []byte("three")
+	joinedA, joinedB := a.withQueued(shared), b.withQueued(shared)
+	c.Assert(string(joinedA), qt.Equals, "shared,one,two")
+	c.Assert(string(joinedB), qt.Equals, "shared,three")
+	for range 100 {
+		a.sendQueue <- make([]byte, maxWriteBytes/10)
+	}
+	c.Assert(len(a.withQueued(shared)) < 2*maxWriteBytes, qt.IsTrue)
+}
+
 // TestUnknownContentKeepsSession connects an entry of a later build, which sends topics,
 // fields, kinds and ways of forwarding that this build does not know. It guards against
 // sessions that end, or are opened again and again, while two builds run side by side.
