Keep the servers of a topology that only has other entries

Cause: while a fleet starts, each heartbeat of a new entry changes the list of entries, up to ten times a second, and each change replaced the state of all servers.

Change: a topology carries the version of its servers. With the same version only the parts of rates that entries share are computed anew.

--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -127,12 +127,42 @@
 // Update replaces the topology. Servers that keep their name and address
 // keep their statistics and in-flight counts.
 func (c *Core) Update(w Topology) {
+	sameServers := w.Version != 0 && w.Version == c.topology.Version
 	c.topology = w
 	c.division = c.division.WithEntries(w.Entries).WithCandidates(w.Large)
+	if sameServers {
+		c.updateParts()
+	} else {
+		c.replaceServers(w.Servers)
+	}
+	for _, p := range c.pools {
+		c.updateSlots(p)
+		if !p.used {
+			p.shares = initialSplit(c.location.Region, p.slots)
+		}
+	}
+}
+
+// updateParts updates this entry's part of the rates that it shares with other entries. A
+// start of a large fleet changes its list of entries many times a second, and most servers
+// have no such rate.
+func (c *Core) updateParts() {
+	for _, s := range c.servers {
+		if !s.SlowStartUntil.IsZero() {
+			s.setServer(s.Server, c.slowStartRate(s.Server), c.parts.newPace)
+		}
+		if _, ok := c.notices[s.Name]; ok {
+			c.applyNotice(s)
+		}
+	}
+}
+
+// replaceServers replaces the servers.
+func (c *Core) replaceServers(all []Server) {
 	servers := map[string]*serverState{}
 	byName := map[string][]*serverState{}
 	pools := map[string]*pool{}
-	for _, s := range w.Servers {
+	for _, s := range all {
 		state := c.servers[s.key()]
 		if state == nil || state.Addr != s.Addr || state.Run != s.Run {
 			state = newServerState(s)
@@ -151,12 +181,6 @@
 		state.region = p.regionLoad(s.Region)
 	}
 	c.servers, c.byName, c.pools = servers, byName, pools
-	for _, p := range pools {
-		c.updateSlots(p)
-		if !p.used {
-			p.shares = initialSplit(c.location.Region, p.slots)
-		}
-	}
 }
 
 // slowStartRate returns this entry's part of the request rate that a server receives
--- a/core/yuccabalancer/topology.go
+++ b/core/yuccabalancer/topology.go
@@ -63,6 +63,9 @@
 type Topology struct {
 	// Servers are all known servers, of all services.
 	Servers []Server
+	// Version identifies Servers: where it is the same as before, so are the servers. Zero
+	// means that they may differ.
+	Version uint64
 	// Evacuated holds the failure domains that get no new requests.
 	Evacuated map[string]bool
 	// SlowStartRates holds, for each service, how many requests a second all
--- a/core/yuccadiscovery/aggregator.go
+++ b/core/yuccadiscovery/aggregator.go
@@ -47,7 +47,8 @@
 	evacuated map[string]bool
 	// entries and large are the last results of names.
 	entries, large []string
-	// appliedVersion is the version of servers in the last topology.
+	// applied are the servers in the last topology, and appliedVersion their version.
+	applied        []yuccabalancer.Server
 	appliedVersion uint64
 	// dirty is set when something other than servers has changed since the last
 	// topology.
@@ -182,16 +183,18 @@
 	if routes == nil || !k.dirty && k.appliedVersion == k.servers.Version() {
 		return
 	}
-	k.dirty, k.appliedVersion = false, k.servers.Version()
-	servers := k.servers.Servers()
+	if version := k.servers.Version(); k.applied == nil || k.appliedVersion != version {
+		k.applied, k.appliedVersion = k.servers.Servers(), version
+	}
+	k.dirty = false
 	slowStartRates := map[string]float64{}
-	for _, s := range servers {
+	for _, s := range k.applied {
 		if service, ok := routes.Service(s.Service); ok {
 			slowStartRates[s.Service] = service.SlowStartRate
 		}
 	}
-	k.log.Info().Int("servers", len(servers)).Int("entries", len(names)).Int("large", len(large)).Uint64("routes", routes.Version()).Msg("world_changed")
-	k.onChange(yuccabalancer.Topology{Servers: servers, Evacuated: k.evacuated, SlowStartRates: slowStartRates, Entries: names, Large: large})
+	k.log.Info().Int("servers", len(k.applied)).Int("entries", len(names)).Int("large", len(large)).Uint64("routes", routes.Version()).Msg("world_changed")
+	k.onChange(yuccabalancer.Topology{Servers: k.applied, Version: k.appliedVersion, Evacuated: k.evacuated, SlowStartRates: slowStartRates, Entries: names, Large: large})
 }
 
 func (k *Aggregator) run(ctx context.Context) {
