Entries borrow requests of an account's quota from one another

Change: an entry whose part is used up while the limit has room asks one other entry, the same for all, to admit the request.

--- a/core/yuccaquota/evaluation_test.go
+++ b/core/yuccaquota/evaluation_test.go
@@ -157,6 +157,36 @@
 
 var evaluateEntries = flag.Int("entries", 0, "run the evaluation with this number of entries only")
 
+// TestFewRequestsOfManyEntries sends requests of an account below its limit to entries whose
+// even parts of it are less than one request. It guards against requests that are refused
+// although the limit has room, and against entries whose loans exceed the limit.
+func TestFewRequestsOfManyEntries(t *testing.T) {
+	tests := []struct {
+		name  string
+		limit yuccaquota.Limit
+		load  float64
+		use   float64
+	}{
+		{"rate 5", yuccaquota.Limit{Rate: 5, Burst: 5}, 0.6, 0.95},
+		{"rate 20", yuccaquota.Limit{Rate: 20, Burst: 20}, 0.6, 0.95},
+		{"rate 80", yuccaquota.Limit{Rate: 80, Burst: 80}, 0.6, 0.99},
+		{"no burst", yuccaquota.Limit{Rate: 20}, 0.6, 0.8},
+		{"above the limit", yuccaquota.Limit{Rate: 20, Burst: 20}, 2, 0.8},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			s := &sim{entries: 100, limit: test.limit, new: newLedgerNode, seed: 1}
+			s.load = func(time.Duration, int) float64 { return test.load / float64(s.entries) }
+			s.run(16 * time.Second)
+			worst, use := s.worst(), s.use(8*time.Second, 16*time.Second)
+			if worst > 1 || use < test.use {
+				t.Errorf("the sum is %.2f of the bound and the use %.3f, want %.2f", worst, use, test.use)
+			}
+		})
+	}
+}
+
 // TestEvaluation checks the sum of any 5 s and the use in each scenario. With -evaluate it
 // logs the figures of one of the decisions that docs/design/quota.md compares.
 func TestEvaluation(t *testing.T) {
--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -200,6 +200,17 @@
 	return max(minWait, wait), false
 }
 
+// Short reports whether the account's limit has room for a request and this entry's part of
+// it has not. Another entry may then admit the request on its own part.
+func (l *Ledger) Short(now time.Time, name string) bool {
+	a := l.accounts[name]
+	if a == nil {
+		return false
+	}
+	l.refill(now, a)
+	return a.tokens >= 1 && a.allowance < 1
+}
+
 // Return gives back the token of a request that has not run.
 func (l *Ledger) Return(name string) {
 	if a := l.accounts[name]; a != nil && a.admitted > a.returned {
--- a/core/yuccaquota/sim_test.go
+++ b/core/yuccaquota/sim_test.go
@@ -120,7 +120,7 @@
 			}
 			for range poisson(rng, s.load(at, i)*s.limit.Rate*simStep.Seconds()) {
 				s.offered[step]++
-				if nodes[i].take(now) {
+				if nodes[i].take(now) || s.borrow(now, at, nodes, i) {
 					s.admitted[step]++
 				}
 			}
@@ -129,6 +129,19 @@
 	return s
 }
 
+// borrower is a node whose requests another one may admit.
+type borrower interface {
+	short(now time.Time) bool
+}
+
+// borrow asks the lender of the account, which is the second entry, to admit a request of entry i.
+func (s *sim) borrow(now time.Time, at time.Duration, nodes []node, i int) bool {
+	lender := min(1, s.entries-1)
+	b, ok := nodes[i].(borrower)
+	reachable := i != lender && nodes[lender] != nil && (s.cut == nil || !s.cut(at, i, lender) && !s.cut(at, lender, i))
+	return ok && reachable && b.short(now) && nodes[lender].take(now)
+}
+
 func poisson(rng *rand.Rand, mean float64) int {
 	n := 0
 	for p := rng.Float64(); p > math.Exp(-mean); n++ {
@@ -171,8 +184,9 @@
 	return ledgerNode{l}
 }
 
-func (n ledgerNode) interval() time.Duration { return n.Interval() }
-func (n ledgerNode) take(now time.Time) bool { _, ok := n.Take(now, "a"); return ok }
+func (n ledgerNode) interval() time.Duration  { return n.Interval() }
+func (n ledgerNode) take(now time.Time) bool  { _, ok := n.Take(now, "a"); return ok }
+func (n ledgerNode) short(now time.Time) bool { return n.Short(now, "a") }
 func (n ledgerNode) tick(now time.Time, list []string) []message {
 	r := n.Tick(now, list)
 	r.Usages = slices.Clone(r.Usages)
--- a/core/yuccausage/bench_test.go
+++ b/core/yuccausage/bench_test.go
@@ -1,6 +1,7 @@
 package yuccausage
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"yuccawell.example/core/yuccaerror"
 	"yuccawell.example/core/yuccapeer"
 	"yuccawell.example/core/yuccaquota"
 )
@@ -17,6 +19,10 @@
 func (noBus) Handle(string, yuccapeer.Handler) {}
 func (noBus) Publish(string, []byte)           {}
 
+func (noBus) Call(context.Context, string, string, []byte) ([]byte, error) {
+	return nil, yuccaerror.New(yuccaerror.Unreachable, "no other entry")
+}
+
 // BenchmarkTake admits requests of 100,000 accounts.
 func BenchmarkTake(b *testing.B) {
 	x := New("e0", 1, noBus{}, func() []string { return []string{"e0"} }, zerolog.Nop())
--- a/core/yuccausage/exchange.go
+++ b/core/yuccausage/exchange.go
@@ -42,6 +42,8 @@
 	Handle(topic string, h yuccapeer.Handler)
 	// Publish sends a message to all other entries.
 	Publish(topic string, body []byte)
+	// Call sends a message to one entry and waits for its reply.
+	Call(ctx context.Context, to, topic string, body []byte) ([]byte, error)
 }
 
 // Exchange is the service that keeps the ledger and shares it with the other entries.
@@ -56,6 +58,8 @@
 	refused zerolog.Logger
 	log     zerolog.Logger
 	metrics *metrics
+	// loans asks other entries to admit requests.
+	loans loans
 	// limited is set while an account has a limit. It lets requests pass without a lock
 	// while there is none.
 	limited atomic.Bool
@@ -78,11 +82,13 @@
 		refused: log.Sample(yuccalog.NewRateSampler(refusedLinesPerSecond)),
 		log:     log,
 		metrics: newMetrics(),
+		loans:   loans{self: self, bus: bus},
 		changed: make(chan struct{}, 1),
 		ledger:  yuccaquota.NewLedger(self, incarnation, time.Now()),
 	}
 	x.Worker = yuccakernel.NewWorker(x.run)
 	bus.Handle(topic, x.handleUsage)
+	bus.Handle(loanTopic, x.handleLoan)
 	return x
 }
 
@@ -119,8 +125,9 @@
 	}
 	x.mu.Lock()
 	wait, ok := x.ledger.Take(now, account)
+	short := !ok && x.ledger.Short(now, account)
 	x.mu.Unlock()
-	if ok {
+	if ok || short && x.loans.borrow(account, x.entries()) {
 		return nil
 	}
 	x.metrics.countRefused(account)
--- a/core/yuccausage/exchange_test.go
+++ b/core/yuccausage/exchange_test.go
@@ -71,8 +71,16 @@
 	messages, length int
 }
 
-func (b *bus) Handle(_ string, h yuccapeer.Handler) { b.handler = h }
-func (b *bus) Publish(_ string, body []byte)        { b.messages, b.length = b.messages+1, b.length+len(body) }
+func (b *bus) Handle(topic string, h yuccapeer.Handler) {
+	if topic == "account.usage" {
+		b.handler = h
+	}
+}
+func (b *bus) Publish(_ string, body []byte) { b.messages, b.length = b.messages+1, b.length+len(body) }
+
+func (b *bus) Call(context.Context, string, string, []byte) ([]byte, error) {
+	return nil, yuccaerror.New(yuccaerror.Unreachable, "no other entry")
+}
 
 // TestLittleIsDoneWithoutQuotas guards against messages, and against more than a tick each
 // second, in deployments whose config has no account with a quota. The first quota has to
--- a/core/yuccausage/metrics.go
+++ b/core/yuccausage/metrics.go
@@ -1,6 +1,7 @@
 package yuccausage
 
 import (
+	"strconv"
 	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -16,6 +17,7 @@
 // metrics counts what an exchange does.
 type metrics struct {
 	refused  *prometheus.CounterVec
+	lent     *prometheus.CounterVec
 	messages prometheus.Counter
 	bytes    prometheus.Counter
 
@@ -30,6 +32,10 @@
 			Name: "yucca_quota_refused_total",
 			Help: "Requests refused above the quota of their account, by account; an empty name stands for all accounts beyond the first 100.",
 		}, []string{"account"}),
+		lent: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yucca_quota_loans_total",
+			Help: "Requests at other entries that this entry was asked to admit on its part of a quota, by whether it did.",
+		}, []string{"granted"}),
 		messages: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "yucca_quota_messages_total",
 			Help: "Messages about the use of quotas that the entry has published.",
@@ -44,7 +50,7 @@
 
 // collectors returns the metrics and a gauge of the number of limits.
 func (m *metrics) collectors(limits func() int) []prometheus.Collector {
-	return []prometheus.Collector{m.refused, m.messages, m.bytes, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	return []prometheus.Collector{m.refused, m.lent, m.messages, m.bytes, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "yucca_quota_accounts",
 		Help: "Accounts with a quota.",
 	}, func() float64 { return float64(limits()) })}
@@ -68,6 +74,11 @@
 	c.Inc()
 }
 
+// countLent counts a loan that another entry has asked for.
+func (m *metrics) countLent(granted bool) {
+	m.lent.WithLabelValues(strconv.FormatBool(granted)).Inc()
+}
+
 // countSent counts a published message.
 func (m *metrics) countSent(bytes int) {
 	m.messages.Inc()
