One home for an object over all regions

Cause: each region kept copies of all objects and filled its own servers first.

Change: requests about an object go to the same server from all regions, with regions chosen in proportion to their slots. Long responses stay near their callers, as before, and so do requests about no object and those whose target leaves no time for two round trips to another region (a quarter of the target). Routes of the platform say which are downloads.

--- a/core/yuccaadmission/request.go
+++ b/core/yuccaadmission/request.go
@@ -48,8 +48,13 @@
 	// LatencyBudget is the time left in which a response has its full value to
 	// the caller; zero means unknown.
 	LatencyBudget time.Duration
+	// LatencyTarget is the time in which a response has its full value, counted from the
+	// caller's first attempt; zero means unknown.
+	LatencyTarget time.Duration
 	// Priority is the priority class of the request; 0 is the most urgent.
 	Priority int
+	// Bulk is set if the response is expected to be long, so that its way counts.
+	Bulk bool
 }
 
 // Ticket is the permission to send one request to one server. It holds a slot
--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -138,7 +138,8 @@
 	for _, p := range c.pools {
 		c.updateSlots(p)
 		if !p.used {
-			p.shares = initialSplit(c.location.Region, p.slots)
+			p.near = initialSplit(c.location.Region, p.slots)
+			p.common = Even(p.slots)
 		}
 	}
 }
@@ -220,7 +221,9 @@
 		c.updateSlots(p)
 		goal := Spread(c.location.Region, demand[service], p.slots)
 		if len(goal) > 0 && p.used {
-			p.shares = p.shares.Toward(goal, c.parts.maxShiftPerSecond*elapsed.Seconds())
+			step := c.parts.maxShiftPerSecond * elapsed.Seconds()
+			p.near = p.near.Toward(goal, step)
+			p.common = p.common.Toward(Even(p.slots), step)
 		}
 	}
 }
--- a/core/yuccabalancer/pool.go
+++ b/core/yuccabalancer/pool.go
@@ -30,8 +30,11 @@
 	// slots is the number of slots, by region, of the servers that accept
 	// requests.
 	slots map[string]float64
-	// shares is the present traffic split.
-	shares TrafficSplit
+	// near is the present traffic split of requests that stay near their callers.
+	near TrafficSplit
+	// common is that of requests whose objects have one home for all regions. It is the same
+	// for the callers of all regions.
+	common TrafficSplit
 	// meanLatency is the moving average of the time to a response.
 	meanLatency time.Duration
 	// latency holds the latencies with warm and with cold objects.
@@ -61,7 +64,7 @@
 	classes yuccaoverload.Classes
 	// candidates is a buffer that is reused for each choice.
 	candidates []candidate
-	// used is set by the first choice. Until then the shares may change in
+	// used is set by the first choice. Until then the splits may change in
 	// one step, since no object is warm anywhere.
 	used bool
 }
@@ -123,7 +126,7 @@
 		if !allowsRegion(req, name) || !slices.ContainsFunc(servers, usable) {
 			continue
 		}
-		all = append(all, ranked{name, p.shares.score(name, object)})
+		all = append(all, ranked{name, p.split(req).score(name, object)})
 	}
 	slices.SortFunc(all, func(a, b ranked) int {
 		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
--- a/core/yuccabalancer/status.go
+++ b/core/yuccabalancer/status.go
@@ -12,8 +12,10 @@
 type Status struct {
 	// Service is the name of the service.
 	Service string `json:"service"`
-	// Shares is the present traffic split.
-	Shares TrafficSplit `json:"shares"`
+	// Near is the present traffic split of requests that stay near their callers.
+	Near TrafficSplit `json:"near"`
+	// Common is that of the requests whose objects have one home for all regions.
+	Common TrafficSplit `json:"shares"`
 	// InFlight is how many requests of this entry are in flight.
 	InFlight int `json:"busy"`
 	// MeanLatency is the moving average of the time to a response. Like the
@@ -55,7 +57,8 @@
 		ramping, fraction := p.ramping()
 		all = append(all, Status{
 			Service:      name,
-			Shares:       p.shares,
+			Near:         p.near,
+			Common:       p.common,
 			InFlight:     p.inFlight,
 			MeanLatency:  p.meanLatency,
 			WarmLatency:  p.latency.warm,
--- a/core/yuccabalancer/traffic_split.go
+++ b/core/yuccabalancer/traffic_split.go
@@ -59,6 +59,22 @@
 	return shares
 }
 
+// Even returns the traffic split that fills all regions alike: each gets a part in
+// proportion to its slots. It is empty when there are no slots.
+func Even(slots map[string]float64) TrafficSplit {
+	total := 0.0
+	for _, s := range slots {
+		total += s
+	}
+	shares := TrafficSplit{}
+	for region, s := range slots {
+		if s > 0 {
+			shares[region] = s / total
+		}
+	}
+	return shares
+}
+
 // initialSplit returns the traffic split of a region with unknown demand. It
 // assumes that all regions have the same demand and that half of all slots
 // are in use.
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -296,6 +296,8 @@
 		Regions:       t.regions,
 		Priority:      t.account.PriorityOr(t.route.Priority),
 		LatencyBudget: t.latencyBudget(),
+		LatencyTarget: t.route.LatencyTarget,
+		Bulk:          t.route.Bulk,
 	})
 	if yuccaerror.Is(err, yuccaerror.Shed) {
 		t.relay.retries.Update(time.Now(), t.service, yuccaretry.Rejected)
--- a/core/yuccaroute/route.go
+++ b/core/yuccaroute/route.go
@@ -52,6 +52,8 @@
 	Regions []string
 	// Anonymous says that requests without the key of an account are served too.
 	Anonymous bool
+	// Bulk says that the responses are long, such as downloads.
+	Bulk bool
 	// Services are the services between which the requests are split.
 	Services []WeightedService
 }
--- a/core/yuccasim/placement.go
+++ b/core/yuccasim/placement.go
@@ -83,6 +83,7 @@
 		AvoidServers:  r.avoid,
 		Object:        objectHash(r.object),
 		LatencyBudget: p.latencyBudget(r),
+		LatencyTarget: r.class.Target,
 		Deadline:      now.Add(p.timeLeft(r)),
 		Priority:      r.class.Priority,
 	})
--- a/ctl/discovery.go
+++ b/ctl/discovery.go
@@ -81,7 +81,7 @@
 	row("ENTRY", "SERVICE", "BUSY", "PACE", "WARM", "COLD", "SHARES")
 	for _, e := range all {
 		for _, s := range e.Services {
-			row(e.Name, s.Service, formatUint(uint64(s.InFlight)), formatMillis(s.MeanLatency), formatMillis(s.WarmLatency), formatMillis(s.ColdLatency), s.Shares.String())
+			row(e.Name, s.Service, formatUint(uint64(s.InFlight)), formatMillis(s.MeanLatency), formatMillis(s.WarmLatency), formatMillis(s.ColdLatency), s.Common.String())
 		}
 	}
 }
--- a/ctl/discovery_test.go
+++ b/ctl/discovery_test.go
@@ -28,7 +28,7 @@
 		Evacuated: []string{"pa-b"}, Off: []string{"line", "ramp"}, Entries: []string{"edge-1", "edge-2"},
 		Services: []yuccabalancer.Status{{
 			Service: "search", InFlight: 3, MeanLatency: 20 * time.Millisecond, WarmLatency: 10 * time.Millisecond, ColdLatency: 40 * time.Millisecond,
-			Shares: yuccabalancer.TrafficSplit{"catania": 0.75, "palermo": 0.25},
+			Common: yuccabalancer.TrafficSplit{"catania": 0.75, "palermo": 0.25},
 		}},
 	}
 	leaving := status
