--- a/core/yuccabalancer/home.go
+++ b/core/yuccabalancer/home.go
@@ -8,7 +8,7 @@
 	homeTrips = 2
 	// maxTripShare is the part of a request's latency target that these may take. The rest is
 	// for the work and for queues.
-	maxTripShare = 0.25
+	maxTripShare = 0.15
 )
 
 // hasOneHome reports whether the request's object has one home, a server for the callers of
