The lender of an account has half of its tokens between two reports

Cause: after a restart of all entries, or with small limits, the lender's part begins at its even part like that of every other entry, and grows by a quarter with each report.

Change: above 25 entries the lender may admit half of the tokens between two reports and the others share the rest evenly, so that the sum stays what it was. Up to 25 entries nobody borrows, as the part of each is a whole request. The ledger and the loans choose the lender the same way.

--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -84,6 +84,9 @@
 	active []*account
 	// removed holds the accounts without a limit that are still remembered.
 	removed map[string]*account
+	// list holds the names of the entries at the last tick, and listNumber counts its changes.
+	list       []string
+	listNumber uint64
 	// tickedAt is when Tick was called last.
 	tickedAt time.Time
 	seq      uint64
@@ -201,14 +204,15 @@
 }
 
 // Short reports whether the account's limit has room for a request and this entry's part of
-// it has not. Another entry may then admit the request on its own part.
+// it has not. Another entry may then admit the request on its own part. It is false while
+// there are so few entries that the part of each is a whole request.
 func (l *Ledger) Short(now time.Time, name string) bool {
 	a := l.accounts[name]
 	if a == nil {
 		return false
 	}
 	l.refill(now, a)
-	return a.tokens >= 1 && a.allowance < 1
+	return l.group.entries > freeRequests && a.tokens >= 1 && a.allowance < 1
 }
 
 // Return gives back the token of a request that has not run.
@@ -305,6 +309,21 @@
 	}
 }
 
+// setList records the names of the entries.
+func (l *Ledger) setList(list []string) {
+	if !slices.Equal(list, l.list) {
+		l.list = slices.Clone(list)
+		l.listNumber++
+	}
+}
+
+// chooseLender records whether this entry is the account's lender, once for each list.
+func (l *Ledger) chooseLender(a *account) {
+	if a.list != l.listNumber {
+		a.lends, a.list = Lender(a.name, l.list) == l.group.self, l.listNumber
+	}
+}
+
 // Tick adapts the estimates to which entries are heard, and returns the report for the
 // other entries. The list names the entries of the system. Call it once in each Interval.
 func (l *Ledger) Tick(now time.Time, list []string) Report {
@@ -313,6 +332,7 @@
 		l.refill(now, a)
 	}
 	l.tickedAt = now
+	l.setList(list)
 	l.forget(now, l.group.update(now, list)...)
 	l.synced = l.synced || l.group.old(now)
 	for name, a := range l.removed {
@@ -341,6 +361,7 @@
 			continue
 		}
 		a.updateRate(elapsed)
+		l.chooseLender(a)
 		a.allow(l.group)
 		switch {
 		case !r.Whole && !a.due(now):
--- a/core/yuccausage/loan.go
+++ b/core/yuccausage/loan.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"yuccawell.example/core/yuccaerror"
-	"yuccawell.example/core/yuccapeer"
+	"yuccawell.example/core/yuccaquota"
 )
 
 const (
@@ -34,21 +34,11 @@
 	waiting atomic.Int64
 }
 
-// lender returns the entry that lends for an account, empty if it is this one or there is
-// none.
-func (l *loans) lender(account string, entries []string) string {
-	top := yuccapeer.RendezvousTop("lender "+account, entries, 1)
-	if len(top) == 0 || top[0] == l.self {
-		return ""
-	}
-	return top[0]
-}
-
 // borrow asks the lender to admit one request of an account. It returns false if there is no
 // answer in time: the lender may then have admitted a request that does not run.
 func (l *loans) borrow(account string, entries []string) bool {
-	lender := l.lender(account, entries)
-	if lender == "" {
+	lender := yuccaquota.Lender(account, entries)
+	if lender == "" || lender == l.self {
 		return false
 	}
 	defer l.waiting.Add(-1)
