--- a/core/yuccacapacity/choice.go
+++ b/core/yuccacapacity/choice.go
@@ -1,22 +1,12 @@
 package yuccacapacity
 
 import (
-	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// unevenFactor is the ratio of the largest entry's capacity to that of another entry
-	// from which the other one counts as small. Where no entry is small, all are named.
-	unevenFactor = 4
-	// strongShare is the part of the largest entry's capacity from which another entry can
-	// do as much work for other entries.
-	strongShare = 0.75
 	// reserveShare is the share of the capacity of the named entries that the demand may
 	// take. Demand grows by up to 55% within seconds, which leaves 0.22 of the capacity.
 	reserveShare = 0.5
@@ -31,8 +21,6 @@
 	// usual swing of the demand between regions. It does not hold when entries join that
 	// were missing; see gained.
 	shrinkDelay = 20 * time.Second
-	// saturatedFactor is the share of its capacity that a saturated entry counts for.
-	saturatedFactor = 0.5
 )
 
 // Entry is an entry of a region that accepts callers.
@@ -73,16 +61,6 @@
 	demand, capacity float64
 }
 
-// member is an entry with its capacity.
-type member struct {
-	Entry
-	// rate is how many requests per second the entry can carry, and usable what counts
-	// of that now.
-	rate, usable float64
-	// hash orders entries of the same capacity.
-	hash uint64
-}
-
 // Next returns the decision at now for the entries of the region, which follows c.
 func (c Choice) Next(now time.Time, all []Entry) Choice {
 	if !decidable(all) {
@@ -109,13 +87,6 @@
 	return n
 }
 
-// decidable reports whether the capacity of every entry is known and no figure is absurd.
-func decidable(all []Entry) bool {
-	return len(all) > 0 && !slices.ContainsFunc(all, func(e Entry) bool {
-		return !e.Capacity.Known() || !e.Utilization.plausible()
-	})
-}
-
 // nameAll returns the decision to name all entries in each response.
 func (c Choice) nameAll(now time.Time, all []Entry) Choice {
 	n := Choice{settled: c.settled, alike: true, named: make([]member, 0, len(all))}
@@ -128,68 +99,6 @@
 	return n
 }
 
-// Large returns the names of the entries of a region that are not small, judged by their
-// capacities, or all names if a capacity is unknown or a figure is implausible. Lookups name these entries at any
-// load.
-func Large(all []Entry) []string {
-	var names []string
-	if !decidable(all) {
-		for _, e := range all {
-			names = append(names, e.Name)
-		}
-		return names
-	}
-	large, _ := split(rank(all, cost{priorCores, priorMegabits}))
-	for _, m := range large {
-		names = append(names, m.Name)
-	}
-	return names
-}
-
-// Strong returns the names of the entries that are about as large as the largest one, judged
-// by their capacities, or none if a capacity is unknown. They suit work that one entry does
-// for many others.
-func Strong(all []Entry) []string {
-	if !decidable(all) {
-		return nil
-	}
-	var names []string
-	members := rank(all, cost{priorCores, priorMegabits})
-	for _, m := range members {
-		if m.rate >= strongShare*members[0].rate {
-			names = append(names, m.Name)
-		}
-	}
-	return names
-}
-
-// split divides the ranked members of a region into large and small ones.
-func split(members []member) (large, small []member) {
-	i := slices.IndexFunc(members, func(m member) bool { return m.rate <= members[0].rate/unevenFactor })
-	if i < 0 {
-		return members, nil
-	}
-	return members[:i], members[i:]
-}
-
-// rank returns the entries with their capacities for requests of the given cost, largest
-// first. Directories that receive the same heartbeats rank alike.
-func rank(all []Entry, each cost) []member {
-	members := make([]member, 0, len(all))
-	for _, e := range all {
-		m := member{Entry: e, rate: e.Capacity.requestRate(each), hash: xxhash.Sum64String(e.Name)}
-		m.usable = m.rate
-		if e.Utilization.Saturated {
-			m.usable *= saturatedFactor
-		}
-		members = append(members, m)
-	}
-	slices.SortFunc(members, func(a, b member) int {
-		return cmp.Or(cmp.Compare(b.rate, a.rate), cmp.Compare(a.hash, b.hash), cmp.Compare(a.Name, b.Name))
-	})
-	return members
-}
-
 func demandOf(members []member) float64 {
 	demand := 0.0
 	for _, m := range members {
@@ -351,57 +260,3 @@
 	domains := slices.Sorted(maps.Keys(c.local))
 	return slices.DeleteFunc(domains, func(d string) bool { return !c.local[d] })
 }
-
-// Answer returns the names of the entries for a caller of the given failure domain. Callers
-// spread their connections evenly over the entries of a response, so an entry is in a part
-// of the responses: its capacity as a share of the largest one. The key selects the part;
-// callers that use the same key again keep their entries. Each response has entries of two
-// failure domains if the named entries have.
-func (c Choice) Answer(domain string, key uint64) []string {
-	names := make([]string, 0, len(c.named))
-	if c.alike {
-		for _, m := range c.named {
-			names = append(names, m.Name)
-		}
-		return names
-	}
-	eligible := func(m member) bool { return !c.local[domain] || m.Domain == domain }
-	largest := 0.0
-	for _, m := range c.named {
-		if eligible(m) {
-			largest = max(largest, m.usable)
-		}
-	}
-	domains := map[string]bool{}
-	for _, m := range c.named {
-		if eligible(m) && position(m.Name, key)*largest < m.usable {
-			names = append(names, m.Name)
-			domains[m.Domain] = true
-		}
-	}
-	if len(domains) > 1 {
-		return names
-	}
-	return append(c.another(domains, key), names...)
-}
-
-// another returns the name of an entry of another failure domain than the given ones, none
-// if there is none. Over all keys, each entry is chosen in proportion to its capacity.
-func (c Choice) another(domains map[string]bool, key uint64) []string {
-	var best []string
-	var bestScore float64
-	for _, m := range c.named {
-		score := -math.Log(position(m.Name, key)) / m.usable
-		if !domains[m.Domain] && (best == nil || score < bestScore) {
-			best, bestScore = []string{m.Name}, score
-		}
-	}
-	return best
-}
-
-// position returns a uniformly distributed number in [0, 1) for an entry and a key.
-func position(name string, key uint64) float64 {
-	d := xxhash.NewWithSeed(key)
-	_, _ = d.WriteString(name)
-	return float64(d.Sum64()>>11) / (1 << 53)
-}
--- a/core/yuccadiscovery/aggregator.go
+++ b/core/yuccadiscovery/aggregator.go
@@ -193,7 +193,7 @@
 			slowStartRates[s.Service] = service.SlowStartRate
 		}
 	}
-	k.log.Info().Int("servers", len(k.applied)).Int("entries", len(names)).Int("large", len(large)).Uint64("routes", routes.Version()).Msg("world_changed")
+	k.log.Info().Int("servers", len(k.applied)).Int("entries", len(names)).Int("large", len(large)).Uint64("routes", routes.Version()).Msg("topology_changed")
 	k.onChange(yuccabalancer.Topology{Servers: k.applied, Version: k.appliedVersion, Evacuated: k.evacuated, SlowStartRates: slowStartRates, Entries: names, Large: large})
 }
 
