--- a/core/yuccacapacity/choice_test.go
+++ b/core/yuccacapacity/choice_test.go
@@ -333,6 +333,31 @@
 	f.assertDomains(c)
 }
 
+// TestStrong lists entries of a failure domain and those that suit work for the others.
+func TestStrong(t *testing.T) {
+	tests := []struct {
+		name  string
+		cores []float64
+		want  []string
+	}{
+		{"large and small", []float64{0.8, 0.4, 0.8}, []string{"e0", "e2"}},
+		{"nearly equal", []float64{0.8, 0.7, 0.65}, []string{"e0", "e1", "e2"}},
+		{"unknown", []float64{0.8, 0}, nil},
+		{"none", nil, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var all []yuccacapacity.Entry
+			for i, cores := range test.cores {
+				all = append(all, yuccacapacity.Entry{Name: fmt.Sprint("e", i), Capacity: yuccacapacity.Capacity{Cores: cores, Megabits: 200}})
+			}
+			strong := yuccacapacity.Strong(all)
+			slices.Sort(strong)
+			qt.Assert(t, strong, qt.DeepEquals, test.want)
+		})
+	}
+}
+
 // TestNobodyIsLeftOut lists the cases in which every response has all entries, as in
 // deployments whose entries are alike or do not tell their capacity.
 func TestNobodyIsLeftOut(t *testing.T) {
--- a/core/yuccaliveness/lookup_test.go
+++ b/core/yuccaliveness/lookup_test.go
@@ -236,6 +236,7 @@
 
 // TestLargeNames guards against rates that are shared with entries which callers do not use:
 // the large ones of each region share them, or all of a region in which a capacity is unknown.
+// The strong entries are those of each failure domain.
 func TestLargeNames(t *testing.T) {
 	c := qt.New(t)
 	s := yuccaliveness.NewState(entry("a", "r", 1), start)
@@ -243,13 +244,14 @@
 	var list []yuccaliveness.Entry
 	for name, cores := range map[string]float64{"a": 1, "b": 1, "c": 0.25, "d": 0.26} {
 		e := entry(name, "r", 1)
-		e.Capacity.Cores = cores
+		e.Domain, e.Capacity.Cores = "rz", cores
 		list = append(list, e)
-		e.Name, e.Region, e.Capacity.Cores = "q"+name, "q", 0.1
+		e.Name, e.Region, e.Domain, e.Capacity.Cores = "q"+name, "q", "qz", 0.1
 		list = append(list, e)
 	}
 	s.UpdateList(at(1), list)
 	c.Assert(s.LargeNames(), qt.DeepEquals, []string{"a", "b", "d", "qa", "qb", "qc", "qd"})
+	c.Assert(s.StrongNames(), qt.DeepEquals, []string{"a", "b", "qa", "qb", "qc", "qd"})
 	s.UpdateList(at(2), append(list, entry("old", "r", 1)))
 	c.Assert(s.LargeNames(), qt.DeepEquals, []string{"a", "b", "c", "d", "old", "qa", "qb", "qc", "qd"})
 }
--- a/core/yuccapeer/gateway_test.go
+++ b/core/yuccapeer/gateway_test.go
@@ -39,3 +39,19 @@
 		})
 	}
 }
+
+// TestOlderBuildsKeepTheirGateways guards against a domain that nobody forwards for: entries of
+// an older build leave that to the entries that they choose, whatever their capacity.
+func TestOlderBuildsKeepTheirGateways(t *testing.T) {
+	c := qt.New(t)
+	members := []string{"e0", "e1", "e2", "e3", "e4", "e5"}
+	older := gatewayRule{}.gateways("d", members)
+	strong := map[string]bool{}
+	for _, name := range members {
+		strong[name] = !slices.Contains(older, name)
+	}
+	for _, name := range older {
+		c.Assert(slices.Contains(gatewayRule{strong: strong, mixed: true}.gateways("d", members), name), qt.IsTrue)
+		c.Assert(slices.Contains(gatewayRule{strong: strong}.gateways("d", members), name), qt.IsFalse)
+	}
+}
--- a/core/yuccaquota/sim_test.go
+++ b/core/yuccaquota/sim_test.go
@@ -136,10 +136,13 @@
 
 // borrow asks the lender of the account to admit a request of entry i.
 func (s *sim) borrow(now time.Time, at time.Duration, nodes []node, i int) bool {
-	lender := slices.Index(s.names, yuccaquota.Lender("a", s.names))
 	b, ok := nodes[i].(borrower)
-	reachable := i != lender && nodes[lender] != nil && (s.cut == nil || !s.cut(at, i, lender) && !s.cut(at, lender, i))
-	return ok && reachable && b.short(now) && nodes[lender].take(now)
+	if !ok || !b.short(now) {
+		return false
+	}
+	lender := slices.Index(s.names, yuccaquota.Lender("a", s.names))
+	cut := s.cut != nil && (s.cut(at, i, lender) || s.cut(at, lender, i))
+	return i != lender && nodes[lender] != nil && !cut && nodes[lender].take(now)
 }
 
 func poisson(rng *rand.Rand, mean float64) int {
--- a/core/yuccausage/exchange_test.go
+++ b/core/yuccausage/exchange_test.go
@@ -67,8 +67,8 @@
 
 // bus counts what is published.
 type bus struct {
-	handler          yuccapeer.Handler
-	messages, length int
+	handler                 yuccapeer.Handler
+	messages, length, calls int
 }
 
 func (b *bus) Handle(topic string, h yuccapeer.Handler) {
@@ -79,6 +79,7 @@
 func (b *bus) Publish(_ string, body []byte) { b.messages, b.length = b.messages+1, b.length+len(body) }
 
 func (b *bus) Call(context.Context, string, string, []byte) ([]byte, error) {
+	b.calls++
 	return nil, yuccaerror.New(yuccaerror.Unreachable, "no other entry")
 }
 
--- a/core/yuccausage/loan_test.go
+++ b/core/yuccausage/loan_test.go
@@ -64,6 +64,30 @@
 	})
 }
 
+// TestNoLoanWithoutRoom cuts an entry off from all others, so that it knows of no room in the
+// limit. It guards against a call for each request above a limit.
+func TestNoLoanWithoutRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := &bus{}
+		var names []string
+		for i := range 40 {
+			names = append(names, fmt.Sprintf("e%02d", i))
+		}
+		var group errgroup.Group
+		x := yuccausage.New("e00", 1, b, func() []string { return names }, zerolog.Nop())
+		x.SetQuotas(map[string]yuccaquota.Limit{"a": {Rate: 5, Burst: 5}})
+		c.Assert(x.Start(t.Context(), &group), qt.IsNil)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			_ = x.Take(time.Now(), "a")
+		}
+		c.Assert(b.calls, qt.Equals, 0)
+		c.Assert(x.Stop(context.Background()), qt.IsNil)
+		c.Assert(group.Wait(), qt.IsNil)
+	})
+}
+
 // TestLoanNeedsLimit asks an entry for loans. It guards against loans of an entry that counts
 // nothing for the account, as its config has no limit for it yet, and against loans beyond
 // the limit.
