--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -131,7 +131,7 @@
 	c.topology = w
 	c.division = c.division.WithEntries(w.Entries).WithCandidates(w.Large)
 	if sameServers {
-		c.updateParts()
+		c.updateSharedRates()
 	} else {
 		c.replaceServers(w.Servers)
 	}
@@ -144,10 +144,10 @@
 	}
 }
 
-// updateParts updates this entry's part of the rates that it shares with other entries. A
+// updateSharedRates updates this entry's part of the rates that it shares with other entries. A
 // start of a large fleet changes its list of entries many times a second, and most servers
 // have no such rate.
-func (c *Core) updateParts() {
+func (c *Core) updateSharedRates() {
 	for _, s := range c.servers {
 		if !s.SlowStartUntil.IsZero() {
 			s.setServer(s.Server, c.slowStartRate(s.Server), c.parts.newPace)
--- a/core/yuccapeer/bus.go
+++ b/core/yuccapeer/bus.go
@@ -9,9 +9,9 @@
 //
 // An entry keeps sessions to all entries of its own failure domain. In each
 // failure domain, GatewaysPerDomain entries are gateways, chosen by rendezvous
-// hash, the strong entries first; they also keep sessions to the gateways of all other domains and
-// forward published messages between the domains. Calls go directly to the
-// entry that they are for; a session is opened if there is none.
+// hash, the strong entries first; they also keep sessions to the gateways of all
+// other domains and forward published messages between the domains. Calls go
+// directly to the entry that they are for; a session is opened if there is none.
 //
 // A service registers its handler before the bus starts:
 //
