The lender's part of the tokens grows with the number of entries

Cause: a larger part of the lender is worth most where entries are many, and nothing or less where they are few.

Change: the part is 0.6 x (1 - 25 / entries), so nothing changes at 25 entries. The sum of the parts stays the same.

--- a/core/yuccaquota/lender.go
+++ b/core/yuccaquota/lender.go
@@ -2,9 +2,9 @@
 
 import "yuccawell.example/core/yuccapeer"
 
-// lenderShare is the part of an account's tokens that its lender may admit between two
-// reports. The other entries share the rest evenly.
-const lenderShare = 0.5
+// maxLenderShare is the largest part of an account's tokens that its lender may admit between
+// two reports.
+const maxLenderShare = 0.6
 
 // Lender returns the entry that admits requests of an account for entries whose part is used
 // up, empty without entries. Entries with the same list choose the same one.
@@ -15,16 +15,14 @@
 	return ""
 }
 
-// part returns this entry's part of tokens between two reports. It is even unless that would
-// be less than one request also of a full bucket, so that most requests are borrowed.
+// part returns this entry's part of tokens between two reports. It is even while there are so
+// few entries that each may admit a request of any account. The more there are, the more of
+// the tokens the lender has, and the others share the rest evenly.
 func (a *account) part(tokens float64, entries int) float64 {
-	even := Evenly(tokens, entries)
-	if entries <= freeRequests || a.limit.capacity() >= float64(entries) {
-		return even
-	}
-	even *= 1 - lenderShare
+	lent := tokens * maxLenderShare * max(0, 1-Evenly(freeRequests, entries))
+	part := Evenly(tokens-lent, entries)
 	if a.lends {
-		even += lenderShare * tokens
+		part += lent
 	}
-	return even
+	return part
 }
