--- a/core/yuccaquota/lender.go
+++ b/core/yuccaquota/lender.go
@@ -9,10 +9,11 @@
 // Lender returns the entry that admits requests of an account for entries whose part is used
 // up, empty without entries. Entries with the same list choose the same one.
 func Lender(account string, entries []string) string {
-	for _, name := range yuccapeer.RendezvousTop("lender "+account, entries, 1) {
-		return name
+	top := yuccapeer.RendezvousTop("lender "+account, entries, 1)
+	if len(top) == 0 {
+		return ""
 	}
-	return ""
+	return top[0]
 }
 
 // part returns this entry's part of tokens between two reports. It is even while there are so
--- a/core/yuccausage/exchange.go
+++ b/core/yuccausage/exchange.go
@@ -127,7 +127,7 @@
 	wait, ok := x.ledger.Take(now, account)
 	short := !ok && x.ledger.Short(now, account)
 	x.mu.Unlock()
-	if ok || short && x.loans.borrow(account, x.entries()) {
+	if ok || short && x.borrow(account) {
 		return nil
 	}
 	x.metrics.countRefused(account)
--- a/core/yuccausage/loan.go
+++ b/core/yuccausage/loan.go
@@ -61,35 +61,49 @@
 	l.pausedUntil[lender] = now.Add(lenderPause)
 }
 
-// borrow asks the lender to admit one request of an account. It returns false if there is no
-// answer in time: the lender may then have admitted a request that does not run.
-func (l *loans) borrow(account string, entries []string) bool {
+// borrow asks the lender to admit one request of an account and reports whether it did. After
+// an error the lender may have admitted a request that does not run.
+func (l *loans) borrow(account string, entries []string) (granted bool, err error) {
 	lender := yuccaquota.Lender(account, entries)
 	if lender == "" || lender == l.self || l.paused(time.Now(), lender) {
-		return false
+		return false, nil
 	}
 	defer l.waiting.Add(-1)
 	if l.waiting.Add(1) > maxLoans {
-		return false
+		return false, nil
 	}
 	body, err := proto.Marshal(&Loan{Account: account})
 	if err != nil {
-		return false
+		return false, yuccaerror.Wrap(yuccaerror.Internal, err)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), loanTimeout)
 	defer cancel()
 	reply, err := l.bus.Call(ctx, lender, loanTopic, body)
 	if err != nil {
 		l.pause(time.Now(), lender)
-		return false
+		return false, err
 	}
 	var grant Grant
-	return proto.Unmarshal(reply, &grant) == nil && grant.GetGranted()
+	if err := proto.Unmarshal(reply, &grant); err != nil {
+		return false, yuccaerror.New(yuccaerror.Protocol, "decode grant of entry %s: %w", lender, err)
+	}
+	return grant.GetGranted(), nil
+}
+
+// borrow asks another entry to admit a request of an account and reports whether it did.
+func (x *Exchange) borrow(account string) bool {
+	granted, err := x.loans.borrow(account, x.entries())
+	if err != nil {
+		x.metrics.countFailedLoan()
+		x.refused.Warn().Err(err).Str("account", account).Msg("loan_failed")
+	}
+	return granted
 }
 
 // handleLoan admits a request that arrived at another entry, if this entry would admit it as
 // its own. It refuses those of an account without a limit, which the other entry has from
-// another config: nobody would count them. It returns an error of kind Protocol when the message cannot be decoded.
+// another config: nobody would count them. It returns an error of kind Protocol when the
+// message cannot be decoded.
 func (x *Exchange) handleLoan(_ context.Context, from string, body []byte) ([]byte, error) {
 	var m Loan
 	if err := proto.Unmarshal(body, &m); err != nil {
--- a/core/yuccausage/metrics.go
+++ b/core/yuccausage/metrics.go
@@ -18,6 +18,7 @@
 type metrics struct {
 	refused  *prometheus.CounterVec
 	lent     *prometheus.CounterVec
+	failed   prometheus.Counter
 	messages prometheus.Counter
 	bytes    prometheus.Counter
 
@@ -36,6 +37,10 @@
 			Name: "yucca_quota_loans_total",
 			Help: "Requests at other entries that this entry was asked to admit on its part of a quota, by whether it did.",
 		}, []string{"granted"}),
+		failed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "yucca_quota_failed_loans_total",
+			Help: "Loans that this entry has asked for without an answer in time.",
+		}),
 		messages: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "yucca_quota_messages_total",
 			Help: "Messages about the use of quotas that the entry has published.",
@@ -50,7 +55,7 @@
 
 // collectors returns the metrics and a gauge of the number of limits.
 func (m *metrics) collectors(limits func() int) []prometheus.Collector {
-	return []prometheus.Collector{m.refused, m.lent, m.messages, m.bytes, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	return []prometheus.Collector{m.refused, m.lent, m.failed, m.messages, m.bytes, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "yucca_quota_accounts",
 		Help: "Accounts with a quota.",
 	}, func() float64 { return float64(limits()) })}
@@ -79,6 +84,9 @@
 	m.lent.WithLabelValues(strconv.FormatBool(granted)).Inc()
 }
 
+// countFailedLoan counts a loan that this entry has asked for without an answer.
+func (m *metrics) countFailedLoan() { m.failed.Inc() }
+
 // countSent counts a published message.
 func (m *metrics) countSent(bytes int) {
 	m.messages.Inc()
