--- a/core/yuccausage/loan.go
+++ b/core/yuccausage/loan.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,17 +14,12 @@
 const (
 	// loanTopic is the bus topic of Loan.
 	loanTopic = "account.loan"
-	// loanTimeout bounds the wait for a loan. It covers a round trip between regions on a
-	// session that is open.
-	loanTimeout = 80 * time.Millisecond
-	// lenderPause is how long an entry that has not answered is not asked again. Callers would
-	// wait for an answer in vain, as after a restart of all entries.
-	lenderPause = 500 * time.Millisecond
+	// loanTimeout bounds the wait for a loan. It covers a new session to an entry of another
+	// region, which takes three round trips.
+	loanTimeout = 150 * time.Millisecond
 	// maxLoans is how many loans an entry waits for at the same time. In a surge the other
 	// requests are refused at once.
 	maxLoans = 32
-	// maxPaused bounds how many lenders are remembered that have not answered.
-	maxPaused = 8192
 )
 
 // loans asks other entries to admit requests. It addresses accounts with few requests a
@@ -38,34 +32,13 @@
 	bus  Bus
 	// waiting is the number of loans that the entry waits for.
 	waiting atomic.Int64
-
-	mu sync.Mutex
-	// pausedUntil holds until when each lender that has not answered is not asked.
-	pausedUntil map[string]time.Time
-}
-
-// paused reports whether a lender is not asked at now.
-func (l *loans) paused(now time.Time, lender string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return now.Before(l.pausedUntil[lender])
-}
-
-// pause records that a lender has not answered.
-func (l *loans) pause(now time.Time, lender string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.pausedUntil == nil || len(l.pausedUntil) > maxPaused {
-		l.pausedUntil = map[string]time.Time{}
-	}
-	l.pausedUntil[lender] = now.Add(lenderPause)
 }
 
 // borrow asks the lender to admit one request of an account and reports whether it did. After
 // an error the lender may have admitted a request that does not run.
 func (l *loans) borrow(account string, entries []string) (granted bool, err error) {
 	lender := yuccaquota.Lender(account, entries)
-	if lender == "" || lender == l.self || l.paused(time.Now(), lender) {
+	if lender == "" || lender == l.self {
 		return false, nil
 	}
 	defer l.waiting.Add(-1)
@@ -80,7 +53,6 @@
 	defer cancel()
 	reply, err := l.bus.Call(ctx, lender, loanTopic, body)
 	if err != nil {
-		l.pause(time.Now(), lender)
 		return false, err
 	}
 	var grant Grant
