--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -139,7 +139,7 @@
 		c.updateSlots(p)
 		if !p.used {
 			p.near = initialSplit(c.location.Region, p.slots)
-			p.common = Even(p.slots)
+			p.common = evenSplit(p.slots)
 		}
 	}
 }
@@ -223,7 +223,7 @@
 		if len(goal) > 0 && p.used {
 			step := c.parts.maxShiftPerSecond * elapsed.Seconds()
 			p.near = p.near.Toward(goal, step)
-			p.common = p.common.Toward(Even(p.slots), step)
+			p.common = p.common.Toward(evenSplit(p.slots), step)
 		}
 	}
 }
--- a/core/yuccabalancer/traffic_split.go
+++ b/core/yuccabalancer/traffic_split.go
@@ -59,9 +59,9 @@
 	return shares
 }
 
-// Even returns the traffic split that fills all regions alike: each gets a part in
+// evenSplit returns the traffic split that fills all regions alike: each gets a part in
 // proportion to its slots. It is empty when there are no slots.
-func Even(slots map[string]float64) TrafficSplit {
+func evenSplit(slots map[string]float64) TrafficSplit {
 	total := 0.0
 	for _, s := range slots {
 		total += s
