The ledger names the lender that it has chosen

Cause: the ledger chose an account's lender once for each list of entries, and each request that wanted a loan chose it again: a copy of the names of all entries under the monitor's lock, a hash for each of them and a sort, on the path of the request.

Change: Ledger.Lender returns the one that the ledger has, in place of Ledger.Short, and the simulation uses the same. The bound does not change.

--- a/core/yuccaquota/account.go
+++ b/core/yuccaquota/account.go
@@ -35,9 +35,9 @@
 	others []otherUsage
 	// othersRate is the sum of their rates.
 	othersRate float64
-	// lends is set if this entry is the account's lender in the list of the given number.
-	lends bool
-	list  uint64
+	// lender is the account's lender in the list of entries with the number list.
+	lender string
+	list   uint64
 	// active is set while the account is listed as active.
 	active bool
 	// removedAt is when the limit was removed.
@@ -117,7 +117,7 @@
 	if a.othersRate > 0 {
 		expected = min(expected, (tokens+added)*a.rate/(a.rate+a.othersRate))
 	}
-	more := growth * (expected + a.part(tokens+added, g.entries))
+	more := growth * (expected + a.part(tokens+added, g))
 	if g.share == 1 && tokens > plentyTokens*a.limit.capacity() {
 		// Arrivals vary by chance, and nobody else is near the limit.
 		more += math.Sqrt(expected)
--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -203,16 +203,21 @@
 	return max(minWait, wait), false
 }
 
-// Short reports whether the account's limit has room for a request and this entry's part of
-// it has not. Another entry may then admit the request on its own part. It is false while
-// there are so few entries that the part of each is a whole request.
-func (l *Ledger) Short(now time.Time, name string) bool {
+// Lender returns the entry that may admit a request of the account on its own part of the
+// limit, as the limit has room for it and this entry's part has not. It is empty otherwise,
+// also if this entry is the lender, or while there are so few entries that the part of each is
+// a whole request.
+func (l *Ledger) Lender(now time.Time, name string) string {
 	a := l.accounts[name]
-	if a == nil {
-		return false
+	if a == nil || l.group.entries <= freeRequests {
+		return ""
 	}
 	l.refill(now, a)
-	return l.group.entries > freeRequests && a.tokens >= 1 && a.allowance < 1
+	l.chooseLender(a)
+	if a.tokens < 1 || a.allowance >= 1 || a.lender == l.group.self {
+		return ""
+	}
+	return a.lender
 }
 
 // Return gives back the token of a request that has not run.
@@ -317,10 +322,10 @@
 	}
 }
 
-// chooseLender records whether this entry is the account's lender, once for each list.
+// chooseLender records the account's lender, once for each list.
 func (l *Ledger) chooseLender(a *account) {
 	if a.list != l.listNumber {
-		a.lends, a.list = Lender(a.name, l.list) == l.group.self, l.listNumber
+		a.lender, a.list = lenderOf(a.name, l.list), l.listNumber
 	}
 }
 
--- a/core/yuccaquota/lender.go
+++ b/core/yuccaquota/lender.go
@@ -6,9 +6,9 @@
 // two reports.
 const maxLenderShare = 0.6
 
-// Lender returns the entry that admits requests of an account for entries whose part is used
+// lenderOf returns the entry that admits requests of an account for entries whose part is used
 // up, empty without entries. Entries with the same list choose the same one.
-func Lender(account string, entries []string) string {
+func lenderOf(account string, entries []string) string {
 	top := yuccapeer.RendezvousTop("lender "+account, entries, 1)
 	if len(top) == 0 {
 		return ""
@@ -19,10 +19,10 @@
 // part returns this entry's part of tokens between two reports. It is even while there are so
 // few entries that each may admit a request of any account. The more there are, the more of
 // the tokens the lender has, and the others share the rest evenly.
-func (a *account) part(tokens float64, entries int) float64 {
-	lent := tokens * maxLenderShare * max(0, 1-Evenly(freeRequests, entries))
-	part := Evenly(tokens-lent, entries)
-	if a.lends {
+func (a *account) part(tokens float64, g *group) float64 {
+	lent := tokens * maxLenderShare * max(0, 1-Evenly(freeRequests, g.entries))
+	part := Evenly(tokens-lent, g.entries)
+	if a.lender == g.self {
 		part += lent
 	}
 	return part
--- a/core/yuccaquota/sim_test.go
+++ b/core/yuccaquota/sim_test.go
@@ -131,18 +131,22 @@
 
 // borrower is a node whose requests another one may admit.
 type borrower interface {
-	short(now time.Time) bool
+	// lender returns the name of the entry to ask, empty if there is none.
+	lender(now time.Time) string
 }
 
 // borrow asks the lender of the account to admit a request of entry i.
 func (s *sim) borrow(now time.Time, at time.Duration, nodes []node, i int) bool {
 	b, ok := nodes[i].(borrower)
-	if !ok || !b.short(now) {
+	if !ok {
+		return false
+	}
+	lender := slices.Index(s.names, b.lender(now))
+	if lender < 0 {
 		return false
 	}
-	lender := slices.Index(s.names, yuccaquota.Lender("a", s.names))
 	cut := s.cut != nil && (s.cut(at, i, lender) || s.cut(at, lender, i))
-	return i != lender && nodes[lender] != nil && !cut && nodes[lender].take(now)
+	return nodes[lender] != nil && !cut && nodes[lender].take(now)
 }
 
 func poisson(rng *rand.Rand, mean float64) int {
@@ -187,9 +191,9 @@
 	return ledgerNode{l}
 }
 
-func (n ledgerNode) interval() time.Duration  { return n.Interval() }
-func (n ledgerNode) take(now time.Time) bool  { _, ok := n.Take(now, "a"); return ok }
-func (n ledgerNode) short(now time.Time) bool { return n.Short(now, "a") }
+func (n ledgerNode) interval() time.Duration     { return n.Interval() }
+func (n ledgerNode) take(now time.Time) bool     { _, ok := n.Take(now, "a"); return ok }
+func (n ledgerNode) lender(now time.Time) string { return n.Lender(now, "a") }
 func (n ledgerNode) tick(now time.Time, list []string) []message {
 	r := n.Tick(now, list)
 	r.Usages = slices.Clone(r.Usages)
--- a/core/yuccausage/exchange.go
+++ b/core/yuccausage/exchange.go
@@ -82,7 +82,7 @@
 		refused: log.Sample(yuccalog.NewRateSampler(refusedLinesPerSecond)),
 		log:     log,
 		metrics: newMetrics(),
-		loans:   loans{self: self, bus: bus},
+		loans:   loans{bus: bus},
 		changed: make(chan struct{}, 1),
 		ledger:  yuccaquota.NewLedger(self, incarnation, time.Now()),
 	}
@@ -125,9 +125,12 @@
 	}
 	x.mu.Lock()
 	wait, ok := x.ledger.Take(now, account)
-	short := !ok && x.ledger.Short(now, account)
+	lender := ""
+	if !ok {
+		lender = x.ledger.Lender(now, account)
+	}
 	x.mu.Unlock()
-	if ok || short && x.borrow(account) {
+	if ok || lender != "" && x.borrow(lender, account) {
 		return nil
 	}
 	x.metrics.countRefused(account)
--- a/core/yuccausage/loan.go
+++ b/core/yuccausage/loan.go
@@ -8,7 +8,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"yuccawell.example/core/yuccaerror"
-	"yuccawell.example/core/yuccaquota"
 )
 
 const (
@@ -28,19 +27,14 @@
 // requests that it admits. The lender counts a loan like a request of its own, so that the
 // bound of the limit does not depend on loans.
 type loans struct {
-	self string
-	bus  Bus
+	bus Bus
 	// waiting is the number of loans that the entry waits for.
 	waiting atomic.Int64
 }
 
 // borrow asks the lender to admit one request of an account and reports whether it did. After
 // an error the lender may have admitted a request that does not run.
-func (l *loans) borrow(account string, entries []string) (granted bool, err error) {
-	lender := yuccaquota.Lender(account, entries)
-	if lender == "" || lender == l.self {
-		return false, nil
-	}
+func (l *loans) borrow(lender, account string) (granted bool, err error) {
 	defer l.waiting.Add(-1)
 	if l.waiting.Add(1) > maxLoans {
 		return false, nil
@@ -62,9 +56,9 @@
 	return grant.GetGranted(), nil
 }
 
-// borrow asks another entry to admit a request of an account and reports whether it did.
-func (x *Exchange) borrow(account string) bool {
-	granted, err := x.loans.borrow(account, x.entries())
+// borrow asks the lender to admit a request of an account and reports whether it did.
+func (x *Exchange) borrow(lender, account string) bool {
+	granted, err := x.loans.borrow(lender, account)
 	if err != nil {
 		x.metrics.countFailedLoan()
 		x.refused.Warn().Err(err).Str("account", account).Msg("loan_failed")
