--- a/review/rig/case_descriptors.go
+++ b/review/rig/case_descriptors.go
@@ -21,8 +21,8 @@
 	callerInterval = 11 * time.Second
 	callerLimit    = 1200 * time.Millisecond
 	survivors      = 2
-	calmTime       = 13 * time.Second
-	troubleTime    = 75 * time.Second
+	calmTime       = 12 * time.Second
+	troubleTime    = 92 * time.Second
 	// ownFDs is what the rig itself needs.
 	ownFDs = callers + 2000
 )
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,7 +22,7 @@
 	held       = 0
 	broken     = 1
 	couldNot   = 2
-	totalLimit = 110 * time.Second
+	totalLimit = 115 * time.Second
 )
 
 // requestGroup holds the goroutines of clients.
