--- a/review/rig/case_tunnel.go
+++ b/review/rig/case_tunnel.go
@@ -2,13 +2,10 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -60,6 +57,11 @@
 	if w.fleet, err = newFleet(w.rec, w.store.addr(), []int{0, 0, 1, 2, 3, 4, 5}, false); err != nil {
 		return 0, err
 	}
+	ok, took := checkOwnsConn()
+	w.rec.note("the owner of a connection is found: %v, in %v", ok, took)
+	if !ok {
+		return 0, fmt.Errorf("the owner of a connection can't be found here")
+	}
 	machine, carrier := w.fleet.machines[cutOffMachine], w.fleet.machines[carrierMachine]
 	isCutOff := func(c net.Conn) bool { return ownsConn(machine.pid(), c) }
 	for _, s := range w.servers {
@@ -144,49 +146,3 @@
 	r.took = time.Since(start)
 	return r
 }
-
-// ownsConn reports whether a process holds the other end of a loopback connection.
-func ownsConn(pid int, c net.Conn) bool {
-	if pid == 0 {
-		return false
-	}
-	inode := inodeOf(c.RemoteAddr().(*net.TCPAddr), c.LocalAddr().(*net.TCPAddr))
-	if inode == "" {
-		return false
-	}
-	dir := fmt.Sprintf("/proc/%d/fd", pid)
-	entries, err := os.ReadDir(dir)
-	if err != nil {
-		return false
-	}
-	for _, e := range entries {
-		if link, err := os.Readlink(filepath.Join(dir, e.Name())); err == nil && link == "socket:["+inode+"]" {
-			return true
-		}
-	}
-	return false
-}
-
-// inodeOf returns the inode of the socket with the given ends.
-func inodeOf(local, remote *net.TCPAddr) string {
-	data, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return ""
-	}
-	at := bytes.Index(data, []byte(hexAddr(local)+" "+hexAddr(remote)))
-	if at < 0 {
-		return ""
-	}
-	line, _, _ := bytes.Cut(data[at:], []byte("\n"))
-	// The inode follows the addresses, the state, the queues, the timer, the retransmits, the
-	// user and the timeout.
-	if f := strings.Fields(string(line)); len(f) > 8 {
-		return f[8]
-	}
-	return ""
-}
-
-func hexAddr(a *net.TCPAddr) string {
-	ip := a.IP.To4()
-	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port)
-}
