--- a/core/yuccatunnel/conn.go
+++ b/core/yuccatunnel/conn.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync/atomic"
 
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
@@ -16,8 +17,48 @@
 	*net.TCPConn
 	// peer is the name of the entry that carries it.
 	peer string
+	// frames reads the server's bytes, nil if the other entry's build sends them without
+	// frames.
+	frames *frameReader
+	// cut counts the tunnels that have ended before the server's connection.
+	cut *atomic.Uint64
 }
 
+func newTunnelConn(c *net.TCPConn, peer string, framed bool, cut *atomic.Uint64) *tunnelConn {
+	t := &tunnelConn{TCPConn: c, peer: peer, cut: cut}
+	if framed {
+		t.frames = &frameReader{from: c}
+	}
+	return t
+}
+
+// Read implements net.Conn. It returns io.EOF only if the server has ended its connection.
+// Without frames that cannot be known, and the end counts as io.ErrUnexpectedEOF.
+func (c *tunnelConn) Read(p []byte) (int, error) {
+	n, err := c.read(p)
+	if err == io.ErrUnexpectedEOF {
+		c.cut.Add(1)
+	}
+	return n, err
+}
+
+func (c *tunnelConn) read(p []byte) (int, error) {
+	if c.frames != nil {
+		return c.frames.Read(p)
+	}
+	n, err := c.TCPConn.Read(p)
+	return n, unexpectedEOF(err)
+}
+
+// WriteTo implements io.WriterTo in place of the embedded connection, whose method would
+// pass the frames on unread.
+func (c *tunnelConn) WriteTo(w io.Writer) (int64, error) {
+	return io.Copy(w, struct{ io.Reader }{c})
+}
+
+// idle reports whether all bytes that the server has sent, as far as known, are read.
+func (c *tunnelConn) idle() bool { return c.frames == nil || c.frames.betweenFrames() }
+
 // Via implements yuccarelay.Tunnel.
 func (c *tunnelConn) Via() string { return c.peer }
 
--- a/core/yuccatunnel/dialer.go
+++ b/core/yuccatunnel/dialer.go
@@ -83,6 +83,8 @@
 	verifying atomic.Bool
 	// tunnels counts the tunnels that were opened.
 	tunnels atomic.Uint64
+	// cut counts the tunnels that have ended before the server's connection.
+	cut atomic.Uint64
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -125,6 +127,10 @@
 // Tunnels returns how many tunnels were opened.
 func (d *Dialer) Tunnels() uint64 { return d.tunnels.Load() }
 
+// Cut returns how many tunnels have ended before the server's connection, as when the
+// process that carries them is killed.
+func (d *Dialer) Cut() uint64 { return d.cut.Load() }
+
 // Dial implements yuccarelay.Path. While the entry is cut off, it opens a tunnel. When
 // a direct connection fails and no server can be reached, it tries one too.
 func (d *Dialer) Dial(ctx context.Context, to yuccarelay.Server) (net.Conn, error) {
@@ -148,7 +154,8 @@
 }
 
 // Usable implements yuccarelay.Path. Direct connections are used while the entry is not
-// cut off, tunnels while it is and their other entry does not leave.
+// cut off, tunnels while it is, no byte of theirs is under way and their other entry does
+// not leave.
 func (d *Dialer) Usable(c net.Conn, openedAt time.Time) bool {
 	d.mu.Lock()
 	cutOff, trusted := d.detector.CutOff(), d.detector.Trusts(openedAt)
@@ -157,7 +164,7 @@
 	if !tunneled {
 		return trusted
 	}
-	return cutOff && slices.ContainsFunc(d.peers(), func(p Peer) bool { return p.Name == t.peer })
+	return cutOff && t.idle() && slices.ContainsFunc(d.peers(), func(p Peer) bool { return p.Name == t.peer })
 }
 
 // Responded implements yuccarelay.Path.
@@ -337,11 +344,11 @@
 
 // tunnelVia opens a tunnel through one entry.
 func (d *Dialer) tunnelVia(ctx context.Context, p Peer, server string) (net.Conn, error) {
-	c, _, err := d.ask(ctx, p, &OpenRequest{Server: server, From: d.settings.Self})
+	c, reply, err := d.ask(ctx, p, &OpenRequest{Server: server, From: d.settings.Self, Framed: true})
 	if err != nil {
 		return nil, err
 	}
-	return &tunnelConn{c, p.Name}, nil
+	return newTunnelConn(c, p.Name, reply.GetFramed(), &d.cut), nil
 }
 
 // ask connects to another entry, sends it a request and reads the reply.
--- a/core/yuccatunnel/doc.go
+++ b/core/yuccatunnel/doc.go
@@ -8,6 +8,10 @@
 // counts the attempts and decides what the caller is told, as it does on a direct
 // connection.
 //
+// The bytes from a server travel in frames, with a mark at their end: the other entry's
+// process may be killed at any moment, and the kernel then ends its connections like those
+// of a complete response.
+//
 // Detector decides whether the entry is cut off; it has no clock and does no I/O.
 // Dialer opens the connections and looks for the end of the partition. Listener serves
 // the tunnels of other entries.
--- a/core/yuccatunnel/listener.go
+++ b/core/yuccatunnel/listener.go
@@ -162,8 +162,9 @@
 		return
 	}
 	defer l.untrack(caller)
-	server, probed, err := l.open(ctx, caller)
-	reply := &OpenReply{Probed: probed}
+	var req OpenRequest
+	server, probed, err := l.open(ctx, caller, &req)
+	reply := &OpenReply{Probed: probed, Framed: req.GetFramed()}
 	if err != nil {
 		reply.Kind = yuccaerror.KindOf(err).String()
 	}
@@ -179,16 +180,19 @@
 		return
 	}
 	defer l.untrack(server)
-	carry(caller, server)
+	copyToCaller := copyBytes
+	if req.GetFramed() {
+		copyToCaller = copyFramed
+	}
+	carry(caller, server, copyToCaller)
 }
 
 // open reads the request and connects to its server. For a probe it returns no
 // connection, and whether the server responded to it.
-func (l *Listener) open(ctx context.Context, caller *net.TCPConn) (server *net.TCPConn, probed bool, err error) {
+func (l *Listener) open(ctx context.Context, caller *net.TCPConn, req *OpenRequest) (server *net.TCPConn, probed bool, err error) {
 	_ = caller.SetKeepAliveConfig(keepAlive)
 	_ = caller.SetReadDeadline(time.Now().Add(openTimeout))
-	var req OpenRequest
-	if err := readMessage(caller, &req); err != nil {
+	if err := readMessage(caller, req); err != nil {
 		return nil, false, yuccaerror.New(yuccaerror.Protocol, "read request for a tunnel: %w", err)
 	}
 	_ = caller.SetReadDeadline(time.Time{})
@@ -217,10 +221,10 @@
 // carry copies the bytes of both directions until both have ended. The end of the
 // server's connection becomes the end of the caller's, and an error an error, so that
 // a response that was cut short does not look complete.
-func carry(caller, server *net.TCPConn) {
+func carry(caller, server *net.TCPConn, copyToCaller func(io.Writer, io.Reader) error) {
 	group := &errgroup.Group{}
 	group.Go(func() error {
-		if err := copyBytes(caller, server); err != nil {
+		if err := copyToCaller(caller, server); err != nil {
 			reset(caller)
 			return nil
 		}
