--- a/core/yuccatunnel/carrier_test.go
+++ b/core/yuccatunnel/carrier_test.go
@@ -12,29 +12,38 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// addKillablePeer starts an entry that carries tunnels. The returned function ends their
-// connections as the kernel does when the process is killed: properly.
-func (w *world) addKillablePeer(t *testing.T, name string) (kill func()) {
-	l := w.addPeer(t, name)
-	killed := make(chan struct{})
-	link := w.addServer(t, "process of "+name, func(c *net.TCPConn) {
-		raw, err := net.Dial("tcp", l.Addr())
+// addLink puts a link before the last peer. It passes the caller's bytes on, and those for
+// the caller with pass.
+func (w *world) addLink(t *testing.T, to string, ended <-chan struct{}, pass func(caller, peer *net.TCPConn) error) {
+	link := w.addServer(t, "link", func(c *net.TCPConn) {
+		raw, err := net.Dial("tcp", to)
 		if err != nil {
 			return
 		}
 		defer raw.Close()
-		up := raw.(*net.TCPConn)
+		peer := raw.(*net.TCPConn)
 		group := &errgroup.Group{}
-		group.Go(func() error { _, err := io.Copy(up, c); return err })
-		group.Go(func() error { _, err := io.Copy(c, up); _ = c.CloseWrite(); return err })
+		group.Go(func() error { _, err := io.Copy(peer, c); return err })
+		group.Go(func() error { defer c.CloseWrite(); return pass(c, peer) })
 		group.Go(func() error {
-			<-killed
+			<-ended
 			_ = c.Close()
-			return up.Close()
+			return peer.Close()
 		})
 		_ = group.Wait()
 	})
 	w.peers[len(w.peers)-1].Addr = link.Addr
+}
+
+// addKillablePeer starts an entry that carries tunnels. The returned function ends their
+// connections as the kernel does when the process is killed: properly.
+func (w *world) addKillablePeer(t *testing.T, name string) (kill func()) {
+	l := w.addPeer(t, name)
+	killed := make(chan struct{})
+	w.addLink(t, l.Addr(), killed, func(caller, peer *net.TCPConn) error {
+		_, err := io.Copy(caller, peer)
+		return err
+	})
 	return func() { close(killed) }
 }
 
@@ -87,20 +96,28 @@
 	w.c.Assert(err, qt.ErrorIs, io.ErrUnexpectedEOF)
 }
 
-// TestTunnelKeepsBytesOfInterruptedReads has a server send single bytes while the entry
-// reads with short deadlines, as it does while it waits for a response. It guards against
-// frames that are lost or read twice.
+// TestTunnelKeepsBytesOfInterruptedReads has the bytes of a tunnel arrive one by one while
+// the entry reads with short deadlines, as it does while it waits for a response. It guards
+// against frames that are lost or read twice.
 func TestTunnelKeepsBytesOfInterruptedReads(t *testing.T) {
 	const text = "a response that arrives byte by byte"
 	w := newWorld(t)
-	a := w.addServer(t, "a", func(c *net.TCPConn) {
-		for i := range text {
-			_, _ = io.WriteString(c, text[i:i+1])
+	a := w.addServer(t, "a", func(c *net.TCPConn) { _, _ = io.WriteString(c, text) })
+	b := w.addServer(t, "b", echo)
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
+	w.addLink(t, w.addPeer(t, "e2").Addr(), ended, func(caller, peer *net.TCPConn) error {
+		var b [1]byte
+		for {
+			if _, err := peer.Read(b[:]); err != nil {
+				return err
+			}
 			time.Sleep(3 * time.Millisecond)
+			if _, err := caller.Write(b[:]); err != nil {
+				return err
+			}
 		}
 	})
-	b := w.addServer(t, "b", echo)
-	w.addPeer(t, "e2")
 	w.cut(a, b)
 	c, err := w.dialer.Dial(t.Context(), a)
 	w.c.Assert(err, qt.IsNil)
