--- a/core/yuccaliveness/lookup_test.go
+++ b/core/yuccaliveness/lookup_test.go
@@ -40,10 +40,17 @@
 func (noReplica) Announcement() yuccareplica.Announcement   { return yuccareplica.Announcement{} }
 func (noReplica) Observe(string, yuccareplica.Announcement) {}
 
+// allRunning is a prober that finds that all processes run.
+type allRunning struct{}
+
+func (allRunning) Accepts(context.Context, string) bool { return true }
+
 // local is the state of an entry.
 type local struct {
 	load  atomic.Pointer[yuccacapacity.Utilization]
 	ready atomic.Bool
+	// linksFail is set while the entry's links to the platform and the servers are down.
+	linksFail atomic.Bool
 }
 
 func newLocal() *local {
@@ -55,6 +62,7 @@
 
 func (l *local) Utilization(time.Time) yuccacapacity.Utilization { return *l.load.Load() }
 func (l *local) Ready() bool                                     { return l.ready.Load() }
+func (l *local) LinksWorkSince(time.Time) bool                   { return !l.linksFail.Load() }
 
 // monitors is a fleet of monitors on a network in memory.
 type monitors struct {
@@ -81,7 +89,7 @@
 		if i == 0 {
 			log = zerolog.New(&m.log)
 		}
-		monitor := yuccaliveness.New(e, m.net.Bus(e.Name), noBalancer{}, noReplica{}, m.locals[i], log)
+		monitor := yuccaliveness.New(e, m.net.Bus(e.Name), noBalancer{}, noReplica{}, m.locals[i], allRunning{}, log)
 		qt.Assert(t, monitor.Start(ctx, group), qt.IsNil)
 		m.all = append(m.all, monitor)
 	}
@@ -260,7 +268,7 @@
 func BenchmarkLookup(b *testing.B) {
 	e := yuccaliveness.Entry{Name: "self", Region: "r", Domain: "d0", Capacity: yuccacapacity.Capacity{Cores: 0.8}}
 	net, l := yuccafake.NewNet(), newLocal()
-	monitor := yuccaliveness.New(e, net.Bus("self"), noBalancer{}, noReplica{}, l, zerolog.Nop())
+	monitor := yuccaliveness.New(e, net.Bus("self"), noBalancer{}, noReplica{}, l, allRunning{}, zerolog.Nop())
 	var list []yuccaliveness.Entry
 	for i := range 109 {
 		e := yuccaliveness.Entry{Name: fmt.Sprint("e", i), Region: "r", Domain: fmt.Sprint("d", i%4), Incarnation: 1, Capacity: yuccacapacity.Capacity{Cores: 0.112}}
--- a/core/yuccaliveness/monitor.go
+++ b/core/yuccaliveness/monitor.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"yuccawell.example/core/yuccabalancer"
@@ -64,6 +65,15 @@
 	Utilization(now time.Time) yuccacapacity.Utilization
 	// Ready reports whether the entry can serve requests.
 	Ready() bool
+	// LinksWorkSince reports whether the entry's links to the platform and to backend
+	// servers are known to have worked later than t.
+	LinksWorkSince(t time.Time) bool
+}
+
+// Prober finds out whether the process of a silent entry runs.
+type Prober interface {
+	// Accepts reports whether a process accepts connections at an address.
+	Accepts(ctx context.Context, addr string) bool
 }
 
 // Monitor is the service that publishes this entry's heartbeats and tracks those
@@ -75,6 +85,7 @@
 	balancer Balancer
 	replica  Replica
 	local    Local
+	prober   Prober
 	log      zerolog.Logger
 	// changes is the logger of changes to the entries that lookups name.
 	changes zerolog.Logger
@@ -93,12 +104,13 @@
 
 // New returns the monitor of the entry self and registers its heartbeat handler on
 // the bus.
-func New(self Entry, bus Bus, balancer Balancer, replica Replica, local Local, log zerolog.Logger) *Monitor {
+func New(self Entry, bus Bus, balancer Balancer, replica Replica, local Local, prober Prober, log zerolog.Logger) *Monitor {
 	s := &Monitor{
 		bus:          bus,
 		balancer:     balancer,
 		replica:      replica,
 		local:        local,
+		prober:       prober,
 		log:          log,
 		changes:      log.Sample(yuccalog.NewRateSampler(changeLinesPerSecond)),
 		state:        NewState(self, time.Now()),
@@ -204,12 +216,16 @@
 	tick := time.NewTicker(Interval)
 	defer tick.Stop()
 	lastRebalance, lastLog := time.Now(), time.Now()
+	var probes errgroup.Group
+	// One round of probes at a time.
+	probes.SetLimit(1)
 	for {
 		select {
 		case now := <-tick.C:
 			s.updateMeanInFlight(now)
 			s.updateLocal(now)
 			s.publishHeartbeat()
+			probes.TryGo(func() error { s.probeSilent(ctx); return nil })
 			s.balancer.Rebalance(s.demand(now), min(now.Sub(lastRebalance), 2*Interval))
 			lastRebalance = now
 			if now.Sub(lastLog) >= statusLogInterval {
@@ -217,6 +233,7 @@
 				s.logStatus()
 			}
 		case <-ctx.Done():
+			_ = probes.Wait()
 			return
 		}
 	}
--- a/core/yuccaliveness/state.go
+++ b/core/yuccaliveness/state.go
@@ -87,6 +87,8 @@
 	large, strong []string
 	// heartbeats holds the last heartbeat of each other entry by name.
 	heartbeats map[string]*heartbeatRecord
+	// isolation judges the silent entries while all are silent.
+	isolation isolation
 }
 
 // listedEntry is an entry in the platform's list.
@@ -247,10 +249,10 @@
 
 // Alive returns the entries that accept new clients, sorted by name. A listed
 // entry without a heartbeat of its present incarnation counts as alive until
-// Timeout after it was first listed. An entry that receives no heartbeats at all
-// is probably disconnected from its peers. It relies on the list and returns every
-// listed entry that is not leaving, without capacities, since nothing recent is known of
-// them.
+// Timeout after it was first listed. An entry that receives no heartbeats at all is either
+// the last one or disconnected from its peers. It relies on the list and returns every
+// listed entry that is not leaving and that its probes have not shown to be dead, without
+// capacities, since nothing recent is known of them.
 func (s *State) Alive(now time.Time) []Entry {
 	all := make([]Entry, 0, len(s.names)+1)
 	isolated := !s.receivesHeartbeats(now)
@@ -275,7 +277,7 @@
 	}
 	recent := ok && now.Sub(h.receivedAt) < Timeout
 	newlyListed := !ok && now.Sub(r.firstListed) < Timeout
-	return recent || newlyListed || isolated
+	return recent || newlyListed || isolated && s.isolation.presumesAlive(name)
 }
 
 // described returns a listed entry with what its heartbeats tell.
@@ -316,11 +318,10 @@
 // ToDeregister returns the sorted names of the silent entries that this entry has
 // to remove from the platform's list. Rendezvous hashing assigns each silent
 // entry to one of the live ones, so that only one removes it. An entry that
-// receives no heartbeats returns none, since its own network may be at fault.
+// receives no heartbeats returns those that its probes show to be dead for as long, since
+// its own network may be at fault.
 func (s *State) ToDeregister(now time.Time) []string {
-	if !s.receivesHeartbeats(now) {
-		return nil
-	}
+	isolated := !s.receivesHeartbeats(now)
 	var alive, expired []string
 	for _, e := range s.Alive(now) {
 		alive = append(alive, e.Name)
@@ -328,6 +329,9 @@
 	for name, r := range s.listed {
 		h, heard := s.heartbeats[name]
 		silent := (!heard || now.Sub(h.receivedAt) > deregisterTimeout) && now.Sub(r.firstListed) > deregisterTimeout
+		if isolated && !s.isolation.deadFor(now, name, deregisterTimeout) {
+			continue
+		}
 		if name != s.self.Name && silent && slices.Contains(yuccapeer.RendezvousTop("gone "+name, alive, 1), s.self.Name) {
 			expired = append(expired, name)
 		}
--- a/core/yuccareplica/contact.go
+++ b/core/yuccareplica/contact.go
@@ -32,3 +32,8 @@
 	}
 	return max(1, now.Sub(c.since))
 }
+
+// respondedSince reports whether the contact has brought a response later than t.
+func (c *contact) respondedSince(now, t time.Time) bool {
+	return c.duration(now) > 0 && c.lastResponse.After(t)
+}
--- a/core/yuccareplica/replica.go
+++ b/core/yuccareplica/replica.go
@@ -154,6 +154,14 @@
 	return a
 }
 
+// RespondedSince reports whether this entry is in contact with the platform itself and has
+// had a response of it later than t.
+func (r *Replica) RespondedSince(t time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.contact.respondedSince(time.Now(), t)
+}
+
 // Observe records the announcement in a heartbeat of another entry.
 func (r *Replica) Observe(from string, a Announcement) {
 	r.mu.Lock()
--- a/core/yuccatunnel/dialer.go
+++ b/core/yuccatunnel/dialer.go
@@ -83,6 +83,11 @@
 	verifying atomic.Bool
 	// tunnels counts the tunnels that were opened.
 	tunnels atomic.Uint64
+	// createdAt is when the dialer was created.
+	createdAt time.Time
+	// respondedAfter is how long after createdAt a server last responded on a direct
+	// connection, in nanoseconds of the steady clock.
+	respondedAfter atomic.Int64
 	// cut counts the tunnels that have ended before the server's connection.
 	cut atomic.Uint64
 
@@ -103,6 +108,7 @@
 		onChange:  onChange,
 		log:       log,
 		suspected: make(chan struct{}, 1),
+		createdAt: time.Now(),
 	}
 	d.Worker = yuccakernel.NewWorker(d.run)
 	return d
@@ -124,6 +130,17 @@
 	return d.detector.CutOff()
 }
 
+// WorksSince reports whether a server has responded directly later than t, or no server has
+// failed to since the last response.
+func (d *Dialer) WorksSince(t time.Time) bool {
+	if d.respondedAfter.Load() > int64(t.Sub(d.createdAt)) {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.detector.CutOff() && !d.detector.Failing()
+}
+
 // Tunnels returns how many tunnels were opened.
 func (d *Dialer) Tunnels() uint64 { return d.tunnels.Load() }
 
@@ -169,7 +186,11 @@
 
 // Responded implements yuccarelay.Path.
 func (d *Dialer) Responded(c net.Conn, openedAt time.Time) {
-	if _, tunneled := c.(*tunnelConn); tunneled || !d.failing.Load() {
+	if _, tunneled := c.(*tunnelConn); tunneled {
+		return
+	}
+	d.respondedAfter.Store(int64(time.Since(d.createdAt)))
+	if !d.failing.Load() {
 		return
 	}
 	d.mu.Lock()
