A response without an id proves nothing about a request

Cause: only responses with another id were skipped. One without an id counted as the answer if its status was a failure, and as a promise if it was a refusal or 421.

Without the id a response is Unnamed: the entry reads on for the request's own, or goes to another server at once if the request may be sent again. Such responses are counted.

--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -133,7 +133,7 @@
 		a.declined, a.wrongServer = true, class == Misdirected
 		a.handleDecline()
 		return yuccalifecycle.Declined{}
-	case Mismatched, Invalid:
+	case Mismatched, Unnamed, Invalid:
 		return a.fail(yuccaerror.ConnectionLost, errWrongResponse)
 	}
 	if err := a.exchange.bufferBody(t.relay.opt.MaxBufferedBytes); err != nil {
--- a/core/yuccarelay/exchange.go
+++ b/core/yuccarelay/exchange.go
@@ -61,6 +61,7 @@
 	errStalled        = errors.New("server sends no data or is too slow")
 	errCallerBody     = errors.New("request body from the caller is incomplete")
 	errWrongResponse  = errors.New("response is invalid or belongs to another request")
+	errUnnamed        = errors.New("response does not say which request it belongs to")
 	errLinkLost       = errors.New("no response, and the link to the servers delivers no data")
 )
 
@@ -104,7 +105,8 @@
 }
 
 // send writes the request and reads the response header. It skips responses
-// that belong to other requests.
+// that belong to other requests, and those that do not say which they belong to unless
+// another server may run the request too.
 func (x *exchange) send(t *task, h *fasthttp.RequestHeader) error {
 	if err := x.writeRequest(t, h); err != nil {
 		return err
@@ -118,7 +120,14 @@
 			return err
 		}
 		x.openBody(t.isHead)
-		if t.relay.opt.Protocol.ClassifyResponse(t.id, &x.head) != Mismatched {
+		switch t.relay.opt.Protocol.ClassifyResponse(t.id, &x.head) {
+		case Mismatched:
+		case Unnamed:
+			t.relay.unnamed.Add(1)
+			if t.body.canResend() && t.mayRepeat() {
+				return errUnnamed
+			}
+		default:
 			return nil
 		}
 		if err := x.skipBody(); err != nil {
--- a/core/yuccarelay/protocol.go
+++ b/core/yuccarelay/protocol.go
@@ -80,6 +80,9 @@
 	Misdirected
 	// Mismatched means that the response belongs to another request.
 	Mismatched
+	// Unnamed means that the response does not say which request it belongs to. It may
+	// belong to an earlier one on the connection and proves nothing about this one.
+	Unnamed
 	// Invalid means that the response cannot come from the server, whichever
 	// request it belongs to.
 	Invalid
--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -216,6 +216,8 @@
 	downloadTimes *yuccaretry.Tracker
 	// failures is the sampled logger of failed requests.
 	failures zerolog.Logger
+	// unnamed counts the responses that did not say which request they belong to.
+	unnamed atomic.Uint64
 	// stopAt is when the relay stops to wait for servers, nil if it does not stop.
 	stopAt atomic.Pointer[time.Time]
 }
@@ -249,6 +251,9 @@
 // Close closes the idle connections to backend servers.
 func (r *Relay) Close() { r.pool.close() }
 
+// Unnamed returns how many responses of servers did not say which request they belong to.
+func (r *Relay) Unnamed() uint64 { return r.unnamed.Load() }
+
 // Serve handles one request; it is the handler of a fasthttp.Server.
 func (r *Relay) Serve(ctx *fasthttp.RequestCtx) {
 	t := newTask(r, ctx)
