Only an answer clears the crashes of a request

Cause: each end of an attempt but a broken connection cleared the crashes so far, also a refusal, a timeout and a caller that left.

Change: the end is Answered, Broken or Unproven; only a genuine response of the server clears. The guard of the project's own interface counts no run for an unproven end.

TestRelayTellsWhatAttemptsProve and the new case of TestCrashLimiterAcrossEntries fail with the behaviour of before (two mutants).

--- a/core/yuccapoison/crash_limiter.go
+++ b/core/yuccapoison/crash_limiter.go
@@ -92,22 +92,22 @@
 // a Guard.
 func (s *CrashLimiter) Start(Fingerprint, string) {}
 
-// End records the end of an attempt. died says that its connection broke,
-// which counts as a crash if the server is not alive. If died is false, the
-// request was answered, which clears its crashes.
-func (s *CrashLimiter) End(p Fingerprint, server string, died bool) {
-	if !died {
+// End records the end of an attempt. Broken counts as a crash if the server is not alive.
+// Answered clears the crashes of the request, and nothing else does.
+func (s *CrashLimiter) End(p Fingerprint, server string, o Outcome) {
+	switch o {
+	case Answered:
 		if s.clear(p) {
 			s.broadcast(&CrashNotice{Fingerprint: uint64(p), Cleared: true})
 		}
-		return
+	case Broken:
+		s.group.TryGo(func() error {
+			if !s.alive(server) {
+				s.recordCrash(p, server)
+			}
+			return nil
+		})
 	}
-	s.group.TryGo(func() error {
-		if !s.alive(server) {
-			s.recordCrash(p, server)
-		}
-		return nil
-	})
 }
 
 // Close waits for the running liveness checks.
--- a/core/yuccapoison/crash_limiter_test.go
+++ b/core/yuccapoison/crash_limiter_test.go
@@ -41,22 +41,24 @@
 // several entries and checks whether all entries stop it.
 func TestCrashLimiterAcrossEntries(t *testing.T) {
 	type step struct {
-		entry int
-		died  bool
+		entry   int
+		outcome yuccapoison.Outcome
 	}
 	dead := func(string) bool { return false }
 	alive := func(string) bool { return true }
+	const broken, answered, unproven = yuccapoison.Broken, yuccapoison.Answered, yuccapoison.Unproven
 	tests := []struct {
 		name    string
 		alive   func(string) bool
 		steps   []step
 		stopped bool
 	}{
-		{"three deaths at one entry", dead, []step{{0, true}, {0, true}, {0, true}}, true},
-		{"three deaths at three entries", dead, []step{{0, true}, {1, true}, {2, true}}, true},
-		{"two deaths", dead, []step{{0, true}, {1, true}}, false},
-		{"answered after two deaths", dead, []step{{0, true}, {1, true}, {2, false}, {0, true}}, false},
-		{"connections break, servers stay alive", alive, []step{{0, true}, {1, true}, {2, true}, {0, true}}, false},
+		{"three deaths at one entry", dead, []step{{0, broken}, {0, broken}, {0, broken}}, true},
+		{"three deaths at three entries", dead, []step{{0, broken}, {1, broken}, {2, broken}}, true},
+		{"two deaths", dead, []step{{0, broken}, {1, broken}}, false},
+		{"answered after two deaths", dead, []step{{0, broken}, {1, broken}, {2, answered}, {0, broken}}, false},
+		{"nothing proven between the deaths", dead, []step{{0, broken}, {1, broken}, {2, unproven}, {0, broken}}, true},
+		{"connections break, servers stay alive", alive, []step{{0, broken}, {1, broken}, {2, broken}, {0, broken}}, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -68,7 +70,7 @@
 			}
 			for _, s := range test.steps {
 				entries[s.entry].Start(7, "s")
-				entries[s.entry].End(7, "s", s.died)
+				entries[s.entry].End(7, "s", s.outcome)
 				entries[s.entry].Close()
 			}
 			for _, e := range entries {
--- a/core/yuccapoison/guard.go
+++ b/core/yuccapoison/guard.go
@@ -207,12 +207,15 @@
 	}
 }
 
-// End records the end of an attempt. died says that its connection broke; it
-// counts as a server death unless the server is alive.
-func (g *Guard) End(p Fingerprint, server string, died bool) {
+// End records the end of an attempt. Broken counts as a server death, and as a run without
+// one if the server is alive.
+func (g *Guard) End(p Fingerprint, server string, o Outcome) {
 	started := g.finishAttempt(attemptKey{p, server})
 	defer g.releaseProbe(p, func(h *heldProbe) bool { return h.runningOn == server })
-	if died && !g.opt.Alive(server) {
+	if o == Unproven {
+		return
+	}
+	if o == Broken && !g.opt.Alive(server) {
 		g.mu.RLock()
 		knownGood := g.state.KnownGood(p)
 		g.mu.RUnlock()
--- a/core/yuccapoison/guard_test.go
+++ b/core/yuccapoison/guard_test.go
@@ -41,7 +41,11 @@
 	}
 	g.Start(p, server)
 	time.Sleep(time.Millisecond)
-	g.End(p, server, died)
+	o := yuccapoison.Answered
+	if died {
+		o = yuccapoison.Broken
+	}
+	g.End(p, server, o)
 	return nil
 }
 
@@ -72,8 +76,8 @@
 		guards[0].Start(1, "s1")
 		guards[1].Start(1, "s2")
 		time.Sleep(time.Millisecond)
-		guards[0].End(1, "s1", true)
-		guards[1].End(1, "s2", true)
+		guards[0].End(1, "s1", yuccapoison.Broken)
+		guards[1].End(1, "s2", yuccapoison.Broken)
 		c.Assert(yuccaerror.KindOf(guards[0].Check(1)), qt.Equals, yuccaerror.Quarantined)
 	})
 }
@@ -95,8 +99,8 @@
 		}
 		time.Sleep(time.Millisecond)
 		for i := range 8 {
-			guards[0].End(frequent, fmt.Sprint("s", i), true)
-			guards[0].End(yuccapoison.Fingerprint(100+i), fmt.Sprint("s", i), true)
+			guards[0].End(frequent, fmt.Sprint("s", i), yuccapoison.Broken)
+			guards[0].End(yuccapoison.Fingerprint(100+i), fmt.Sprint("s", i), yuccapoison.Broken)
 		}
 		for i := range 8 {
 			c.Assert(attempt(guards[1], yuccapoison.Fingerprint(100+i), "s9", false), qt.IsNil)
@@ -130,14 +134,14 @@
 		}
 		time.Sleep(time.Millisecond)
 		for p := range yuccapoison.Fingerprint(3) {
-			guards[p].End(p, "s1", true)
+			guards[p].End(p, "s1", yuccapoison.Broken)
 		}
 		c.Assert(guards[0].Check(0), qt.IsNil)
 		guards[0].Start(0, "s2")
 		waitStart := time.Now()
 		c.Assert(yuccaerror.KindOf(guards[1].Check(1)), qt.Equals, yuccaerror.Shed)
 		c.Assert(time.Since(waitStart) >= 2*time.Second, qt.IsTrue)
-		guards[0].End(0, "s2", false)
+		guards[0].End(0, "s2", yuccapoison.Answered)
 		c.Assert(guards[1].Check(1), qt.IsNil)
 		time.Sleep(2 * time.Second)
 		c.Assert(guards[2].Check(2), qt.IsNil)
@@ -154,6 +158,6 @@
 			b.Fatal("Check rejected a new fingerprint, want nil")
 		}
 		g.Start(p, "s1")
-		g.End(p, "s1", false)
+		g.End(p, "s1", yuccapoison.Answered)
 	}
 }
--- a/core/yuccapoison/poison.go
+++ b/core/yuccapoison/poison.go
@@ -22,10 +22,23 @@
 //		return err
 //	}
 //	guard.Start(fingerprint, server)
-//	connectionBroke := send(request, server)
-//	guard.End(fingerprint, server, connectionBroke)
+//	guard.End(fingerprint, server, send(request, server))
 package yuccapoison
 
 // Fingerprint identifies requests that are alike: it is a hash of the
 // service, the method, the target and the body.
 type Fingerprint uint64
+
+// Outcome is what the end of an attempt shows about whether the request crashed its server.
+type Outcome uint8
+
+const (
+	// Unproven shows nothing: the server declined the request, the time ran out, or the
+	// caller has left.
+	Unproven Outcome = iota
+	// Answered shows that the server ran the request and is alive.
+	Answered
+	// Broken means that the connection broke before the header of a response. The server
+	// may have crashed.
+	Broken
+)
--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -13,6 +13,7 @@
 	"yuccawell.example/core/yuccaadmission"
 	"yuccawell.example/core/yuccaerror"
 	"yuccawell.example/core/yuccalifecycle"
+	"yuccawell.example/core/yuccapoison"
 	"yuccawell.example/core/yuccaretry"
 )
 
@@ -35,6 +36,8 @@
 	stopCloseOnCancel func() bool
 	// sent is set before the first byte of the request is sent.
 	sent bool
+	// class is what the response means, once its header has been read.
+	class ResponseClass
 	// declined is set if the response says that the request did not run.
 	declined bool
 	// wrongServer is set if the response says that another server has the
@@ -126,11 +129,10 @@
 	t := a.task
 	a.timeToHeader = time.Since(a.started)
 	t.relay.opt.Path.Responded(a.conn.Conn, a.conn.openedAt)
-	class := t.relay.opt.Protocol.ClassifyResponse(t.id, &a.exchange.head)
-	a.receiveReport(class)
-	switch class {
+	a.receiveReport()
+	switch a.class {
 	case Declined, Misdirected:
-		a.declined, a.wrongServer = true, class == Misdirected
+		a.declined, a.wrongServer = true, a.class == Misdirected
 		a.handleDecline()
 		return yuccalifecycle.Declined{}
 	case Mismatched, Unnamed, Invalid:
@@ -144,8 +146,8 @@
 
 // receiveReport reads what the server says about itself and passes it on, unless the
 // response comes from another server.
-func (a *attempt) receiveReport(class ResponseClass) {
-	if class != Genuine && class != Declined {
+func (a *attempt) receiveReport() {
+	if a.class != Genuine && a.class != Declined {
 		return
 	}
 	opt := a.task.relay.opt
@@ -168,18 +170,32 @@
 }
 
 // send sends the request and reads the header of the response. It tells the
-// quarantine when the server may start to run the request and if it may have
-// died.
+// quarantine when the server may start to run the request and what became of it.
 func (a *attempt) send() error {
 	t := a.task
 	a.sent = true
 	quarantine := t.relay.opt.Quarantine
 	quarantine.Start(t.fingerprint, a.ticket.Server)
 	err := a.exchange.send(t, a.requestHeader())
-	quarantine.End(t.fingerprint, a.ticket.Server, a.ctx.Err() == nil && isConnBroken(err))
+	if err == nil {
+		a.class = t.relay.opt.Protocol.ClassifyResponse(t.id, &a.exchange.head)
+	}
+	quarantine.End(t.fingerprint, a.ticket.Server, a.crashOutcome(err))
 	return err
 }
 
+// crashOutcome returns what the end of sending shows about whether the request crashed its
+// server.
+func (a *attempt) crashOutcome(err error) yuccapoison.Outcome {
+	switch {
+	case err == nil && a.class == Genuine:
+		return yuccapoison.Answered
+	case isConnBroken(err) && a.ctx.Err() == nil:
+		return yuccapoison.Broken
+	}
+	return yuccapoison.Unproven
+}
+
 // silent tells the path that the server sends nothing. It reports whether the attempt is
 // to be given up: its connection is lost, and another server may run the request. One
 // that must not run twice may have run, so that only its own response can help.
--- a/core/yuccarelay/guard.go
+++ b/core/yuccarelay/guard.go
@@ -28,9 +28,9 @@
 	Check(p yuccapoison.Fingerprint) error
 	// Start is called before the first byte may be sent to a server.
 	Start(p yuccapoison.Fingerprint, server string)
-	// End is called after Start. died is set if the connection broke before the
-	// header of a response.
-	End(p yuccapoison.Fingerprint, server string, died bool)
+	// End is called after Start, when the header of a response has been read or the
+	// attempt has failed.
+	End(p yuccapoison.Fingerprint, server string, o yuccapoison.Outcome)
 }
 
 const (
@@ -43,9 +43,9 @@
 // noQuarantine is a Quarantine that rejects nothing.
 type noQuarantine struct{}
 
-func (noQuarantine) Check(yuccapoison.Fingerprint) error             { return nil }
-func (noQuarantine) Start(yuccapoison.Fingerprint, string)           {}
-func (noQuarantine) End(_ yuccapoison.Fingerprint, _ string, _ bool) {}
+func (noQuarantine) Check(yuccapoison.Fingerprint) error                      { return nil }
+func (noQuarantine) Start(yuccapoison.Fingerprint, string)                    {}
+func (noQuarantine) End(yuccapoison.Fingerprint, string, yuccapoison.Outcome) {}
 
 // fingerprintOf returns a hash of the service, method, target and body.
 // Requests with equal fingerprints count as the same request.
--- a/core/yuccarelay/guard_test.go
+++ b/core/yuccarelay/guard_test.go
@@ -121,6 +121,8 @@
 	mu      sync.Mutex
 	running int
 	deaths  map[yuccapoison.Fingerprint]int
+	// outcomes holds how the attempts ended.
+	outcomes []yuccapoison.Outcome
 }
 
 func (s *fakeQuarantine) Check(p yuccapoison.Fingerprint) error {
@@ -138,15 +140,44 @@
 	s.running++
 }
 
-func (s *fakeQuarantine) End(p yuccapoison.Fingerprint, _ string, died bool) {
+func (s *fakeQuarantine) End(p yuccapoison.Fingerprint, _ string, o yuccapoison.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
-	if died {
+	s.outcomes = append(s.outcomes, o)
+	if o == yuccapoison.Broken {
 		s.deaths[p]++
 	}
 }
 
+// TestRelayTellsWhatAttemptsProve guards against crashes of a request that are forgotten since
+// a server has declined it, or its time has run out, as under overload.
+func TestRelayTellsWhatAttemptsProve(t *testing.T) {
+	const declined = "HTTP/1.1 503 Unavailable\r\nYucca-Run: no\r\nContent-Length: 0\r\n\r\n"
+	const failed = "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
+	stall, closing := yuccafake.Fault{Step: yuccafake.AfterRequest, Mode: yuccafake.Stall}, yuccafake.Fault{Step: yuccafake.AfterRequest, Mode: yuccafake.CloseConn}
+	tests := []struct {
+		name, response string
+		fault          yuccafake.Fault
+		want           yuccapoison.Outcome
+	}{
+		{"answered", yuccafake.Echo("t"), yuccafake.Fault{}, yuccapoison.Answered},
+		{"failed", failed, yuccafake.Fault{}, yuccapoison.Answered},
+		{"declined", declined, yuccafake.Fault{}, yuccapoison.Unproven},
+		{"no response in time", "", stall, yuccapoison.Unproven},
+		{"connection closed", "", closing, yuccapoison.Broken},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			guard := &fakeQuarantine{deaths: map[yuccapoison.Fingerprint]int{}}
+			w := newFaultyServers(t, 1, yuccarelay.Options{Quarantine: guard}, func(int64) yuccafake.Fault { return test.fault }, func(string) string { return test.response })
+			_, err := w.callWithToken(fasthttp.MethodPost, "t", shortTimeout)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, guard.outcomes, qt.DeepEquals, []yuccapoison.Outcome{test.want})
+		})
+	}
+}
+
 func TestRelayChecksQuarantineBeforeEachAttempt(t *testing.T) {
 	c := qt.New(t)
 	guard := &fakeQuarantine{deaths: map[yuccapoison.Fingerprint]int{}}
