A server's early response to a long upload goes to the caller at once

Cause: the whole request was written before a response was read, with a time limit of 30 s of its own.

Change: long bodies are written beside the wait for the response, which ends the writing; the deadline ends both. A connection with an unfinished request isn't used again. The connection to the caller lingers up to a second after a response that comes before the end of its body.

--- a/core/yuccapipeline/conn.go
+++ b/core/yuccapipeline/conn.go
@@ -59,6 +59,10 @@
 	closing bool
 	// pipelined is set if a request was ever received behind another.
 	pipelined bool
+	// lingers is set if the caller may still be sending when the connection closes.
+	lingers bool
+	// lingering is set when it closes by itself, after the caller has stopped sending.
+	lingering bool
 }
 
 // ArrivedAt returns when the head of the request in progress was read, the zero time
@@ -245,9 +249,16 @@
 	c.mu.Lock()
 	c.gone, c.ended = true, true
 	c.cancelAheads()
-	discard := c.pipelined
+	discard, lingers, lingering := c.pipelined, c.lingers, c.lingering
+	c.lingering = lingers
 	c.mu.Unlock()
-	if discard {
+	switch {
+	case lingering:
+		return nil
+	case lingers:
+		c.pipeline.group.Go(c.lingerAndClose)
+		return nil
+	case discard:
 		discardReceived(c.TCPConn)
 	}
 	return c.TCPConn.Close()
--- a/core/yuccarelay/body.go
+++ b/core/yuccarelay/body.go
@@ -24,6 +24,8 @@
 	length int
 	// started is set when reading the body has started.
 	started bool
+	// interrupted is set when reading the body was ended before its end.
+	interrupted bool
 }
 
 // newRequestBody reads the body up to maxBufferedBodyBytes.
--- a/core/yuccarelay/exchange.go
+++ b/core/yuccarelay/exchange.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -85,6 +86,10 @@
 	bodyLeft int64
 	// bodyRead is the number of body bytes read from the connection.
 	bodyRead int64
+	// writing is set while the request is written beside the wait for the response.
+	writing atomic.Bool
+	// unfinished is set if the server responded before it had the whole request.
+	unfinished bool
 	// ended is set when onEnd has been called.
 	ended bool
 	// readAhead is the part of the body that bufferBody has read and Read has
@@ -108,10 +113,18 @@
 // that belong to other requests, and those that do not say which they belong to unless
 // another server may run the request too.
 func (x *exchange) send(t *task, h *fasthttp.RequestHeader) error {
+	x.deadline = t.deadline
+	if t.body.isLong() {
+		return x.sendLong(t, h)
+	}
 	if err := x.writeRequest(t, h); err != nil {
 		return err
 	}
-	x.deadline = t.deadline
+	return x.readResponse(t)
+}
+
+// readResponse reads the response header.
+func (x *exchange) readResponse(t *task) error {
 	for range maxResponsesRead {
 		if err := x.awaitResponse(); err != nil {
 			return err
@@ -124,7 +137,7 @@
 		case Mismatched:
 		case Unnamed:
 			t.relay.unnamed.Add(1)
-			if t.body.canResend() && t.mayRepeat() {
+			if t.body.inMemory() && t.mayRepeat() {
 				return errUnnamed
 			}
 		default:
@@ -138,10 +151,14 @@
 }
 
 // awaitResponse waits for the first byte of a response and sets the deadline for reading
-// its header.
+// its header. A server need not respond before it has the whole request.
 func (x *exchange) awaitResponse() error {
 	end := x.readDeadline()
 	for wait := silenceDelay; x.conn.r.Buffered() == 0; wait = silenceInterval {
+		writing := x.writing.Load()
+		if writing {
+			end = x.readDeadline()
+		}
 		next := time.Now().Add(wait)
 		if !next.Before(end) {
 			break
@@ -151,7 +168,7 @@
 		}
 		if _, err := x.conn.r.Peek(1); err != nil && !isTimeout(err) {
 			return err
-		} else if err != nil && x.onSilent() {
+		} else if err != nil && !writing && x.onSilent() {
 			return errLinkLost
 		}
 	}
@@ -430,7 +447,7 @@
 }
 
 // reusable reports whether the connection may carry another request.
-func (x *exchange) reusable() bool { return !x.head.ConnectionClose() }
+func (x *exchange) reusable() bool { return !x.unfinished && !x.head.ConnectionClose() }
 
 // keepAlive returns how long the server keeps an idle connection open, less
 // keepAliveMargin, and maxIdleTime if the server doesn't say.
--- a/core/yuccarelay/pool.go
+++ b/core/yuccarelay/pool.go
@@ -65,6 +65,8 @@
 	keepAlive time.Duration
 	// bytesRead counts the bytes received.
 	bytesRead atomic.Int64
+	// writeStopped is set when nothing more is to be written.
+	writeStopped atomic.Bool
 }
 
 func newConn(raw net.Conn, addr string) *conn {
@@ -87,9 +89,18 @@
 	if err := c.SetWriteDeadline(time.Now().Add(stallTimeout)); err != nil {
 		return 0, err
 	}
+	if c.writeStopped.Load() {
+		return 0, errWriteStopped
+	}
 	return c.Conn.Write(p)
 }
 
+// stopWriting ends a write in progress and prevents further ones.
+func (c *conn) stopWriting() {
+	c.writeStopped.Store(true)
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+}
+
 // pool keeps idle connections by address and hands out the most recently used
 // first.
 type pool struct {
--- a/core/yuccarelay/stream.go
+++ b/core/yuccarelay/stream.go
@@ -33,6 +33,9 @@
 	t.timeToHeader = time.Since(t.arrived)
 	x := t.winner.exchange
 	copyResponseHeader(&t.ctx.Response, x)
+	if t.body.interrupted {
+		t.ctx.SetConnectionClose()
+	}
 	s := &responseStream{task: t, exchange: x, first: x, resumer: newResumer(t, x)}
 	if t.claim != nil {
 		s.replay = &replayBuffer{}
--- a/core/yuccarelay/watch.go
+++ b/core/yuccarelay/watch.go
@@ -20,6 +20,9 @@
 	// Until stop is called, further requests on the connection may be started if
 	// concurrent is set. The function stop must be called before the request ends.
 	WatchClose(concurrent bool, onClose func()) (stop func())
+	// Linger makes the close of the connection wait a while for the caller to stop
+	// sending: a close with unread bytes takes the response from the caller.
+	Linger()
 }
 
 // arrivalTime returns when the request in progress on a connection arrived.
