Listeners go on accepting when descriptors run out

Cause: the HTTP servers end when accepting a connection fails, and the process ends with them.

Change: yuccasocket.Listener waits 50 ms and goes on after EMFILE, ENFILE, ENOBUFS, ENOMEM and ECONNABORTED, with a log line at the begin and the end. All listeners use it.

--- a/core/yuccaadmin/admin.go
+++ b/core/yuccaadmin/admin.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"yuccawell.example/core/yuccalog"
+	"yuccawell.example/core/yuccasocket"
 )
 
 // failureLinesPerSecond limits the log lines about pages that fail.
@@ -40,6 +41,7 @@
 type Admin struct {
 	addr     string
 	server   *fasthttp.Server
+	log      zerolog.Logger
 	listener net.Listener
 	done     chan struct{}
 }
@@ -48,7 +50,7 @@
 // started. It serves each of the pages under its path, such as /status.
 func New(addr string, registry *prometheus.Registry, probe Probe, pages map[string]Page, log zerolog.Logger) *Admin {
 	handler := Handler(registry, probe, pages, log)
-	return &Admin{addr: addr, server: &fasthttp.Server{Handler: handler, Name: "yuccawell", CloseOnShutdown: true}, done: make(chan struct{})}
+	return &Admin{addr: addr, log: log, server: &fasthttp.Server{Handler: handler, Name: "yuccawell", CloseOnShutdown: true}, done: make(chan struct{})}
 }
 
 // Handler returns the request handler of an admin server. The response to
@@ -111,8 +113,8 @@
 	if err != nil {
 		return err
 	}
-	a.listener = l
-	group.Go(func() error { return a.server.Serve(l) })
+	a.listener = yuccasocket.NewListener(l, l.Addr().String(), a.log)
+	group.Go(func() error { return a.server.Serve(a.listener) })
 	return nil
 }
 
--- a/core/yuccafront/listener.go
+++ b/core/yuccafront/listener.go
@@ -28,6 +28,7 @@
 	"yuccawell.example/core/yuccaerror"
 	"yuccawell.example/core/yuccapipeline"
 	"yuccawell.example/core/yuccasleep"
+	"yuccawell.example/core/yuccasocket"
 )
 
 // Settings configure a Listener.
@@ -128,7 +129,7 @@
 	}
 	f.log.Info().Str("addr", socket.Addr().String()).Msg("listening")
 	f.socket = socket
-	var l net.Listener = socket
+	var l net.Listener = yuccasocket.NewListener(socket, socket.Addr().String(), f.log)
 	if f.pipeline != nil {
 		l = f.pipeline.Listener(l)
 	}
--- a/core/yuccapeer/peers.go
+++ b/core/yuccapeer/peers.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"yuccawell.example/core/yuccaerror"
+	"yuccawell.example/core/yuccasocket"
 	"yuccawell.example/core/yuccastore"
 )
 
@@ -119,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	p.listener = l
+	p.listener = yuccasocket.NewListener(l, l.Addr().String(), p.log)
 	context.AfterFunc(ctx, p.cancel)
 	p.group.Go(p.listen)
 	p.group.Go(p.maintainSessions)
--- a/core/yuccatunnel/listener.go
+++ b/core/yuccatunnel/listener.go
@@ -13,6 +13,7 @@
 
 	"yuccawell.example/core/yuccaerror"
 	"yuccawell.example/core/yuccasleep"
+	"yuccawell.example/core/yuccasocket"
 )
 
 const (
@@ -83,7 +84,7 @@
 	if err != nil {
 		return err
 	}
-	l.socket = socket
+	l.socket = yuccasocket.NewListener(socket, socket.Addr().String(), l.log)
 	l.group.Go(func() error { return l.accept(ctx) })
 	group.Go(func() error {
 		defer close(l.done)
