An isolated entry asks the store whether it answers

Cause: an entry without heartbeats judges the others once the store has answered it, and waited for a watch, which returns after up to five seconds when nothing changes; probes before that count for nothing and come again two seconds later.

The links are looked at only while it is isolated.

--- a/core/yuccaliveness/monitor.go
+++ b/core/yuccaliveness/monitor.go
@@ -66,7 +66,8 @@
 	// Ready reports whether the entry can serve requests.
 	Ready() bool
 	// LinksWorkSince reports whether the entry's links to the platform and to backend
-	// servers are known to have worked later than t.
+	// servers are known to have worked later than t. It may wait for a response of the
+	// platform.
 	LinksWorkSince(t time.Time) bool
 }
 
--- a/core/yuccaliveness/probe.go
+++ b/core/yuccaliveness/probe.go
@@ -47,12 +47,13 @@
 	_ = group.Wait()
 }
 
-// toProbe returns the entries that are to be connected to now.
+// toProbe returns the entries that are to be connected to now. The entry's other links are
+// looked at only while it is isolated, since that may take a call to the platform.
 func (s *Monitor) toProbe(now time.Time) []Entry {
 	s.mu.Lock()
-	since := s.state.OverdueSince()
+	isolated, since := s.state.Isolated(now), s.state.OverdueSince()
 	s.mu.Unlock()
-	work := s.local.LinksWorkSince(since)
+	work := isolated && s.local.LinksWorkSince(since)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.SetLinksWork(work)
