Requests on tunnels are counted by new, reused and outside their regions

Neither logs nor metrics could tell the hypotheses apart: whether the tunnel was opened for the request or reused, and which config was in force. Three counters and the line tunnel_outside_regions say so now; no logic changes.

--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -98,6 +98,7 @@
 	}
 	a.conn, a.readBefore = c, c.bytesRead.Load()
 	a.reusedConn = !c.idleSince.IsZero()
+	a.countTunnel()
 	a.stopCloseOnCancel = context.AfterFunc(a.ctx, func() { _ = c.Close() })
 	if t.update(yuccalifecycle.SendStarted{}).Final() {
 		return a.fail(yuccaerror.Canceled, context.Canceled)
--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -142,6 +142,8 @@
 type Tunnel interface {
 	// Via returns the name of the other entry.
 	Via() string
+	// ViaRegion returns the region of the other entry.
+	ViaRegion() string
 }
 
 // Options are the dependencies and settings of a Relay.
@@ -218,6 +220,8 @@
 	failures zerolog.Logger
 	// unnamed counts the responses that did not say which request they belong to.
 	unnamed atomic.Uint64
+	// tunneled counts the requests that went through other entries.
+	tunneled tunnelCounters
 	// stopAt is when the relay stops to wait for servers, nil if it does not stop.
 	stopAt atomic.Pointer[time.Time]
 }
--- a/core/yuccatunnel/conn.go
+++ b/core/yuccatunnel/conn.go
@@ -15,8 +15,8 @@
 // tunnelConn is a connection to a backend server through another entry.
 type tunnelConn struct {
 	*net.TCPConn
-	// peer is the name of the entry that carries it.
-	peer string
+	// peer is the entry that carries it.
+	peer Peer
 	// frames reads the server's bytes, nil if the other entry's build sends them without
 	// frames.
 	frames *frameReader
@@ -24,7 +24,7 @@
 	cut *atomic.Uint64
 }
 
-func newTunnelConn(c *net.TCPConn, peer string, framed bool, cut *atomic.Uint64) *tunnelConn {
+func newTunnelConn(c *net.TCPConn, peer Peer, framed bool, cut *atomic.Uint64) *tunnelConn {
 	t := &tunnelConn{TCPConn: c, peer: peer, cut: cut}
 	if framed {
 		t.frames = &frameReader{from: c}
@@ -60,7 +60,10 @@
 func (c *tunnelConn) idle() bool { return c.frames == nil || c.frames.betweenFrames() }
 
 // Via implements yuccarelay.Tunnel.
-func (c *tunnelConn) Via() string { return c.peer }
+func (c *tunnelConn) Via() string { return c.peer.Name }
+
+// ViaRegion implements yuccarelay.Tunnel.
+func (c *tunnelConn) ViaRegion() string { return c.peer.Region }
 
 // byteReader reads single bytes from a connection, without reading ahead: the bytes
 // after a message belong to the caller.
--- a/core/yuccatunnel/dialer.go
+++ b/core/yuccatunnel/dialer.go
@@ -181,7 +181,7 @@
 	if !tunneled {
 		return trusted
 	}
-	return cutOff && t.idle() && slices.ContainsFunc(d.peers(), func(p Peer) bool { return p.Name == t.peer })
+	return cutOff && t.idle() && slices.ContainsFunc(d.peers(), func(p Peer) bool { return p.Name == t.peer.Name })
 }
 
 // Responded implements yuccarelay.Path.
@@ -369,7 +369,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newTunnelConn(c, p.Name, reply.GetFramed(), &d.cut), nil
+	return newTunnelConn(c, p, reply.GetFramed(), &d.cut), nil
 }
 
 // ask connects to another entry, sends it a request and reads the reply.
