Pooled tunnels are used only by requests that may pass their region

Cause: idle connections are pooled by the address of the server alone. While an entry is cut off from servers, a request without homes may open a tunnel through any region; a request with homes to the same server took it from the pool. The regions were checked only when a tunnel was opened. The class of the fault: something that is opened under the constraints of one request is used for another one with others.

Change: one predicate, Server.AllowsRegion, says whether an entry may carry a request. It is asked where a tunnel is opened and where a connection is taken from the pool, so that a change of the homes between the two counts as well. Tunnels that a request may not use stay in the pool for the others.

--- a/core/yuccafake/partition.go
+++ b/core/yuccafake/partition.go
@@ -46,6 +46,19 @@
 	}
 }
 
+// Sent returns the number of bytes that clients with a source IP address have sent.
+func (l *TCPProxy) Sent(source string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sent[source]
+}
+
+func (l *TCPProxy) countSent(source string, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent[source] += n
+}
+
 // partition returns how the connections from a source are cut off now.
 func (l *TCPProxy) partition(source string) Partition {
 	l.mu.Lock()
--- a/core/yuccafake/tcpproxy.go
+++ b/core/yuccafake/tcpproxy.go
@@ -44,6 +44,8 @@
 	conns map[net.Conn]string
 	// partitions holds the sources that are cut off.
 	partitions map[string]Partition
+	// sent holds the number of bytes read from clients by source address.
+	sent map[string]int
 	// blackholedAt is when BlackholeOpenConns was last called.
 	blackholedAt time.Time
 	listener     net.Listener
@@ -54,7 +56,7 @@
 // NewTCPProxy returns a proxy from addr to a target address. It listens only
 // after Start.
 func NewTCPProxy(addr, target string, conditions LinkConditions) *TCPProxy {
-	l := &TCPProxy{addr: addr, target: target, conns: map[net.Conn]string{}, partitions: map[string]Partition{}}
+	l := &TCPProxy{addr: addr, target: target, conns: map[net.Conn]string{}, partitions: map[string]Partition{}, sent: map[string]int{}}
 	l.SetConditions(conditions)
 	return l
 }
@@ -215,6 +217,9 @@
 	for {
 		data := make([]byte, chunkSize)
 		n, err := from.Read(data)
+		if direction == 0 {
+			l.countSent(source, n)
+		}
 		conditions := l.currentConditions()
 		blackholed := l.blackholed(opened)
 		if n > 0 && !blackholed {
--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -110,10 +110,14 @@
 	return a.classifyResponse()
 }
 
+// server returns the server of the attempt and the regions that the request may pass.
+func (a *attempt) server() Server {
+	return Server{Name: a.ticket.Server, Addr: a.ticket.Addr, Region: a.ticket.Region, Domain: a.ticket.Domain, Regions: a.task.regions}
+}
+
 // connect returns a pooled or new connection to the server.
 func (a *attempt) connect() (*conn, error) {
-	t := a.task
-	to := Server{Name: a.ticket.Server, Addr: a.ticket.Addr, Region: a.ticket.Region, Domain: a.ticket.Domain, Regions: t.regions}
+	t, to := a.task, a.server()
 	if a.forceNewConn {
 		return t.relay.pool.open(a.ctx, to, t.deadline)
 	}
--- a/core/yuccarelay/pool.go
+++ b/core/yuccarelay/pool.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -132,7 +133,7 @@
 // connections that have been idle for maxIdle or longer. If maxIdle is zero, only
 // the pool's own limits apply.
 func (p *pool) get(ctx context.Context, to Server, deadline time.Time, maxIdle time.Duration) (*conn, error) {
-	for c := p.takeIdle(to.Addr); c != nil; c = p.takeIdle(to.Addr) {
+	for c := p.takeIdle(to); c != nil; c = p.takeIdle(to) {
 		if (maxIdle == 0 || time.Since(c.idleSince) < maxIdle) && p.path.Usable(c.Conn, c.openedAt) && isIdleAndOpen(c.Conn) {
 			return c, nil
 		}
@@ -155,13 +156,17 @@
 	return newConn(raw, to.Addr), nil
 }
 
-// takeIdle removes and returns an idle connection, nil if there is none.
-func (p *pool) takeIdle(addr string) *conn {
+// takeIdle removes and returns an idle connection that the request may use, nil if there
+// is none. Those that only other requests may use stay in the pool.
+func (p *pool) takeIdle(to Server) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for list := p.idle[addr]; len(list) > 0; list = p.idle[addr] {
-		c := list[len(list)-1]
-		p.idle[addr] = list[:len(list)-1]
+	for i := len(p.idle[to.Addr]) - 1; i >= 0; i-- {
+		c := p.idle[to.Addr][i]
+		if !to.allows(c.Conn) {
+			continue
+		}
+		p.idle[to.Addr] = slices.Delete(p.idle[to.Addr], i, i+1)
 		if p.isUsable(c) {
 			return c
 		}
--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -20,6 +20,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -119,6 +120,18 @@
 	Regions []string
 }
 
+// AllowsRegion reports whether an entry in a region may carry the request to the server.
+func (s Server) AllowsRegion(region string) bool {
+	return len(s.Regions) == 0 || slices.Contains(s.Regions, region)
+}
+
+// allows reports whether the request may be sent on a connection. What the connection was
+// opened for does not matter.
+func (s Server) allows(c net.Conn) bool {
+	t, tunneled := c.(Tunnel)
+	return !tunneled || s.AllowsRegion(t.ViaRegion())
+}
+
 // Path opens the connections to backend servers and learns how they do.
 type Path interface {
 	// Dial opens a connection.
--- a/core/yuccarelay/tunneled.go
+++ b/core/yuccarelay/tunneled.go
@@ -1,9 +1,6 @@
 package yuccarelay
 
-import (
-	"slices"
-	"sync/atomic"
-)
+import "sync/atomic"
 
 // TunnelCounts are the numbers of requests that were sent through other entries.
 type TunnelCounts struct {
@@ -37,8 +34,8 @@
 	} else {
 		relay.tunneled.opened.Add(1)
 	}
-	regions := a.task.regions
-	if len(regions) == 0 || slices.Contains(regions, t.ViaRegion()) {
+	to := a.server()
+	if to.allows(a.conn.Conn) {
 		return
 	}
 	relay.tunneled.outside.Add(1)
@@ -47,7 +44,7 @@
 		Str("server", a.ticket.Server).
 		Str("via", t.Via()).
 		Str("region", t.ViaRegion()).
-		Strs("regions", regions).
+		Strs("regions", to.Regions).
 		Bool("reused", a.reusedConn).
 		Uint64("routes", a.task.route.Version).
 		Msg("tunnel_outside_regions")
--- a/core/yuccatunnel/peer.go
+++ b/core/yuccatunnel/peer.go
@@ -35,7 +35,7 @@
 		return 2
 	}
 	allowed := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool {
-		return p.Addr == "" || len(to.Regions) > 0 && !slices.Contains(to.Regions, p.Region)
+		return p.Addr == "" || !to.AllowsRegion(p.Region)
 	})
 	rand.Shuffle(len(allowed), func(i, j int) { allowed[i], allowed[j] = allowed[j], allowed[i] })
 	slices.SortStableFunc(allowed, func(a, b Peer) int { return cmp.Compare(rank(a), rank(b)) })
