A request that no entry may carry does not exclude its server for all callers

While an entry is cut off from the servers, callers of accounts without homes got 503 from it although other entries carried their requests.

Cause: a request with homes that found no entry of its regions was sent to the direct connection, which fails there; the failed connection excluded the server at this entry for up to 4 s, for every caller. The class of the fault: a failure that follows from one request's constraints is taken for a property of the server.

Change: the lack of a carrier in the request's regions has an error of its own, yuccarelay.ErrNoCarrier.

--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -242,18 +242,20 @@
 	if k != yuccaerror.Canceled && a.conn != nil && !a.reusedConn && isConnBroken(err) && a.noResponseBytes() {
 		a.task.relay.opt.Path.Broken(a.conn.Conn, a.ticket.Server)
 	}
-	a.abort(yuccaadmission.Result{
-		Kind:       k,
-		NoResponse: k != yuccaerror.Canceled && a.serverUnreachable(err),
-		// A lost link says nothing about the server.
-		Failed: k != yuccaerror.Canceled && !errors.Is(err, errLinkLost),
-	})
+	blamed := k != yuccaerror.Canceled && blamesServer(err)
+	a.abort(yuccaadmission.Result{Kind: k, NoResponse: blamed && a.serverUnreachable(err), Failed: blamed})
 	if !a.task.relay.opt.NoHedge && a.noResponseBytes() && (isTimeout(err) || a.superseded.Load()) {
 		a.task.relay.pool.discardSuspects(a.conn)
 	}
 	return yuccalifecycle.Failed{Kind: k}
 }
 
+// blamesServer reports whether an error may be the server's fault. A lost link and the lack
+// of an entry that may carry the request say nothing about the server.
+func blamesServer(err error) bool {
+	return !errors.Is(err, errLinkLost) && !errors.Is(err, ErrNoCarrier)
+}
+
 // serverUnreachable reports whether connecting failed or the server broke off a
 // new connection. A server that closes a reused connection, or is late, may be
 // healthy.
--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -19,6 +19,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -120,6 +121,12 @@
 	Regions []string
 }
 
+// WithoutRegions returns the server for requests that may be handled in any region.
+func (s Server) WithoutRegions() Server {
+	s.Regions = nil
+	return s
+}
+
 // AllowsRegion reports whether an entry in a region may carry the request to the server.
 func (s Server) AllowsRegion(region string) bool {
 	return len(s.Regions) == 0 || slices.Contains(s.Regions, region)
@@ -132,9 +139,14 @@
 	return !tunneled || s.AllowsRegion(t.ViaRegion())
 }
 
+// ErrNoCarrier is the cause of a connection that could not be opened because no entry in
+// the regions of the request reaches the servers. It says nothing about the server.
+var ErrNoCarrier = errors.New("no entry in the regions of the request reaches the servers")
+
 // Path opens the connections to backend servers and learns how they do.
 type Path interface {
-	// Dial opens a connection.
+	// Dial opens a connection. The error wraps ErrNoCarrier if only entries in other
+	// regions than those of the request reach the server.
 	Dial(ctx context.Context, to Server) (net.Conn, error)
 	// Usable reports whether a connection that was opened at a time may carry another
 	// request.
--- a/core/yuccatunnel/dialer.go
+++ b/core/yuccatunnel/dialer.go
@@ -163,6 +163,9 @@
 		return c, err
 	}
 	t, tunnelErr := d.tunnel(ctx, to)
+	if errors.Is(tunnelErr, yuccarelay.ErrNoCarrier) {
+		return nil, tunnelErr
+	}
 	if tunnelErr != nil {
 		return nil, err
 	}
@@ -256,7 +259,7 @@
 // remember keeps a server for probes. These carry no request, so that they may go
 // through entries of any region.
 func (d *Dialer) remember(s yuccarelay.Server) {
-	s.Regions = nil
+	s = s.WithoutRegions()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if slices.ContainsFunc(d.recent, func(r yuccarelay.Server) bool { return r.Addr == s.Addr }) {
@@ -346,10 +349,15 @@
 }
 
 // tunnel opens a connection to a server through another entry. The error wraps
-// errCutOff if no other entry could be asked.
+// errCutOff if no other entry could be asked, and yuccarelay.ErrNoCarrier if those that
+// could are in regions that the request may not pass.
 func (d *Dialer) tunnel(ctx context.Context, to yuccarelay.Server) (net.Conn, error) {
+	all := d.peers()
+	peers := candidates(all, to)
 	err := yuccaerror.Wrap(yuccaerror.Unreachable, errCutOff)
-	peers := candidates(d.peers(), to)
+	if len(peers) == 0 && len(candidates(all, to.WithoutRegions())) > 0 {
+		err = yuccaerror.Wrap(yuccaerror.Unreachable, yuccarelay.ErrNoCarrier)
+	}
 	for _, p := range peers[:min(maxTunnelTries, len(peers))] {
 		var c net.Conn
 		if c, err = d.tunnelVia(ctx, p, to.Name); err == nil {
