Homed requests without a body may pass entries of any region

Callers of accounts with homes were rejected at an entry that is cut off from the servers when only entries of other regions carry tunnels, also for requests that have no body.

Cause: tunnels were confined to the home regions for every request. Only the body may not pass another region; the head arrives at whatever entry the caller connects to, in any region, and the request still runs at a server of its homes.

Change: Server.Regions is set for requests with a body alone. Tunnels in the pool are matched by the same rule.

--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -110,9 +110,14 @@
 	return a.classifyResponse()
 }
 
-// server returns the server of the attempt and the regions that the request may pass.
+// server returns the server of the attempt, with the regions that the body of the request
+// may pass.
 func (a *attempt) server() Server {
-	return Server{Name: a.ticket.Server, Addr: a.ticket.Addr, Region: a.ticket.Region, Domain: a.ticket.Domain, Regions: a.task.regions}
+	s := Server{Name: a.ticket.Server, Addr: a.ticket.Addr, Region: a.ticket.Region, Domain: a.ticket.Domain, Regions: a.task.regions}
+	if a.task.body.isEmpty() {
+		return s.WithoutRegions()
+	}
+	return s
 }
 
 // connect returns a pooled or new connection to the server.
--- a/core/yuccarelay/body.go
+++ b/core/yuccarelay/body.go
@@ -59,6 +59,8 @@
 
 func (s *requestBody) inMemory() bool { return s.rest == nil }
 
+func (s *requestBody) isEmpty() bool { return s.inMemory() && len(s.buffered) == 0 }
+
 // canResend reports whether the body can be sent from its start.
 func (s *requestBody) canResend() bool { return s.inMemory() || !s.started }
 
--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -116,12 +116,12 @@
 	Region string
 	// Domain is the failure domain of the server.
 	Domain string
-	// Regions lists the only regions in which the request may be handled; empty means
-	// any region.
+	// Regions lists the only regions of other entries that the body of the request may
+	// pass; empty means any region, or no body.
 	Regions []string
 }
 
-// WithoutRegions returns the server for requests that may be handled in any region.
+// WithoutRegions returns the server for requests that may pass any region.
 func (s Server) WithoutRegions() Server {
 	s.Regions = nil
 	return s
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -251,7 +251,7 @@
 // must not start before it has ended.
 func (t *task) watchCaller() {
 	if t.stopCallerWatch == nil && t.body.inMemory() {
-		concurrent := t.idempotent && len(t.body.buffered) == 0
+		concurrent := t.idempotent && t.body.isEmpty()
 		t.stopCallerWatch = watchClose(t.ctx.Conn(), concurrent, t.onCallerClose)
 	}
 }
