--- a/ctl/command.go
+++ b/ctl/command.go
@@ -9,6 +9,7 @@
 
 	"github.com/spf13/cobra"
 
+	"yuccawell.example/core/yuccacommand"
 	"yuccawell.example/core/yuccaconfig"
 	"yuccawell.example/core/yuccaerror"
 	"yuccawell.example/core/yuccastore"
@@ -43,21 +44,13 @@
 // newCommand returns the root command with all subcommands.
 func newCommand() *cobra.Command {
 	a := &app{}
-	root := &cobra.Command{
-		Use:           "yuccactl",
-		Short:         "Check and apply rules files and show their effects",
-		Long:          "yuccactl checks and applies rules files and shows their effects.\n\nExit codes: 0 success, 1 rejected, 2 usage error, 3 platform or entries unreachable.",
-		SilenceUsage:  true,
-		SilenceErrors: true,
-		Args:          rejectUnknownCommand,
-		RunE:          func(c *cobra.Command, _ []string) error { return c.Help() },
-		PersistentPreRun: func(c *cobra.Command, _ []string) {
-			a.out = c.OutOrStdout()
-		},
-	}
+	root := yuccacommand.New("yuccactl", "Check and apply rules files and show their effects")
+	root.Long = "yuccactl checks and applies rules files and shows their effects.\n\nExit codes: 0 success, 1 rejected, 2 usage error, 3 platform or entries unreachable."
+	root.Args = rejectUnknownCommand
+	root.RunE = func(c *cobra.Command, _ []string) error { return c.Help() }
+	root.PersistentPreRun = func(c *cobra.Command, _ []string) { a.out = c.OutOrStdout() }
 	root.PersistentFlags().StringVar(&a.settingsPath, "settings", "yuccactl.toml", "settings file")
 	root.PersistentFlags().BoolVar(&a.jsonOutput, "json", false, "print JSON")
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return yuccaerror.Wrap(yuccaerror.Usage, err) })
 	root.AddCommand(a.checkCommand(), a.applyCommand(), a.showCommand(), a.diffCommand(), a.statusCommand(), a.planCommand(), a.reportCommand(), a.explainCommand(), a.causesCommand(), a.versionCommand())
 	return root
 }
--- a/ctl/main.go
+++ b/ctl/main.go
@@ -11,22 +11,8 @@
 //	yuccactl apply rules.txt --wait
 package main
 
-import (
-	"context"
-	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
-
-	"yuccawell.example/core/yuccaerror"
-)
+import "yuccawell.example/core/yuccacommand"
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	err := newCommand().ExecuteContext(ctx)
-	stop()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-	}
-	os.Exit(yuccaerror.KindOf(err).Attributes().ExitCode)
+	yuccacommand.Main(newCommand())
 }
--- a/entry/main.go
+++ b/entry/main.go
@@ -7,39 +7,24 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"yuccawell.example/core/yuccacommand"
 	"yuccawell.example/core/yuccaconfig"
-	"yuccawell.example/core/yuccaerror"
 	"yuccawell.example/core/yuccalog"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	err := command().ExecuteContext(ctx)
-	stop()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(yuccaerror.KindOf(err).Attributes().ExitCode)
-	}
+	yuccacommand.Main(command())
 }
 
 // command returns the root command with all subcommands.
 func command() *cobra.Command {
-	root := &cobra.Command{
-		Use:           "yucca-entry",
-		Short:         "Answers lookups and relays requests to backend servers",
-		SilenceUsage:  true,
-		SilenceErrors: true,
-	}
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return yuccaerror.Wrap(yuccaerror.Usage, err) })
+	root := yuccacommand.New("yucca-entry", "Answers lookups and relays requests to backend servers")
 	root.AddCommand(runCommand(), settingsCommand(), versionCommand())
 	return root
 }
--- a/standin/main.go
+++ b/standin/main.go
@@ -12,36 +12,20 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"yuccawell.example/core/yuccacommand"
 	"yuccawell.example/core/yuccaconfig"
-	"yuccawell.example/core/yuccaerror"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	err := command().ExecuteContext(ctx)
-	stop()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(yuccaerror.KindOf(err).Attributes().ExitCode)
-	}
+	yuccacommand.Main(command())
 }
 
 // command returns the root command.
 func command() *cobra.Command {
-	root := &cobra.Command{
-		Use:           "yucca-standin",
-		Short:         "Simulate the platform, backend servers, callers and network links",
-		SilenceUsage:  true,
-		SilenceErrors: true,
-	}
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return yuccaerror.Wrap(yuccaerror.Usage, err) })
+	root := yuccacommand.New("yucca-standin", "Simulate the platform, backend servers, callers and network links")
 	root.AddCommand(
 		serviceCommand("store", "Run a fake platform: its object API and list of instances", &storeSettings{}, runStore),
 		serviceCommand("server", "Run fake backend servers", &serverSettings{}, runServers),
