Requests without a body go through other regions last

The test is right, since it asserts that the regions reach the path for every request.

Change: the regions stay, and Server.NoBody says that only a body is confined to them. Entries of allowed regions come first in candidates, others last and for requests without a body alone. The predicates have names that tell them apart: HandledIn and AllowsCarrier.

Evidence: the tests of yuccarelay and yuccatunnel pass whole, TestAccountPriorityAndRegions unchanged; TestCandidates has a case for the order. The tests of homed requests pass.

--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -110,14 +110,16 @@
 	return a.classifyResponse()
 }
 
-// server returns the server of the attempt, with the regions that the body of the request
-// may pass.
+// server returns the server of the attempt.
 func (a *attempt) server() Server {
-	s := Server{Name: a.ticket.Server, Addr: a.ticket.Addr, Region: a.ticket.Region, Domain: a.ticket.Domain, Regions: a.task.regions}
-	if a.task.body.isEmpty() {
-		return s.WithoutRegions()
+	return Server{
+		Name:    a.ticket.Server,
+		Addr:    a.ticket.Addr,
+		Region:  a.ticket.Region,
+		Domain:  a.ticket.Domain,
+		Regions: a.task.regions,
+		NoBody:  a.task.body.isEmpty(),
 	}
-	return s
 }
 
 // connect returns a pooled or new connection to the server.
--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -116,27 +116,33 @@
 	Region string
 	// Domain is the failure domain of the server.
 	Domain string
-	// Regions lists the only regions of other entries that the body of the request may
-	// pass; empty means any region, or no body.
+	// Regions lists the only regions in which the request may be handled; empty means
+	// any region.
 	Regions []string
+	// NoBody is set if the request has no body. Only a body may not pass entries of
+	// other regions.
+	NoBody bool
 }
 
-// WithoutRegions returns the server for requests that may pass any region.
+// WithoutRegions returns the server for requests that may be handled in any region.
 func (s Server) WithoutRegions() Server {
 	s.Regions = nil
 	return s
 }
 
-// AllowsRegion reports whether an entry in a region may carry the request to the server.
-func (s Server) AllowsRegion(region string) bool {
+// HandledIn reports whether the request may be handled in a region.
+func (s Server) HandledIn(region string) bool {
 	return len(s.Regions) == 0 || slices.Contains(s.Regions, region)
 }
 
+// AllowsCarrier reports whether an entry in a region may carry the request to the server.
+func (s Server) AllowsCarrier(region string) bool { return s.NoBody || s.HandledIn(region) }
+
 // allows reports whether the request may be sent on a connection. What the connection was
 // opened for does not matter.
 func (s Server) allows(c net.Conn) bool {
 	t, tunneled := c.(Tunnel)
-	return !tunneled || s.AllowsRegion(t.ViaRegion())
+	return !tunneled || s.AllowsCarrier(t.ViaRegion())
 }
 
 // ErrNoCarrier is the cause of a connection that could not be opened because no entry in
--- a/core/yuccatunnel/peer.go
+++ b/core/yuccatunnel/peer.go
@@ -22,11 +22,13 @@
 
 // candidates returns the peers through which a connection to the server may go, best
 // first: peers of the server's failure domain, of its region, of any region. Peers of
-// equal rank are in random order, so that they share the load. A server that is only
-// for some regions gets tunnels through these regions alone.
+// equal rank are in random order, so that they share the load. A request that is only
+// for some regions goes through these alone, or, without a body, through others last.
 func candidates(peers []Peer, to yuccarelay.Server) []Peer {
 	rank := func(p Peer) int {
 		switch {
+		case !to.HandledIn(p.Region):
+			return 3
 		case p.Domain == to.Domain:
 			return 0
 		case p.Region == to.Region:
@@ -35,7 +37,7 @@
 		return 2
 	}
 	allowed := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool {
-		return p.Addr == "" || !to.AllowsRegion(p.Region)
+		return p.Addr == "" || !to.AllowsCarrier(p.Region)
 	})
 	rand.Shuffle(len(allowed), func(i, j int) { allowed[i], allowed[j] = allowed[j], allowed[i] })
 	slices.SortStableFunc(allowed, func(a, b Peer) int { return cmp.Compare(rank(a), rank(b)) })
--- a/core/yuccatunnel/peer_test.go
+++ b/core/yuccatunnel/peer_test.go
@@ -19,16 +19,18 @@
 		name    string
 		peers   []yuccatunnel.Peer
 		regions []string
+		noBody  bool
 		want    []yuccatunnel.Peer
 	}{
-		{"nearest to the server first", []yuccatunnel.Peer{far, region, near}, nil, []yuccatunnel.Peer{near, region, far}},
-		{"an entry that carries no tunnels", []yuccatunnel.Peer{old, far}, nil, []yuccatunnel.Peer{far}},
-		{"only in some regions", []yuccatunnel.Peer{far, region}, []string{"r"}, []yuccatunnel.Peer{region}},
-		{"nobody", nil, nil, []yuccatunnel.Peer{}},
+		{"nearest to the server first", []yuccatunnel.Peer{far, region, near}, nil, false, []yuccatunnel.Peer{near, region, far}},
+		{"an entry that carries no tunnels", []yuccatunnel.Peer{old, far}, nil, false, []yuccatunnel.Peer{far}},
+		{"only in some regions", []yuccatunnel.Peer{far, region}, []string{"r"}, false, []yuccatunnel.Peer{region}},
+		{"no body, allowed regions first", []yuccatunnel.Peer{near, region, far}, []string{"q"}, true, []yuccatunnel.Peer{far, near, region}},
+		{"nobody", nil, nil, false, []yuccatunnel.Peer{}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			to := yuccarelay.Server{Name: "i-1", Region: "r", Domain: "z1", Regions: test.regions}
+			to := yuccarelay.Server{Name: "i-1", Region: "r", Domain: "z1", Regions: test.regions, NoBody: test.noBody}
 			got := yuccatunnel.Candidates(test.peers, to)
 			qt.Assert(t, append([]yuccatunnel.Peer{}, got...), qt.DeepEquals, test.want)
 		})
