The share of rejected attempts fades while no result arrives

Callers saw downloads cut although servers were free. The retry budget allows no additional attempt while more than a tenth of the results are rejections. The share was only lowered by answered requests. A download that has lost its server counts each try without a free slot as a rejection, and while the budget is closed nothing is sent that could lower the share: without new requests it stayed closed for good, until the tries of each download were used up.

Now the share halves for each second without a result. Results at shorter intervals keep it as it is, so that the limit is as strict as before for a service with requests.

--- a/core/yuccarelay/resume_test.go
+++ b/core/yuccarelay/resume_test.go
@@ -13,6 +13,7 @@
 
 	"yuccawell.example/core/yuccafake"
 	"yuccawell.example/core/yuccarelay"
+	"yuccawell.example/core/yuccaretry"
 )
 
 const (
@@ -133,6 +134,25 @@
 	c.Assert(v.complete, qt.Equals, downloadStreams)
 }
 
+// TestDownloadsContinueAfterRefusedTries guards against downloads that are lost because
+// tries without a free slot count as overload until the next request.
+func TestDownloadsContinueAfterRefusedTries(t *testing.T) {
+	const slots = 10
+	c := qt.New(t)
+	opt := yuccarelay.Options{RetryLimits: yuccaretry.Limits{RetryRatio: 0.1, Burst: 100, Rate: 1, Overload: 0.1}}
+	stalling := yuccafake.Behaviour{Slots: slots, StallBody: true}
+	busy := yuccafake.Behaviour{Slots: slots, Work: 1500 * time.Millisecond}
+	w := newFixtureWithOptions(t, opt, stalling, busy)
+	result := &downloadStats{size: testSize}
+	group := &errgroup.Group{}
+	for i := range 2 * slots {
+		group.Go(func() error { return result.download(w.addr, fmt.Sprint("f", i), 30*time.Second) })
+	}
+	c.Assert(group.Wait(), qt.IsNil)
+	c.Assert(result.corrupted, qt.Equals, 0)
+	c.Assert(result.complete, qt.Equals, 2*slots)
+}
+
 func BenchmarkDownloads(b *testing.B) {
 	tests := []struct {
 		name string
--- a/core/yuccaretry/budget.go
+++ b/core/yuccaretry/budget.go
@@ -16,7 +16,10 @@
 //	}
 package yuccaretry
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Event is an event of a service's requests that a Budget records.
 type Event uint8
@@ -63,6 +66,9 @@
 	// rejectionWeight is the weight of one result in the moving average of
 	// the share of rejected attempts.
 	rejectionWeight = 1.0 / 64
+	// rejectionHalfLife is the time without a result after which the share of rejected
+	// attempts counts half.
+	rejectionHalfLife = time.Second
 )
 
 // Budget holds the token buckets of one service's additional attempts. Its
@@ -79,6 +85,8 @@
 	hedgeTokens float64
 	// rejectionRate is the moving average of the share of rejected attempts.
 	rejectionRate float64
+	// fadedAt is the time of the last result, or when rejectionRate was last halved.
+	fadedAt time.Time
 	// refilledAt is when the allowance by time was last added.
 	refilledAt time.Time
 }
@@ -91,7 +99,7 @@
 	if l == (Limits{}) {
 		l = defaults
 	}
-	b := Budget{limits: l, retryTokens: l.Burst, refilledAt: now}
+	b := Budget{limits: l, retryTokens: l.Burst, fadedAt: now, refilledAt: now}
 	if l.HedgeRatio > 0 {
 		b.hedgeTokens = l.Burst
 	}
@@ -125,20 +133,18 @@
 	case Request:
 		return b.refill(now), true
 	case Served:
-		b.rejectionRate -= b.rejectionRate * rejectionWeight
-		return b, true
+		return b.addResult(now, 0), true
 	case Rejected:
-		b.rejectionRate += (1 - b.rejectionRate) * rejectionWeight
-		return b, true
+		return b.addResult(now, 1), true
 	case Retry:
-		b = b.accrue(now)
+		b = b.accrue(now).fade(now)
 		if b.Overloaded() || b.retryTokens < 1 {
 			return b, false
 		}
 		b.retryTokens--
 		return b, true
 	case Hedge:
-		b = b.accrue(now)
+		b = b.accrue(now).fade(now)
 		if b.Overloaded() || b.hedgeTokens < 1 || b.retryTokens < 1 {
 			return b, false
 		}
@@ -149,6 +155,27 @@
 	return b, false
 }
 
+// addResult adds a result to the share of rejected attempts: 1 for a rejected attempt, 0
+// for a served one.
+func (b Budget) addResult(now time.Time, rejected float64) Budget {
+	b = b.fade(now)
+	b.rejectionRate += (rejected - b.rejectionRate) * rejectionWeight
+	b.fadedAt = now
+	return b
+}
+
+// fade halves the share of rejected attempts for each rejectionHalfLife without a result.
+// While it forbids additional attempts, they bring no results that could lower it.
+func (b Budget) fade(now time.Time) Budget {
+	halvings := now.Sub(b.fadedAt) / rejectionHalfLife
+	if halvings <= 0 {
+		return b
+	}
+	b.rejectionRate *= math.Exp2(-float64(halvings))
+	b.fadedAt = b.fadedAt.Add(halvings * rejectionHalfLife)
+	return b
+}
+
 // refill adds the tokens for one request: those by ratio or those by time, whichever are
 // more.
 func (b Budget) refill(now time.Time) Budget {
--- a/core/yuccaretry/budget_test.go
+++ b/core/yuccaretry/budget_test.go
@@ -85,6 +85,39 @@
 	c.Assert(b.Overloaded(), qt.IsFalse)
 }
 
+// TestOverloadEndsWithoutResults guards against an overload estimate that stays for good
+// because nothing is sent, while results at short intervals keep it as it is.
+func TestOverloadEndsWithoutResults(t *testing.T) {
+	tests := []struct {
+		name     string
+		rejected int
+		// interval is the time between two results after the rejections, 0 if none come.
+		interval time.Duration
+		after    time.Duration
+		want     bool
+	}{
+		{"first rejections, soon", 7, 0, 900 * time.Millisecond, false},
+		{"first rejections, later", 7, 0, time.Second, true},
+		{"everything rejected, soon", 1000, 0, 3 * time.Second, false},
+		{"everything rejected, later", 1000, 0, 4 * time.Second, true},
+		{"rejections go on", 16, 900 * time.Millisecond, time.Minute, false},
+	}
+	for _, test := range tests {
+		qt.New(t).Run(test.name, func(c *qt.C) {
+			start := time.Unix(0, 0)
+			b := yuccaretry.New(start)
+			for range test.rejected {
+				b, _ = b.Update(start, yuccaretry.Rejected)
+			}
+			for d := test.interval; test.interval > 0 && d < test.after; d += test.interval {
+				b, _ = b.Update(start.Add(d), yuccaretry.Rejected)
+			}
+			_, ok := b.Update(start.Add(test.after), yuccaretry.Retry)
+			c.Assert(ok, qt.Equals, test.want)
+		})
+	}
+}
+
 func TestLatencyQuantile(t *testing.T) {
 	c := qt.New(t)
 	var l yuccaretry.Latency
