A download that waits for a free slot uses no retry budget

Callers of other requests were refused a retry while a download waited for another server: each try to continue took a token of the retry budget, also those for which no server had a free slot, and each such question counted as a rejected attempt. A download whose connection had broken asks every 50 ms for 2 s, so that one download alone closed the budget of its service.

Now a token that was not used goes back, and the questions of a waiting download do not count as rejected attempts, since nothing was sent. The budget is still asked before a server is picked, so that a closed one puts no load on the picker.

--- a/core/yuccarelay/resume.go
+++ b/core/yuccarelay/resume.go
@@ -138,17 +138,29 @@
 	return nil
 }
 
-// pickServer picks another server within the retry budget.
+// pickServer picks another server within the retry budget, of which it uses nothing if
+// there is none.
 func (r *resumer) pickServer(waitForSlot bool) (yuccaadmission.Ticket, bool) {
 	t := r.task
 	if !t.relay.retries.Update(time.Now(), t.service, yuccaretry.Retry) {
 		return yuccaadmission.Ticket{}, false
 	}
+	ticket, ok := r.awaitServer(waitForSlot)
+	if !ok {
+		t.relay.retries.Update(time.Now(), t.service, yuccaretry.Unused)
+	}
+	return ticket, ok
+}
+
+// awaitServer asks for another server, repeatedly if waitForSlot is set. That sends
+// nothing to a server, so that it does not count as rejected attempts.
+func (r *resumer) awaitServer(waitForSlot bool) (yuccaadmission.Ticket, bool) {
+	t := r.task
 	t.avoidServers = t.avoidServers[max(0, len(t.avoidServers)-1):]
 	ticker := time.NewTicker(resumePickInterval)
 	defer ticker.Stop()
 	for end := time.Now().Add(resumePickTimeout); !t.expired() && time.Now().Before(end); {
-		ticket, err := t.pickServer()
+		ticket, err := t.tryPick()
 		switch yuccaerror.KindOf(err) {
 		case yuccaerror.None:
 			return ticket, true
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -279,9 +279,18 @@
 	return yuccalifecycle.Picked{}
 }
 
-// pickServer asks the picker for a server that is not in avoidServers, and adds
-// it there.
+// pickServer asks the picker for a server like tryPick, and counts a rejection.
 func (t *task) pickServer() (yuccaadmission.Ticket, error) {
+	ticket, err := t.tryPick()
+	if yuccaerror.Is(err, yuccaerror.Shed) {
+		t.relay.retries.Update(time.Now(), t.service, yuccaretry.Rejected)
+	}
+	return ticket, err
+}
+
+// tryPick asks the picker for a server that is not in avoidServers, and adds it
+// there.
+func (t *task) tryPick() (yuccaadmission.Ticket, error) {
 	if err := t.relay.opt.Quarantine.Check(t.fingerprint); err != nil {
 		return yuccaadmission.Ticket{}, err
 	}
@@ -299,9 +308,6 @@
 		LatencyTarget: t.route.LatencyTarget,
 		Bulk:          t.route.Bulk,
 	})
-	if yuccaerror.Is(err, yuccaerror.Shed) {
-		t.relay.retries.Update(time.Now(), t.service, yuccaretry.Rejected)
-	}
 	if err == nil {
 		t.avoidServers = append(t.avoidServers, ticket.Server)
 	}
--- a/core/yuccaretry/budget.go
+++ b/core/yuccaretry/budget.go
@@ -30,6 +30,8 @@
 	Request Event = iota
 	// Retry asks for permission to send a failed request to another server.
 	Retry
+	// Unused says that an allowed Retry was not made, because no server had a free slot.
+	Unused
 	// Hedge asks for permission to send a request to a second server while
 	// the first attempt is in flight.
 	Hedge
@@ -143,6 +145,9 @@
 		}
 		b.retryTokens--
 		return b, true
+	case Unused:
+		b.retryTokens = min(b.limits.Burst, b.retryTokens+1)
+		return b, true
 	case Hedge:
 		b = b.accrue(now).fade(now)
 		if b.Overloaded() || b.hedgeTokens < 1 || b.retryTokens < 1 {
