A stalled download tries for another server until its timeout

Callers saw downloads cut although servers were free. The number of tries to continue (16) also counted those for which there was no free slot or no retry budget, one a second. After 16 s without either a download made no further try; it waited 30 s more for the server that had stalled, and was then lost.

Now the number bounds the servers that were asked, and the times that a server counts as too slow, as before. The wait is bounded by stallTimeout (30 s), as for other bodies: a stalled download asks for a server each second until then, and once more, for 2 s, before it is given up. It ends after 32 s in place of 46 s if there is none.

--- a/core/yuccarelay/exchange.go
+++ b/core/yuccarelay/exchange.go
@@ -86,6 +86,9 @@
 	bodyLeft int64
 	// bodyRead is the number of body bytes read from the connection.
 	bodyRead int64
+	// stalledFor is the time spent waiting for the next byte of the body in reads that
+	// timed out.
+	stalledFor time.Duration
 	// writing is set while the request is written beside the wait for the response.
 	writing atomic.Bool
 	// unfinished is set if the server responded before it had the whole request.
@@ -367,7 +370,11 @@
 func (x *exchange) readConn(p []byte) (int, error) {
 	n, err := x.readBody(p)
 	x.bodyRead += int64(n)
+	if n > 0 {
+		x.stalledFor = 0
+	}
 	if x.isStall(err) {
+		x.stalledFor += x.readTimeout
 		return n, errStalled
 	}
 	if err != nil {
@@ -394,11 +401,12 @@
 	return n, x.bodyError(err)
 }
 
-// isStall reports whether a read timed out before stallTimeout and the caller's
-// deadline. The server may still send the rest of the body.
+// isStall reports whether a read timed out before the wait for the next byte has reached
+// stallTimeout, and before the caller's deadline. The server may still send the rest of
+// the body.
 func (x *exchange) isStall(err error) bool {
 	expired := !x.deadline.IsZero() && !time.Now().Before(x.deadline)
-	return isTimeout(err) && x.readTimeout < stallTimeout && !expired
+	return isTimeout(err) && x.stalledFor+x.readTimeout < stallTimeout && !expired
 }
 
 // bodyError replaces the error of a read by io.EOF if the body is complete and
--- a/core/yuccarelay/resume.go
+++ b/core/yuccarelay/resume.go
@@ -23,7 +23,8 @@
 	// resumePickTimeout bounds the wait for a free slot after a connection
 	// broke.
 	resumePickTimeout = 2 * time.Second
-	// maxResumes is the number of times that one download may be resumed.
+	// maxResumes is the number of servers that may be asked to continue one download, and
+	// of the times that one may be given up as too slow.
 	maxResumes = 16
 	// rateWindowBytes is the number of body bytes over which a server's rate is
 	// measured.
@@ -50,9 +51,10 @@
 	last int64
 	// total is the size of the file in bytes.
 	total int64
-	// resumes counts the tries to continue the body on another server, also those for
-	// which there was no server or no retry budget.
+	// resumes counts the servers that were asked to continue the body.
 	resumes int
+	// slowTimes counts how often a server was too slow.
+	slowTimes int
 	// windowBytes counts the body bytes since the start of the rate window.
 	windowBytes int64
 	// windowWait is the time spent waiting for the server since the start of
@@ -107,7 +109,11 @@
 	median, known := times.Quantile(r.task.service, 0.5)
 	times.Observe(time.Now(), r.task.service, took)
 	r.windowBytes, r.windowWait = 0, 0
-	return known && waitedLong && took > slowFactor*median && !r.exhausted()
+	if !known || !waitedLong || took <= slowFactor*median || r.exhausted() || r.slowTimes >= maxResumes {
+		return false
+	}
+	r.slowTimes++
+	return true
 }
 
 // exhausted reports whether the download has been resumed as often as allowed.
@@ -123,11 +129,11 @@
 	r.windowBytes, r.windowWait = 0, 0
 	start := r.first + count
 	for !r.exhausted() && start <= r.last {
-		r.resumes++
 		ticket, ok := r.pickServer(waitForSlot)
 		if !ok {
 			return nil
 		}
+		r.resumes++
 		if x := r.requestRest(ticket, start); x != nil {
 			return x
 		}
--- a/core/yuccarelay/stall_test.go
+++ b/core/yuccarelay/stall_test.go
@@ -1,6 +1,8 @@
 package yuccarelay
 
 import (
+	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
 
 	"yuccawell.example/core/yuccaadmission"
 	"yuccawell.example/core/yuccaerror"
@@ -34,6 +37,29 @@
 // Done implements Picker.
 func (laterPicker) Done(yuccaadmission.Ticket, yuccaadmission.Result) {}
 
+// restPath opens connections to a server that sends stalledBody from offset on.
+type restPath struct {
+	tcpPath
+	offset int
+	group  errgroup.Group
+}
+
+// Dial implements Path.
+func (p *restPath) Dial(context.Context, Server) (net.Conn, error) {
+	near, far := net.Pipe()
+	p.group.Go(func() error {
+		defer func() { _ = far.Close() }()
+		if err := (&fasthttp.RequestHeader{}).Read(bufio.NewReader(far)); err != nil {
+			return err
+		}
+		rest, size := stalledBody[p.offset:], len(stalledBody)
+		_, err := fmt.Fprintf(far, "HTTP/1.1 206 Partial Content\r\nETag: \"a\"\r\nContent-Range: bytes %d-%d/%d\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+			p.offset, size-1, size, len(rest), rest)
+		return err
+	})
+	return near, nil
+}
+
 // stalledStream returns a download whose server has sent nothing of the body.
 func stalledStream(p Picker, path Path, server net.Conn) *responseStream {
 	t := newTask(New(Options{Picker: p, Path: path}), &fasthttp.RequestCtx{})
@@ -46,6 +72,56 @@
 	return &responseStream{task: t, exchange: x, first: x, resumer: newResumer(t, x)}
 }
 
+// TestStalledDownloadsTryUntilTheTimeout guards against a download that makes no further try
+// to continue, although servers are free, because tries without a slot have used up the
+// number of its servers.
+func TestStalledDownloadsTryUntilTheTimeout(t *testing.T) {
+	const sent = 4
+	tests := []struct {
+		name string
+		// slotFrom is when another server has a free slot, from the start of the download.
+		slotFrom time.Duration
+		// resumed is when the server goes on by itself, zero if never.
+		resumed time.Duration
+		want    string
+		// end is the latest end of the download.
+		end time.Duration
+	}{
+		{"slot soon", 2500 * time.Millisecond, 0, stalledBody, 3 * time.Second},
+		{"slot after more tries than servers", 20500 * time.Millisecond, 0, stalledBody, 21 * time.Second},
+		{"slot just before the timeout", 29500 * time.Millisecond, 0, stalledBody, 30 * time.Second},
+		{"slot in the last wait", 31 * time.Second, 0, stalledBody, 31*time.Second + resumePickInterval},
+		{"server goes on", time.Hour, 25 * time.Second, stalledBody, 25 * time.Second},
+		{"no slot", time.Hour, 0, stalledBody[:sent], stallTimeout + resumePickTimeout},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				start := time.Now()
+				path := &restPath{offset: sent}
+				near, far := net.Pipe()
+				path.group.Go(func() error {
+					_, err := far.Write([]byte(stalledBody[:sent]))
+					if test.resumed > 0 {
+						time.Sleep(test.resumed)
+						_, err = far.Write([]byte(stalledBody[sent:]))
+					}
+					return err
+				})
+				got, err := io.ReadAll(stalledStream(laterPicker{start.Add(test.slotFrom)}, path, near))
+				took := time.Since(start)
+				c.Assert(string(got), qt.Equals, test.want)
+				c.Assert(err == nil, qt.Equals, test.want == stalledBody, qt.Commentf("%v", err))
+				c.Assert(took <= test.end, qt.IsTrue, qt.Commentf("%v", took))
+				c.Assert(near.Close(), qt.IsNil)
+				c.Assert(far.Close(), qt.IsNil)
+				c.Assert(path.group.Wait(), qt.IsNil)
+			})
+		})
+	}
+}
+
 // TestWaitingDownloadsLeaveTheRetryBudget guards against requests that are not retried
 // because a download has asked for a free slot again and again.
 func TestWaitingDownloadsLeaveTheRetryBudget(t *testing.T) {
--- a/core/yuccarelay/stream.go
+++ b/core/yuccarelay/stream.go
@@ -96,8 +96,6 @@
 		s.exchange = x
 	case waitForSlot:
 		return false
-	case s.resumer.exhausted():
-		s.exchange.readTimeout = stallTimeout
 	}
 	return true
 }
