A silent server delays a download that it should continue by seconds only

Callers of a stalled download got no byte for 30 s more, and lost it if their deadline was earlier, when the server that was asked to continue did not respond: the wait for its header was bounded by stallTimeout alone, while the present connection is not read and no other server is asked. As read in the code, the picker may well choose such a server, e.g. the one that stalled others: its slots count as free there once their downloads have left.

Evidence: trial with a virtual clock, one silent server and a free one: the download ended after 32 s. Now the wait is 5 s, or twice the 99th percentile of the service's latency if that is longer, up to 30 s; the same download ends after 7 s at most.

--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -1,6 +1,7 @@
 package yuccarelay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -26,6 +27,9 @@
 	started time.Time
 	// extraHeader holds header fields that only this attempt carries.
 	extraHeader []headerField
+	// headerTimeout bounds the wait for the next byte of the response's header; zero
+	// means stallTimeout.
+	headerTimeout time.Duration
 	// forceNewConn makes the attempt open a new connection. It is set for retries
 	// and hedged attempts: if one pooled connection was silent, others may be too.
 	forceNewConn bool
@@ -103,6 +107,7 @@
 		return a.fail(yuccaerror.Canceled, context.Canceled)
 	}
 	a.exchange = newExchange(c, a.bodyEnded, a.silent)
+	a.exchange.readTimeout = cmp.Or(a.headerTimeout, stallTimeout)
 	if err := a.send(); err != nil {
 		return a.fail(yuccaerror.ConnectionLost, err)
 	}
--- a/core/yuccarelay/resume.go
+++ b/core/yuccarelay/resume.go
@@ -18,6 +18,11 @@
 	// resumeStallTimeout bounds the wait for the next byte of a download that
 	// can continue from another server.
 	resumeStallTimeout = time.Second
+	// resumeHeaderTimeout bounds the wait for the response to a range request.
+	resumeHeaderTimeout = 5 * time.Second
+	// resumeHeaderFactor is the ratio of that bound to the 99th percentile of the service's
+	// latency, if that makes it longer.
+	resumeHeaderFactor = 2
 	// resumePickInterval is the interval at which a free slot is requested.
 	resumePickInterval = 50 * time.Millisecond
 	// resumePickTimeout bounds the wait for a free slot after a connection
@@ -194,12 +199,20 @@
 		{fasthttp.HeaderRange, r.rangeValue(start)},
 		{fasthttp.HeaderIfRange, r.etag},
 	}
+	a.headerTimeout = r.headerTimeout()
 	if _, ok := a.run().(yuccalifecycle.ResponseStarted); !ok {
 		return nil
 	}
 	return r.checkRest(a, start)
 }
 
+// headerTimeout returns how long a server may take to respond to the range request. The
+// caller gets no byte meanwhile, and another server may be free.
+func (r *resumer) headerTimeout() time.Duration {
+	usual, _ := r.task.relay.retries.Quantile(r.task.service, hedgeQuantile)
+	return min(stallTimeout, max(resumeHeaderTimeout, resumeHeaderFactor*usual))
+}
+
 // rangeValue returns the value of the Range header from offset start on.
 func (r *resumer) rangeValue(start int64) string {
 	if r.last == r.total-1 {
--- a/core/yuccarelay/stall_test.go
+++ b/core/yuccarelay/stall_test.go
@@ -41,14 +41,22 @@
 type restPath struct {
 	tcpPath
 	offset int
+	// silent is the number of connections to a server that does not respond.
+	silent int
 	group  errgroup.Group
 }
 
 // Dial implements Path.
 func (p *restPath) Dial(context.Context, Server) (net.Conn, error) {
 	near, far := net.Pipe()
+	p.silent--
+	isSilent := p.silent >= 0
 	p.group.Go(func() error {
 		defer func() { _ = far.Close() }()
+		if isSilent {
+			_, err := io.Copy(io.Discard, far)
+			return err
+		}
 		if err := (&fasthttp.RequestHeader{}).Read(bufio.NewReader(far)); err != nil {
 			return err
 		}
@@ -122,6 +130,44 @@
 	}
 }
 
+// TestSilentServersDelayDownloadsBriefly guards against downloads that wait 30 s for a server
+// that was asked to continue and does not respond, although others are free.
+func TestSilentServersDelayDownloadsBriefly(t *testing.T) {
+	tests := []struct {
+		name string
+		// usual is the latency of earlier requests, zero if there were none.
+		usual time.Duration
+		// end is the latest end of the download.
+		end time.Duration
+	}{
+		{"latency unknown", 0, 2*resumeStallTimeout + resumeHeaderTimeout},
+		{"short latency", time.Millisecond, 2*resumeStallTimeout + resumeHeaderTimeout},
+		{"long latency", 4 * time.Second, 2*resumeStallTimeout + 10*time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				start := time.Now()
+				path := &restPath{silent: 1}
+				near, far := net.Pipe()
+				s := stalledStream(laterPicker{start}, path, near)
+				for range 100 * min(test.usual, 1) {
+					s.task.relay.retries.Observe(start, "", test.usual)
+				}
+				got, err := io.ReadAll(s)
+				took := time.Since(start)
+				c.Assert(err, qt.IsNil)
+				c.Assert(string(got), qt.Equals, stalledBody)
+				c.Assert(took <= test.end, qt.IsTrue, qt.Commentf("%v", took))
+				c.Assert(near.Close(), qt.IsNil)
+				c.Assert(far.Close(), qt.IsNil)
+				c.Assert(path.group.Wait(), qt.IsNil)
+			})
+		})
+	}
+}
+
 // TestWaitingDownloadsLeaveTheRetryBudget guards against requests that are not retried
 // because a download has asked for a free slot again and again.
 func TestWaitingDownloadsLeaveTheRetryBudget(t *testing.T) {
