--- a/core/yuccarelay/stall_test.go
+++ b/core/yuccarelay/stall_test.go
@@ -197,3 +197,25 @@
 		})
 	}
 }
+
+// TestSlowServersAreGivenUpAFewTimes guards against a download from a slow server that asks
+// for another one without end.
+func TestSlowServersAreGivenUpAFewTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		near, far := net.Pipe()
+		s := stalledStream(laterPicker{}, tcpPath{}, near)
+		for range 100 {
+			s.task.relay.downloadTimes.Observe(time.Now(), "", time.Millisecond)
+		}
+		given := 0
+		for range 4 * maxResumes {
+			if s.resumer.isTooSlow(1, minSlowTime) {
+				given++
+			}
+		}
+		c.Assert(given, qt.Equals, maxResumes)
+		c.Assert(near.Close(), qt.IsNil)
+		c.Assert(far.Close(), qt.IsNil)
+	})
+}
