TestRelayResumesDownloads tells refused downloads from corrupted ones

The text of an error response counted as a corrupted body: with the test nine and fourteen times side by side on one core, the 6 bodies seen that were called corrupted were "unreachable" (5) and "shed" (1), after connections that took more than 2 s to open. The check is as strict as before: none may be refused, corrupted or truncated.

--- a/core/yuccarelay/resume_test.go
+++ b/core/yuccarelay/resume_test.go
@@ -34,6 +34,8 @@
 	size      int64
 	mu        sync.Mutex
 	complete  int
+	// refused counts the responses without the file.
+	refused   int
 	truncated int
 	corrupted int
 	// stall is the longest wait for a read.
@@ -94,6 +96,8 @@
 	v.stall = max(v.stall, stall)
 	v.slowest = max(v.slowest, time.Since(start))
 	switch {
+	case resp.StatusCode != http.StatusOK:
+		v.refused++
 	case !intact:
 		v.corrupted++
 	case err != nil || count != v.size:
@@ -129,6 +133,7 @@
 func TestRelayResumesDownloads(t *testing.T) {
 	c := qt.New(t)
 	v := downloadAll(t, yuccarelay.Options{}, testSize, 0)
+	c.Assert(v.refused, qt.Equals, 0)
 	c.Assert(v.corrupted, qt.Equals, 0)
 	c.Assert(v.truncated, qt.Equals, 0)
 	c.Assert(v.complete, qt.Equals, downloadStreams)
