--- a/core/yuccarelay/resume.go
+++ b/core/yuccarelay/resume.go
@@ -18,12 +18,18 @@
 	// resumeStallTimeout bounds the wait for the next byte of a download that
 	// can continue from another server.
 	resumeStallTimeout = time.Second
+	// resumeHeaderTimeout bounds the wait for the response to a range request.
+	resumeHeaderTimeout = 5 * time.Second
+	// resumeHeaderFactor is the ratio of that bound to the 99th percentile of the service's
+	// latency, if that makes it longer.
+	resumeHeaderFactor = 2
 	// resumePickInterval is the interval at which a free slot is requested.
 	resumePickInterval = 50 * time.Millisecond
 	// resumePickTimeout bounds the wait for a free slot after a connection
 	// broke.
 	resumePickTimeout = 2 * time.Second
-	// maxResumes is the number of times that one download may be resumed.
+	// maxResumes is the number of servers that may be asked to continue one download, and
+	// of the times that one may be given up as too slow.
 	maxResumes = 16
 	// rateWindowBytes is the number of body bytes over which a server's rate is
 	// measured.
@@ -50,9 +56,10 @@
 	last int64
 	// total is the size of the file in bytes.
 	total int64
-	// resumes counts the tries to continue the body on another server, also those for
-	// which there was no server or no retry budget.
+	// resumes counts the servers that were asked to continue the body.
 	resumes int
+	// slowTimes counts how often a server was too slow.
+	slowTimes int
 	// windowBytes counts the body bytes since the start of the rate window.
 	windowBytes int64
 	// windowWait is the time spent waiting for the server since the start of
@@ -107,7 +114,11 @@
 	median, known := times.Quantile(r.task.service, 0.5)
 	times.Observe(time.Now(), r.task.service, took)
 	r.windowBytes, r.windowWait = 0, 0
-	return known && waitedLong && took > slowFactor*median && !r.exhausted()
+	if !known || !waitedLong || took <= slowFactor*median || r.exhausted() || r.slowTimes >= maxResumes {
+		return false
+	}
+	r.slowTimes++
+	return true
 }
 
 // exhausted reports whether the download has been resumed as often as allowed.
@@ -123,11 +134,11 @@
 	r.windowBytes, r.windowWait = 0, 0
 	start := r.first + count
 	for !r.exhausted() && start <= r.last {
-		r.resumes++
 		ticket, ok := r.pickServer(waitForSlot)
 		if !ok {
 			return nil
 		}
+		r.resumes++
 		if x := r.requestRest(ticket, start); x != nil {
 			return x
 		}
@@ -138,17 +149,29 @@
 	return nil
 }
 
-// pickServer picks another server within the retry budget.
+// pickServer picks another server within the retry budget, of which it uses nothing if
+// there is none.
 func (r *resumer) pickServer(waitForSlot bool) (yuccaadmission.Ticket, bool) {
 	t := r.task
 	if !t.relay.retries.Update(time.Now(), t.service, yuccaretry.Retry) {
 		return yuccaadmission.Ticket{}, false
 	}
+	ticket, ok := r.awaitServer(waitForSlot)
+	if !ok {
+		t.relay.retries.Update(time.Now(), t.service, yuccaretry.Unused)
+	}
+	return ticket, ok
+}
+
+// awaitServer asks for another server, repeatedly if waitForSlot is set. That sends
+// nothing to a server, so that it does not count as rejected attempts.
+func (r *resumer) awaitServer(waitForSlot bool) (yuccaadmission.Ticket, bool) {
+	t := r.task
 	t.avoidServers = t.avoidServers[max(0, len(t.avoidServers)-1):]
 	ticker := time.NewTicker(resumePickInterval)
 	defer ticker.Stop()
 	for end := time.Now().Add(resumePickTimeout); !t.expired() && time.Now().Before(end); {
-		ticket, err := t.pickServer()
+		ticket, err := t.tryPick()
 		switch yuccaerror.KindOf(err) {
 		case yuccaerror.None:
 			return ticket, true
@@ -176,12 +199,20 @@
 		{fasthttp.HeaderRange, r.rangeValue(start)},
 		{fasthttp.HeaderIfRange, r.etag},
 	}
+	a.headerTimeout = r.headerTimeout()
 	if _, ok := a.run().(yuccalifecycle.ResponseStarted); !ok {
 		return nil
 	}
 	return r.checkRest(a, start)
 }
 
+// headerTimeout returns how long a server may take to respond to the range request. The
+// caller gets no byte meanwhile, and another server may be free.
+func (r *resumer) headerTimeout() time.Duration {
+	usual, _ := r.task.relay.retries.Quantile(r.task.service, hedgeQuantile)
+	return min(stallTimeout, max(resumeHeaderTimeout, resumeHeaderFactor*usual))
+}
+
 // rangeValue returns the value of the Range header from offset start on.
 func (r *resumer) rangeValue(start int64) string {
 	if r.last == r.total-1 {
