Connections that nobody asks for are closed when they are no longer usable

What callers saw: nothing directly. An entry that had used a server kept idle connections to it open until it exited, once no further request took them from the pool: those to servers that are gone, and the ones at the bottom of the pool, which hands out the most recently used first. Each holds a descriptor and 8 KiB of buffers, and what the server still sends on it: bytes that are received and not read count toward the instance's memory.

Cause: the limit on the idle time was looked at only when a connection was taken out of the pool.

Evidence: TestUnusedConnectionsAreClosed, without the change: "the connection is still open" 3 s after the response, with an idle timeout of 0.3 s, whether the server sends more or not.

Change: the pool looks at all its connections once each idle timeout while it has any, and closes those that are no longer usable, so that none stays for more than two idle timeouts (16 s on the platform).

--- a/core/yuccarelay/endless_test.go
+++ b/core/yuccarelay/endless_test.go
@@ -2,12 +2,18 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
 
 	"yuccawell.example/core/yuccarelay"
 )
@@ -147,3 +153,54 @@
 		})
 	}
 }
+
+// serveOnce starts a server that answers the first request and then sends a text every
+// 20 ms. It returns when the connection has been closed.
+func serveOnce(t *testing.T, extra string) (server backend, closed <-chan error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	end, group := make(chan error, 1), &errgroup.Group{}
+	group.Go(func() error {
+		c, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		defer func() { _ = c.Close() }()
+		if _, err = http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+		}
+		for err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			_ = c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+			if _, err = c.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+				_, err = io.WriteString(c, extra)
+			}
+		}
+		end <- err
+		return nil
+	})
+	return backend{l.Addr().String(), 4}, end
+}
+
+// TestUnusedConnectionsAreClosed has a server that gets one request only. It guards against
+// connections that stay open for as long as the process runs, with what the server sends on
+// them unread.
+func TestUnusedConnectionsAreClosed(t *testing.T) {
+	for name, extra := range map[string]string{"nothing more is sent": "", "more is sent": strings.Repeat("x", 1024)} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			server, closed := serveOnce(t, extra)
+			w := &fixture{}
+			w.start(t, yuccarelay.Options{IdleTimeout: 300 * time.Millisecond}, []backend{server})
+			resp, err := w.call(func(*fasthttp.Request) {})
+			c.Assert(err, qt.IsNil)
+			c.Assert(string(resp.Body()), qt.Equals, "body")
+			select {
+			case <-closed:
+			case <-time.After(3 * time.Second):
+				c.Fatal("the connection is still open")
+			}
+		})
+	}
+}
--- a/core/yuccarelay/pool.go
+++ b/core/yuccarelay/pool.go
@@ -111,7 +111,9 @@
 	idle map[string][]*conn
 	// ageLimits holds, by address, the limits learned from silent connections.
 	ageLimits map[string]ageLimit
-	closed    bool
+	// sweepTimer fires when idle connections may have to be closed, nil if there are none.
+	sweepTimer *time.Timer
+	closed     bool
 }
 
 // ageLimit is the age at which connections to an address are discarded. It is
@@ -192,6 +194,7 @@
 	}
 	c.idleSince = time.Now()
 	p.idle[c.addr] = append(p.idle[c.addr], c)
+	p.scheduleSweep()
 }
 
 // discardSuspects handles a connection that went silent. It closes the idle
@@ -227,6 +230,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	if p.sweepTimer != nil {
+		p.sweepTimer.Stop()
+	}
 	for addr, list := range p.idle {
 		for _, c := range list {
 			_ = c.Close()
