A failed request with Content-Length: 0 keeps the connection

Callers that send several requests on one connection without waiting lost the answers to the later ones: when the first, a GET with Content-Length: 0, ended with a 504, 503 or 502 of the relay, the connection was closed after it, although the requests behind it had been sent to servers and answered there. The first of them is the one at the end of a planned stop that gets its 504 when the time of the entry is over.

Cause: the relay closes the connection after its own error if the body of the request is a stream, since a part of the body may be unread. For Content-Length: 0 fasthttp makes a stream too. Requests without a body are those behind which others are read ahead.

Fix: a body of length zero has nothing unread.

--- a/core/yuccarelay/body.go
+++ b/core/yuccarelay/body.go
@@ -28,6 +28,13 @@
 	interrupted bool
 }
 
+// MayHaveUnreadBody reports whether a part of the body may still be on its way from the
+// caller, so that the connection can carry no further request after a response of the relay.
+// A body of the length zero is a stream too, but nothing of it is unread.
+func MayHaveUnreadBody(r *fasthttp.Request) bool {
+	return r.IsBodyStream() && r.Header.ContentLength() != 0
+}
+
 // newRequestBody reads the body up to maxBufferedBodyBytes.
 func newRequestBody(ctx *fasthttp.RequestCtx) (*requestBody, error) {
 	s := &requestBody{length: ctx.Request.Header.ContentLength()}
--- a/core/yuccarelay/ending.go
+++ b/core/yuccarelay/ending.go
@@ -14,7 +14,7 @@
 func (t *task) answerError(k yuccaerror.Kind, ran yuccaerror.RunStatus) {
 	f := ErrorResponse{Kind: k, RunStatus: ran, RetryAfter: yuccaerror.RetryAfter(t.err)}
 	f.RetryAfter = t.relay.opt.Protocol.WriteError(t.ctx, f)
-	if t.ctx.Request.IsBodyStream() {
+	if MayHaveUnreadBody(&t.ctx.Request) {
 		t.leaveUnread()
 	}
 	t.observe(f, t.ctx.Response.StatusCode(), 0)
--- a/core/yuccarelay/protocol.go
+++ b/core/yuccarelay/protocol.go
@@ -176,7 +176,7 @@
 	}
 	ctx.SetContentType("text/plain; charset=utf-8")
 	ctx.Response.SetBodyString(attributes.Name + "\n")
-	if ctx.Request.IsBodyStream() {
+	if MayHaveUnreadBody(&ctx.Request) {
 		ctx.SetConnectionClose()
 	}
 	return after
