A server's report counts for the run that the request was sent to

A server that had said that it is about to exit got requests again from an entry when its entry in the store went for a moment and came back. The other way round, a server that had restarted under its name got no requests for its whole run, after a late response of the run before that said Server-Leaving.

Cause: the exchange looked up the run of a server by its name when a response arrived. A server that was not listed at that moment had run 0, and one that was listed again had its new run.

Change: the ticket of a request names the run, and the report counts for that one. A report of an earlier run than that of the newest notice changes nothing.

Evidence: TestReportCountsForTheRunThatSentIt fails in its 3 cases on the code before (with the ticket passed and the run looked up as it was). Without the comparison of runs in Board.Observe, TestLateReportOfEarlierRunChangesNothing fails. Both pass now.

--- a/core/yuccaadmission/request.go
+++ b/core/yuccaadmission/request.go
@@ -69,6 +69,9 @@
 	Domain string
 	// Server is the name of the server.
 	Server string
+	// Run identifies the run of the server under its name; zero if the picker doesn't
+	// set it.
+	Run int64
 	// Addr is the address of the server.
 	Addr string
 	// Started is the time when the slot was assigned.
--- a/core/yuccabalancer/picker.go
+++ b/core/yuccabalancer/picker.go
@@ -149,6 +149,7 @@
 		Region:     s.Region,
 		Domain:     s.Domain,
 		Server:     s.Name,
+		Run:        s.Run,
 		Addr:       s.Addr,
 		Started:    req.Now,
 		Reason:     string(choice.Reason),
--- a/core/yuccanotice/board.go
+++ b/core/yuccanotice/board.go
@@ -10,7 +10,7 @@
 // Exchange is the service around it:
 //
 //	exchange := yuccanotice.New(peers, picker, log)
-//	exchange.ReceiveReport("i-7", report) // with each response of a server
+//	exchange.ReceiveReport(ticket, "", report) // with each response of a server
 package yuccanotice
 
 import (
@@ -49,10 +49,14 @@
 
 // Observe records the report of a response that this entry got from a run of the server.
 // It returns the notice and whether it says something else than the one before. Where
-// the report is unknown, the notice says what the one before said.
+// the report is unknown, the notice says what the one before said. A late response of an
+// earlier run changes nothing.
 func (b *Board) Observe(now time.Time, server string, run int64, r yuccaadmission.Report) (n yuccabalancer.Notice, changed bool) {
 	n = yuccabalancer.Notice{At: now, Run: run, Limited: r.Limited, Limit: r.RateLimit, Leaving: r.Leaving}
 	old := b.notices[server]
+	if run < old.Run {
+		return old.Notice, false
+	}
 	if r.Invalid != "" {
 		n.Limited, n.Limit = old.Limited, old.Limit
 	}
--- a/core/yuccanotice/board_test.go
+++ b/core/yuccanotice/board_test.go
@@ -112,3 +112,14 @@
 	c.Assert(changed, qt.IsTrue)
 	c.Assert(n.Leaving, qt.IsFalse)
 }
+
+// TestLateReportOfEarlierRunChangesNothing guards against a leaving server that gets
+// requests again because a response of its run before arrives late.
+func TestLateReportOfEarlierRunChangesNothing(t *testing.T) {
+	c := qt.New(t)
+	b := yuccanotice.NewBoard()
+	said, _ := b.Observe(start, "i-1", 8, yuccaadmission.Report{Leaving: true})
+	n, changed := b.Observe(start.Add(time.Second), "i-1", 7, yuccaadmission.Report{})
+	c.Assert(n, qt.Equals, said)
+	c.Assert(changed, qt.IsFalse)
+}
--- a/core/yuccanotice/exchange.go
+++ b/core/yuccanotice/exchange.go
@@ -107,7 +107,8 @@
 // changes nothing. The balancer of this entry learns of a hold-off that a server asks
 // for with the result of the attempt. An entry that carried the attempt through a tunnel
 // learns of it here, since the server has asked that entry.
-func (x *Exchange) ReceiveReport(server, via string, r yuccaadmission.Report) {
+func (x *Exchange) ReceiveReport(ticket yuccaadmission.Ticket, via string, r yuccaadmission.Report) {
+	server := ticket.Server
 	if r.Invalid != "" {
 		x.invalid.Warn().Str("server", server).Str("report", r.Invalid).Msg("server_report_unreadable")
 	}
@@ -117,10 +118,9 @@
 	if !r.Limited && !r.Leaving && x.boardLen.Load() == 0 {
 		return
 	}
-	s, _ := x.balancer.Server(server)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	n, changed := x.board.Observe(time.Now(), server, s.Run, r)
+	n, changed := x.board.Observe(time.Now(), server, ticket.Run, r)
 	x.boardLen.Store(int64(x.board.Len()))
 	x.balancer.SetNotice(server, n)
 	if changed {
--- a/core/yuccanotice/exchange_test.go
+++ b/core/yuccanotice/exchange_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"yuccawell.example/core/yuccaadmission"
 	"yuccawell.example/core/yuccabalancer"
 	"yuccawell.example/core/yuccafake"
 	"yuccawell.example/core/yuccanotice"
@@ -50,7 +51,7 @@
 			}
 			return names
 		}
-		exchanges["e0"].ReceiveReport("i-1", "", limited)
+		exchanges["e0"].ReceiveReport(yuccaadmission.Ticket{Server: "i-1"}, "", limited)
 		time.Sleep(2500 * time.Millisecond)
 		c.Assert(sending(), qt.HasLen, senders)
 
@@ -87,3 +88,49 @@
 	}
 	c.Assert(len(s.Names("i-1")) < 1000, qt.IsTrue)
 }
+
+// TestReportCountsForTheRunThatSentIt guards against requests to a leaving server whose
+// entry went and came back, and against a restarted server that gets none because its run
+// before was leaving.
+func TestReportCountsForTheRunThatSentIt(t *testing.T) {
+	leaving := yuccaadmission.Report{Leaving: true}
+	tests := []struct {
+		name string
+		// before and meanwhile are the reports of run 7 while it is listed, and while the
+		// runs of listed are in its place.
+		before, meanwhile []yuccaadmission.Report
+		listed            []int64
+		// back is the run that is listed in the end, and accepts whether it gets requests.
+		back    int64
+		accepts bool
+	}{
+		{"leaves while its entry is gone", nil, []yuccaadmission.Report{leaving}, nil, 7, false},
+		{"says less while its entry is gone", []yuccaadmission.Report{leaving}, []yuccaadmission.Report{limited}, nil, 7, false},
+		{"the next run is listed at once", nil, []yuccaadmission.Report{leaving}, []int64{8}, 8, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			picker := yuccabalancer.New(yuccabalancer.Location{Entry: "e1", Region: "a", Domain: "a1"})
+			list := func(runs ...int64) {
+				w := yuccabalancer.Topology{Entries: []string{"e1"}}
+				for _, run := range runs {
+					w.Servers = append(w.Servers, yuccabalancer.Server{Name: "i-1", Service: "s", Region: "a", Domain: "a1", Addr: "x", Slots: 8, Run: run})
+				}
+				picker.Update(w)
+			}
+			x := yuccanotice.New("e1", yuccafake.NewNet().Bus("e1"), picker, zerolog.Nop())
+			list(7)
+			ticket, err := picker.Pick(yuccaadmission.Request{Service: "s"})
+			qt.Assert(t, err, qt.IsNil)
+			for _, r := range test.before {
+				x.ReceiveReport(ticket, "", r)
+			}
+			list(test.listed...)
+			for _, r := range test.meanwhile {
+				x.ReceiveReport(ticket, "", r)
+			}
+			list(test.back)
+			qt.Assert(t, picker.AcceptingAddr("i-1") != "", qt.Equals, test.accepts)
+		})
+	}
+}
--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -164,7 +164,7 @@
 	a.report = opt.Protocol.Report(&a.exchange.head)
 	switch {
 	case opt.Reports != nil:
-		opt.Reports.ReceiveReport(a.ticket.Server, a.via(), a.report)
+		opt.Reports.ReceiveReport(a.ticket, a.via(), a.report)
 	case a.report.Invalid != "":
 		a.task.relay.failures.Warn().Str("server", a.ticket.Server).Str("report", a.report.Invalid).Msg("server_report_unreadable")
 	}
--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -59,10 +59,10 @@
 
 // ReportReceiver receives what backend servers say about themselves.
 type ReportReceiver interface {
-	// ReceiveReport is called with each response of a server, as soon as its header
-	// has been read. The name of the entry that carried the request is empty if none
-	// did.
-	ReceiveReport(server, via string, report yuccaadmission.Report)
+	// ReceiveReport is called with each response of the server of a ticket, as soon as
+	// its header has been read. The name of the entry that carried the request is empty
+	// if none did.
+	ReceiveReport(ticket yuccaadmission.Ticket, via string, report yuccaadmission.Report)
 }
 
 // Record describes a request that has ended.
