A server's hold-off outlasts the absence of its entry and ends with its run

A server that had asked with Retry-After to get no requests for a while got them at once when its entry in the store went and came back, as after an outage of the store. And one that had restarted under its name was held off when the run before asked late.

Cause: the hold-off was a part of the state of a listed server. The state is made anew when the entry comes back, a request that ended meanwhile found no state to change, and one that ended later changed the state of whichever run had the name.

Change: hold-offs of servers that are not listed are kept by name and run until they end, and taken up when the same run is listed again. A request's result changes its run alone.

Evidence: TestHoldOffOutlastsItsEntry fails in 3 of 5 cases on the code before. Without the comparison of runs in holdOffRun or in unlistedHoldOff, or without one of the two calls of keepHoldOff, it fails as well.

--- a/core/yuccabalancer/core.go
+++ b/core/yuccabalancer/core.go
@@ -43,6 +43,8 @@
 	// senders holds the other entries that have said that they are senders of a server
 	// that names a limit, by the name of the server.
 	senders map[string][]string
+	// unlisted holds the hold-offs of servers that are not listed, by name.
+	unlisted map[string]unlistedHoldOff
 	// parts are the mechanisms that are in use.
 	parts parts
 }
@@ -61,6 +63,7 @@
 		division: yuccaquota.New(p.Entry, nil),
 		notices:  map[string]Notice{},
 		senders:  map[string][]string{},
+		unlisted: map[string]unlistedHoldOff{},
 	}
 }
 
@@ -167,6 +170,7 @@
 		state := c.servers[s.key()]
 		if state == nil || state.Addr != s.Addr || state.Run != s.Run {
 			state = newServerState(s)
+			state.holdOff = c.unlistedHoldOff(s)
 			state.setPace(c.initialPace(s, c.servers[s.key()] != nil))
 		}
 		state.setServer(s, c.slowStartRate(s), c.parts.newPace)
@@ -181,6 +185,7 @@
 		p.regions[s.Region] = append(p.regions[s.Region], state)
 		state.region = p.regionLoad(s.Region)
 	}
+	c.keepHoldOffs(byName)
 	c.servers, c.byName, c.pools = servers, byName, pools
 }
 
@@ -332,7 +337,7 @@
 	s.finish(r, p.latency.mean)
 	c.updatePace(choice, r, recovers)
 	if r.HoldOff > 0 {
-		c.HoldOff(r.Now, s.Name, r.HoldOff)
+		c.holdOffRun(r.Now, s, r.HoldOff)
 	}
 	if r.Succeeded && choice.cacheState() == cacheWarm && !choice.Queued {
 		s.warmLatency = ewma(s.warmLatency, usualTime(r.TimeToHeader, r.Load), latencyWeight)
--- a/core/yuccabalancer/hold_off.go
+++ b/core/yuccabalancer/hold_off.go
@@ -1,6 +1,7 @@
 package yuccabalancer
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +16,8 @@
 	holdOffSpread = 0.2
 	// maxHoldOffSpread bounds that difference.
 	maxHoldOffSpread = time.Second
+	// maxUnlisted is how many hold-offs of servers that are not listed are kept.
+	maxUnlisted = 4096
 )
 
 // holdOff keeps requests from a server that has asked this entry to hold off. It
@@ -69,6 +72,64 @@
 // HoldOff keeps requests from a server for the time d, as the server has asked for.
 func (c *Core) HoldOff(now time.Time, server string, d time.Duration) {
 	for _, s := range c.byName[server] {
-		s.holdOff = s.holdOff.withRequest(now, d, c.location.Entry+" "+server)
+		c.holdOff(now, s, d)
+	}
+}
+
+func (c *Core) holdOff(now time.Time, s *serverState, d time.Duration) {
+	s.holdOff = s.holdOff.withRequest(now, d, c.holdOffKey(s.Name))
+}
+
+// holdOffKey returns the key that decides how much later than others this entry ends its
+// hold-off of a server.
+func (c *Core) holdOffKey(server string) string { return c.location.Entry + " " + server }
+
+// holdOffRun keeps requests from one run of a server for the time d, as it has asked for.
+// The run may no longer be listed.
+func (c *Core) holdOffRun(now time.Time, asked *serverState, d time.Duration) {
+	for _, s := range c.byName[asked.Name] {
+		if s.Run == asked.Run {
+			c.holdOff(now, s, d)
+		}
+	}
+	if len(c.byName[asked.Name]) > 0 {
+		return
+	}
+	maps.DeleteFunc(c.unlisted, func(_ string, u unlistedHoldOff) bool { return !now.Before(u.until) })
+	c.holdOff(now, asked, d)
+	c.keepHoldOff(asked)
+}
+
+// unlistedHoldOff is the hold-off that a server had when it was last listed. Its entry may
+// come back, as after an outage of the store.
+type unlistedHoldOff struct {
+	holdOff
+	// run is the run of the server that has asked.
+	run int64
+}
+
+// unlistedHoldOff returns the hold-off of a server that has not been listed, if the same
+// run of it has asked for one.
+func (c *Core) unlistedHoldOff(s Server) holdOff {
+	if u := c.unlisted[s.Name]; u.run == s.Run {
+		return u.holdOff
+	}
+	return holdOff{}
+}
+
+// keepHoldOffs keeps the hold-offs of the servers that are not listed any longer, and
+// forgets those of the servers that are.
+func (c *Core) keepHoldOffs(listed map[string][]*serverState) {
+	for name, states := range c.byName {
+		if len(listed[name]) == 0 {
+			c.keepHoldOff(states[0])
+		}
+	}
+	maps.DeleteFunc(c.unlisted, func(name string, _ unlistedHoldOff) bool { return len(listed[name]) > 0 })
+}
+
+func (c *Core) keepHoldOff(s *serverState) {
+	if s.holdOff.probing && len(c.unlisted) < maxUnlisted {
+		c.unlisted[s.Name] = unlistedHoldOff{s.holdOff, s.Run}
 	}
 }
--- a/core/yuccabalancer/notice_test.go
+++ b/core/yuccabalancer/notice_test.go
@@ -95,6 +95,53 @@
 	c.Assert(core.Choose(r).Kind, qt.Equals, yuccaerror.None)
 }
 
+// TestHoldOffOutlastsItsEntry guards against requests to a server that has asked to hold off
+// and whose entry went for a moment, and against a restarted server that is held off.
+func TestHoldOffOutlastsItsEntry(t *testing.T) {
+	tests := []struct {
+		name string
+		// askedAt is the number of changes of the list before run 7 asks.
+		askedAt int
+		// runs are the runs that are listed after run 7, one after the other; zero is
+		// none.
+		runs []int64
+		want yuccaerror.Kind
+	}{
+		{"before", 0, []int64{0, 7}, yuccaerror.NoServer},
+		{"meanwhile", 1, []int64{0, 7}, yuccaerror.NoServer},
+		{"restarted", 0, []int64{0, 8}, yuccaerror.None},
+		{"restarted, asked meanwhile", 1, []int64{0, 8}, yuccaerror.None},
+		{"restarted, asked afterwards", 1, []int64{8}, yuccaerror.None},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			list := func(run int64) yuccabalancer.Topology {
+				w := topology(min(1, int(run)), 4, "a")
+				for i := range w.Servers {
+					w.Servers[i].Run = run
+				}
+				return w
+			}
+			core := newCore(list(7))
+			choice := core.Choose(request(0, firstObject))
+			ask := func() {
+				core.Done(choice, yuccaadmission.Result{Now: start, Declined: true, HoldOff: time.Second})
+			}
+			if test.askedAt == 0 {
+				ask()
+			}
+			for i, run := range test.runs {
+				core.Update(list(run))
+				if test.askedAt == i+1 {
+					ask()
+				}
+			}
+			qt.Assert(t, core.Choose(request(time.Millisecond, firstObject)).Kind, qt.Equals, test.want)
+			qt.Assert(t, core.Choose(request(1500*time.Millisecond, firstObject)).Kind, qt.Equals, yuccaerror.None)
+		})
+	}
+}
+
 // TestHoldOffsEndAtDifferentTimes has one server ask 50 entries at the same moment.
 func TestHoldOffsEndAtDifferentTimes(t *testing.T) {
 	const (
