A caller with too little time for a connection does not exclude its server

A server that takes longer to connect to than one caller has time left got no requests of any caller from that entry for 250 ms, and for up to 4 s after several such callers.

Cause: the wait for a connection ends at the caller's deadline, and the failed connection was taken for a server that cannot be reached. The class of the fault: a failure that follows from one request's constraints is taken for a property of the server.

Change: a connection that is not open when the caller's time has passed fails with an error of its own, which says nothing about the server. One that fails earlier, as by the timeout of the entry itself, still does.

--- a/core/yuccarelay/account_test.go
+++ b/core/yuccarelay/account_test.go
@@ -159,11 +159,12 @@
 	c.Assert(returned(), qt.Equals, 1)
 }
 
-// recordingPicker always gives the same ticket, and records the requests.
+// recordingPicker always gives the same ticket, and records the requests and results.
 type recordingPicker struct {
-	ticket yuccaadmission.Ticket
-	mu     sync.Mutex
-	asks   []yuccaadmission.Request
+	ticket  yuccaadmission.Ticket
+	mu      sync.Mutex
+	asks    []yuccaadmission.Request
+	results []yuccaadmission.Result
 }
 
 // Pick implements yuccarelay.Picker.
@@ -175,7 +176,11 @@
 }
 
 // Done implements yuccarelay.Picker.
-func (*recordingPicker) Done(yuccaadmission.Ticket, yuccaadmission.Result) {}
+func (p *recordingPicker) Done(_ yuccaadmission.Ticket, r yuccaadmission.Result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.results = append(p.results, r)
+}
 
 // recordingPath opens connections with dial, and records where to.
 type recordingPath struct {
--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -255,10 +255,11 @@
 	return yuccalifecycle.Failed{Kind: k}
 }
 
-// blamesServer reports whether an error may be the server's fault. A lost link and the lack
-// of an entry that may carry the request say nothing about the server.
+// blamesServer reports whether an error may be the server's fault. A lost link, the lack
+// of an entry that may carry the request and a caller with too little time for a connection
+// say nothing about the server.
 func blamesServer(err error) bool {
-	return !errors.Is(err, errLinkLost) && !errors.Is(err, ErrNoCarrier)
+	return !errors.Is(err, errLinkLost) && !errors.Is(err, ErrNoCarrier) && !errors.Is(err, errExpiredConnecting)
 }
 
 // serverUnreachable reports whether connecting failed or the server broke off a
--- a/core/yuccarelay/pool.go
+++ b/core/yuccarelay/pool.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"cmp"
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
@@ -29,6 +31,10 @@
 	connBufferBytes = 4096
 )
 
+// errExpiredConnecting is the cause of a connection that was not open when the caller's
+// time had passed.
+var errExpiredConnecting = errors.New("the caller's time has passed while connecting")
+
 // tcpPath is the Path that opens plain TCP connections.
 type tcpPath struct{}
 
@@ -142,7 +148,8 @@
 	return p.open(ctx, to, deadline)
 }
 
-// open returns a new connection.
+// open returns a new connection. The error wraps errExpiredConnecting if the deadline
+// passes first.
 func (p *pool) open(ctx context.Context, to Server, deadline time.Time) (*conn, error) {
 	if !deadline.IsZero() {
 		var cancel context.CancelFunc
@@ -150,6 +157,9 @@
 		defer cancel()
 	}
 	raw, err := p.path.Dial(ctx, to)
+	if err != nil && !deadline.IsZero() && !time.Now().Before(deadline) {
+		return nil, fmt.Errorf("%w: %w", errExpiredConnecting, err)
+	}
 	if err != nil {
 		return nil, err
 	}
