An entry is heard although it restarted after its clock went back

An entry that started again after its clock had gone back was ignored by the others until the clock had caught up: none of its messages were taken, the directory left it out, and the others counted it out of the quotas although it admitted requests.

Change: after silence (3 s for messages, 2.5 s for heartbeats, 5 s for quota reports) a lower incarnation is that of the present process. A heartbeat remembers which incarnations its own has replaced, so that the list in the store, which may still name one of them, does not take it out.

Evidence: on the code before, TestAlive/restarted_after_its_clock_went_back fails, and TestOtherEntryIsCounted/the_other_starts_again_after_its_clock_went_back admits 2504 requests where at least 4500 are due; TestEntryIsHeardAfterItsClockWentBack fails without the new condition. All pass now, with the whole tests of the four packages. Not run: real processes with clocks that go back.

--- a/core/yuccaliveness/state.go
+++ b/core/yuccaliveness/state.go
@@ -105,6 +105,9 @@
 	receivedAt time.Time
 	// inFlight is the mean number of requests in flight by service.
 	inFlight map[string]float32
+	// ended is the highest incarnation that this one has replaced although it is lower,
+	// because the clock of the entry had gone back; zero if there is none.
+	ended uint64
 }
 
 // NewState returns the state of the entry self before any other entry is known.
@@ -139,13 +142,22 @@
 
 // RecordHeartbeat records a heartbeat of the entry e with its mean number of
 // requests in flight by service. It ignores heartbeats of this entry itself and
-// of an earlier incarnation than the last recorded one.
+// of an earlier incarnation than the last recorded one, unless that one is silent.
 func (s *State) RecordHeartbeat(now time.Time, e Entry, inFlight map[string]float32) {
-	last := s.heartbeats[e.Name]
-	if e.Name == s.self.Name || last != nil && last.Incarnation > e.Incarnation {
+	if e.Name == s.self.Name {
 		return
 	}
-	s.heartbeats[e.Name] = &heartbeatRecord{e, now, inFlight}
+	record := &heartbeatRecord{Entry: e, receivedAt: now, inFlight: inFlight}
+	if last := s.heartbeats[e.Name]; last != nil {
+		record.ended = last.ended
+		if last.Incarnation > e.Incarnation {
+			if now.Sub(last.receivedAt) < Timeout {
+				return
+			}
+			record.ended = max(last.ended, last.Incarnation)
+		}
+	}
+	s.heartbeats[e.Name] = record
 }
 
 // SetCapacity replaces the capacity of this entry.
@@ -296,10 +308,10 @@
 }
 
 // currentHeartbeat returns the last heartbeat of a listed entry, and false if there is none
-// of its listed incarnation or a later one.
+// of its listed incarnation, a later one or one that has replaced it.
 func (s *State) currentHeartbeat(name string) (*heartbeatRecord, bool) {
 	h, ok := s.heartbeats[name]
-	return h, ok && h.Incarnation >= s.listed[name].Incarnation
+	return h, ok && max(h.Incarnation, h.ended) >= s.listed[name].Incarnation
 }
 
 // DomainPeers returns the sorted names of the other alive entries of this entry's
--- a/core/yuccaliveness/state_test.go
+++ b/core/yuccaliveness/state_test.go
@@ -62,6 +62,19 @@
 			s.RecordHeartbeat(at(9.9), leaving, nil)
 			s.RecordHeartbeat(at(9.9), list[2], nil)
 		}, 10, "a c"},
+		// The entry whose clock went back must not be ignored until that has caught up.
+		{"restarted after its clock went back", func(s *yuccaliveness.State) {
+			s.UpdateList(at(0), []yuccaliveness.Entry{entry("a", "r", 1), entry("b", "r", 7), entry("c", "r", 1)})
+			s.RecordHeartbeat(at(5), entry("b", "r", 7), nil)
+			s.RecordHeartbeat(at(9), entry("b", "r", 3), nil)
+			s.RecordHeartbeat(at(9.5), entry("b", "r", 3), nil)
+		}, 10, "a b"},
+		{"an earlier incarnation while the later one is heard", func(s *yuccaliveness.State) {
+			s.UpdateList(at(0), []yuccaliveness.Entry{entry("a", "r", 1), entry("b", "r", 7), entry("c", "r", 1)})
+			s.RecordHeartbeat(at(7), entry("b", "r", 7), nil)
+			s.RecordHeartbeat(at(9), entry("b", "r", 3), nil)
+			s.RecordHeartbeat(at(9), entry("c", "r", 1), nil)
+		}, 10, "a c"},
 		{"a heartbeat of an earlier incarnation does not count", func(s *yuccaliveness.State) {
 			s.UpdateList(at(0), []yuccaliveness.Entry{list[0], entry("b", "r", 2), list[2]})
 			s.RecordHeartbeat(at(9), list[1], nil)
--- a/core/yuccapeer/mesh_test.go
+++ b/core/yuccapeer/mesh_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -63,7 +64,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s, accepted, highestSeq := newDuplicateFilter(), map[uint64]bool{}, uint64(0)
 		for _, seq := range rapid.SliceOf(rapid.Uint64Range(1, 200)).Draw(t, "seqs") {
-			first := s.first("e1", 1, seq)
+			first := s.first(time.Time{}, "e1", 1, seq)
 			if first && accepted[seq] {
 				t.Fatalf("message %d accepted twice", seq)
 			}
@@ -73,12 +74,25 @@
 			accepted[seq] = true
 			highestSeq = max(highestSeq, seq)
 		}
-		if !s.first("e1", 2, 1) || s.first("e1", 1, 500) {
+		if !s.first(time.Time{}, "e1", 2, 1) || s.first(time.Time{}, "e1", 1, 500) {
 			t.Fatalf("a higher incarnation does not replace a lower one")
 		}
 	})
 }
 
+// TestEntryIsHeardAfterItsClockWentBack guards against an entry whose messages nobody takes
+// until its clock has caught up with that of its process before.
+func TestEntryIsHeardAfterItsClockWentBack(t *testing.T) {
+	c := qt.New(t)
+	s, start := newDuplicateFilter(), time.Unix(1_800_000_000, 0)
+	c.Assert(s.first(start.Add(-time.Second), "e1", 9, 1), qt.IsTrue)
+	c.Assert(s.first(start, "e1", 9, 1), qt.IsFalse)
+	c.Assert(s.first(start.Add(originSilence), "e1", 5, 1), qt.IsFalse)
+	c.Assert(s.first(start.Add(originSilence+1), "e1", 5, 2), qt.IsTrue)
+	c.Assert(s.first(start.Add(originSilence+1), "e1", 5, 2), qt.IsFalse)
+	c.Assert(s.first(start.Add(originSilence+2), "e1", 4, 3), qt.IsFalse)
+}
+
 // TestBothEndsKeepTheSameSession has two entries that dial each other at the
 // same time.
 func TestBothEndsKeepTheSameSession(t *testing.T) {
--- a/core/yuccapeer/peers.go
+++ b/core/yuccapeer/peers.go
@@ -285,7 +285,7 @@
 // arrived before and forwards it along the mesh.
 func (p *Peers) handlePublished(f *Frame) {
 	p.mu.Lock()
-	first := f.Origin != p.settings.Name && p.duplicates.first(f.Origin, f.Incarnation, f.Seq)
+	first := f.Origin != p.settings.Name && p.duplicates.first(time.Now(), f.Origin, f.Incarnation, f.Seq)
 	to, scope := p.mesh.forwardTo(f.Forward)
 	p.mu.Unlock()
 	if !first {
--- a/core/yuccaquota/group.go
+++ b/core/yuccaquota/group.go
@@ -108,13 +108,17 @@
 	}
 }
 
-// receive records a report. It returns nil for one that is not newer than the last.
+// receive records a report. It returns nil for one that is not newer than the last. One of
+// an earlier incarnation counts as newer after shrinkDelay without reports: the entry has
+// started again after its clock went back.
 func (g *group) receive(now time.Time, from string, r Report) (p *peer, restarted bool) {
 	p = g.peers[from]
 	switch {
 	case from == g.self || p == nil && len(g.peers) >= maxPeers:
 		return nil, false
-	case p != nil && (r.Incarnation < p.incarnation || r.Incarnation == p.incarnation && r.Seq <= p.seq):
+	case p != nil && r.Incarnation < p.incarnation && now.Sub(p.arrivedAt) <= shrinkDelay:
+		return nil, false
+	case p != nil && r.Incarnation == p.incarnation && r.Seq <= p.seq:
 		return nil, false
 	case p == nil:
 		p = &peer{name: from, hash: xxhash.Sum64String(from), incarnation: r.Incarnation, fresh: !r.Synced}
--- a/core/yuccaquota/ledger_test.go
+++ b/core/yuccaquota/ledger_test.go
@@ -184,6 +184,12 @@
 			}
 		}, 4500},
 		{"all reports are lost", func(p *pair) { p.deliver = func(yuccaquota.Report) {} }, 2400},
+		{"the other starts again after its clock went back", func(p *pair) {
+			p.idle(time.Second)
+			p.now = p.now.Add(6 * time.Second)
+			p.other = yuccaquota.NewLedger("e2", 0, p.now)
+			p.other.Apply(p.now, p.other.Prepare(map[string]yuccaquota.Limit{"a": {Rate: 1000, Burst: 200}}))
+		}, 4500},
 		{"reports without sense", func(p *pair) {
 			deliver := p.deliver
 			p.deliver = func(r yuccaquota.Report) {
