Tests of the lack of a carrier and of bodies in chunks

TestLackOfCarrierIsToldFromDeadServer, TestConstraintsOfOneRequestDoNotBlockServer (TestShortDeadlineDoesNotBlockServer with one more case) and TestBodiesPassTheirRegionsOnly fail on each of them now.

--- a/core/yuccarelay/account_test.go
+++ b/core/yuccarelay/account_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -252,6 +253,46 @@
 	}
 }
 
+// TestBodiesPassTheirRegionsOnly guards against bodies that are taken for none because they
+// have no length or are not in memory, and against requests without a body that are confined.
+func TestBodiesPassTheirRegionsOnly(t *testing.T) {
+	regions := []string{"r"}
+	tests := []struct {
+		name, body string
+		chunked    bool
+		want       []string
+	}{
+		{"none", "", false, nil},
+		{"none, in chunks", "", true, nil},
+		{"short", "x", false, regions},
+		{"short, in chunks", "x", true, regions},
+		{"long", strings.Repeat("x", 100<<10), false, regions},
+		{"long, in chunks", strings.Repeat("x", 100<<10), true, regions},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			picker := &recordingPicker{ticket: yuccaadmission.Ticket{Server: "s", Addr: "127.0.0.1:1"}}
+			path := &recordingPath{dial: func(context.Context) (net.Conn, error) { return nil, net.ErrClosed }}
+			w := &fixture{}
+			w.serve(t, yuccarelay.New(yuccarelay.Options{Router: accountRouter(regions), Protocol: accountProtocol{}, Picker: picker, Path: path}))
+			resp, err := w.call(func(r *fasthttp.Request) {
+				r.Header.SetMethod(fasthttp.MethodPost)
+				r.SetBodyString(test.body)
+				if test.chunked {
+					r.SetBodyStream(strings.NewReader(test.body), -1)
+				}
+			})
+			c.Assert(err, qt.IsNil)
+			c.Assert(resp.StatusCode(), qt.Equals, 503)
+			c.Assert(len(path.to) > 0, qt.IsTrue)
+			for _, to := range path.to {
+				c.Assert(to.Regions, qt.DeepEquals, test.want)
+			}
+		})
+	}
+}
+
 // TestEmptyIntersectionIsRejected guards against a request that runs anywhere because its
 // route and account have no region in common, and against a token taken for it.
 func TestEmptyIntersectionIsRejected(t *testing.T) {
--- a/core/yuccarelay/blame_test.go
+++ b/core/yuccarelay/blame_test.go
@@ -13,17 +13,20 @@
 	"yuccawell.example/core/yuccarelay"
 )
 
-// TestShortDeadlineDoesNotBlockServer guards against servers that are left out for all
-// callers because one caller has too little time left for a connection.
-func TestShortDeadlineDoesNotBlockServer(t *testing.T) {
+// TestConstraintsOfOneRequestDoNotBlockServer guards against servers that are left out for
+// all callers because one caller has too little time left for a connection, or because no
+// entry may carry its request.
+func TestConstraintsOfOneRequestDoNotBlockServer(t *testing.T) {
 	const dialTime = 100 * time.Millisecond
 	tests := []struct {
 		name       string
 		deadline   time.Duration
+		err        error
 		noResponse bool
 	}{
-		{"the caller's time ends first", dialTime / 4, false},
-		{"the connection fails first", 100 * dialTime, true},
+		{"the caller's time ends first", dialTime / 4, context.DeadlineExceeded, false},
+		{"the connection fails first", 100 * dialTime, context.DeadlineExceeded, true},
+		{"no entry may carry the request", 100 * dialTime, yuccarelay.ErrNoCarrier, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -33,7 +36,7 @@
 				ctx, cancel := context.WithTimeout(ctx, dialTime)
 				defer cancel()
 				<-ctx.Done()
-				return nil, ctx.Err()
+				return nil, test.err
 			}}
 			w := &fixture{}
 			w.serve(t, yuccarelay.New(yuccarelay.Options{Router: accountRouter(nil), Protocol: accountProtocol{}, Picker: picker, Path: path}))
--- a/core/yuccatunnel/tunnel_test.go
+++ b/core/yuccatunnel/tunnel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -157,6 +158,50 @@
 	w.c.Assert(time.Since(began) < time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 }
 
+// TestLackOfCarrierIsToldFromDeadServer guards against servers that are taken for dead
+// because no entry may carry one request, before the entry counts as cut off and after
+// that, and against dead servers that are not.
+func TestLackOfCarrierIsToldFromDeadServer(t *testing.T) {
+	tests := []struct {
+		name string
+		// carriers are the regions of the other entries.
+		carriers []string
+		// regions are those that the request may pass.
+		regions []string
+		// cutOff is set if a request without regions has shown the partition before.
+		cutOff, noCarrier bool
+	}{
+		{"only in another region", []string{"q"}, []string{"r"}, false, true},
+		{"only in another region, cut off", []string{"q"}, []string{"r"}, true, true},
+		{"no other entry", nil, []string{"r"}, false, false},
+		{"any region", []string{"q"}, nil, true, false},
+		{"one in the region", []string{"q", "r"}, []string{"r"}, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t)
+			a, b := w.addServer(t, "a", echo), w.addServer(t, "b", echo)
+			for i, region := range test.carriers {
+				w.addPeer(t, fmt.Sprint("e", i+2))
+				w.peers[i].Region = region
+			}
+			a.Regions, b.Regions = test.regions, test.regions
+			if test.cutOff {
+				w.cut(a.WithoutRegions(), b.WithoutRegions())
+			}
+			w.c.Assert(w.dialer.CutOff(), qt.Equals, test.cutOff)
+			w.cut(a)
+			c, err := w.dialer.Dial(t.Context(), b)
+			w.c.Assert(errors.Is(err, yuccarelay.ErrNoCarrier), qt.Equals, test.noCarrier, qt.Commentf("%v", err))
+			w.c.Assert(err == nil, qt.Equals, test.cutOff && !test.noCarrier)
+			if err == nil {
+				w.c.Assert(b.AllowsRegion(c.(yuccarelay.Tunnel).ViaRegion()), qt.IsTrue)
+				_ = c.Close()
+			}
+		})
+	}
+}
+
 // TestDeadServersAreNotTakenForPartition stops two servers: no other entry reaches them
 // either, so the entry goes on connecting directly.
 func TestDeadServersAreNotTakenForPartition(t *testing.T) {
