--- a/core/yuccatunnel/silence_test.go
+++ b/core/yuccatunnel/silence_test.go
@@ -102,6 +102,20 @@
 	w.c.Assert(w.dialer.CutOff(), qt.IsFalse)
 }
 
+// TestProbesPassAnyRegion guards against a partition that goes unnoticed because no entry may
+// carry the requests that have met it.
+func TestProbesPassAnyRegion(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.addServer(t, "a", echo), w.addServer(t, "b", echo)
+	w.addPeer(t, "e2")
+	a.Regions, b.Regions = []string{"q"}, []string{"q"}
+	for _, s := range []yuccarelay.Server{a, b} {
+		w.redirects.Store(s.Addr, w.silentAddr(t))
+	}
+	w.startDialer(t, a, b)
+	w.c.Assert(w.leaveUnanswered(3*time.Second, a, b), qt.IsTrue)
+}
+
 // TestOverloadIsNotTakenForSilence has servers leave requests unanswered for long, as
 // under overload. The links bring bytes, or nobody reaches the servers, or nobody can
 // tell: none of it shows a partition.
