Revert "The quarantine of a request counts for its account alone"

A request that crashes its servers does so by its service, method, target and body; the servers get the account as a name only. With a quarantine for each account, the same request would crash three servers for every account that sends it, and BUDGET bounds the retries of the request, not of an account. That one account can make others' equal requests be rejected needs a request that has in fact crashed servers.

--- a/core/yuccarelay/guard.go
+++ b/core/yuccarelay/guard.go
@@ -47,11 +47,11 @@
 func (noQuarantine) Start(yuccapoison.Fingerprint, string)                    {}
 func (noQuarantine) End(yuccapoison.Fingerprint, string, yuccapoison.Outcome) {}
 
-// fingerprintOf returns a hash of the service, the caller's account, the method, the target
-// and the body. Requests with equal fingerprints count as the same request.
-func fingerprintOf(service, account string, r *fasthttp.Request, body []byte) yuccapoison.Fingerprint {
+// fingerprintOf returns a hash of the service, method, target and body.
+// Requests with equal fingerprints count as the same request.
+func fingerprintOf(service string, r *fasthttp.Request, body []byte) yuccapoison.Fingerprint {
 	d := xxhash.New()
-	for _, part := range [][]byte{[]byte(service), []byte(account), r.Header.Method(), r.Header.RequestURI(), body} {
+	for _, part := range [][]byte{[]byte(service), r.Header.Method(), r.Header.RequestURI(), body} {
 		_, _ = d.Write(part)
 		_, _ = d.Write([]byte{0})
 	}
