--- a/core/yuccatunnel/peer.go
+++ b/core/yuccatunnel/peer.go
@@ -25,21 +25,27 @@
 // equal rank are in random order, so that they share the load. A request that is only
 // for some regions goes through these alone, or, without a body, through others last.
 func candidates(peers []Peer, to yuccarelay.Server) []Peer {
-	rank := func(p Peer) int {
-		switch {
-		case !to.HandledIn(p.Region):
-			return 3
-		case p.Domain == to.Domain:
-			return 0
-		case p.Region == to.Region:
-			return 1
-		}
-		return 2
-	}
 	allowed := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool {
 		return p.Addr == "" || !to.AllowsCarrier(p.Region)
 	})
 	rand.Shuffle(len(allowed), func(i, j int) { allowed[i], allowed[j] = allowed[j], allowed[i] })
-	slices.SortStableFunc(allowed, func(a, b Peer) int { return cmp.Compare(rank(a), rank(b)) })
+	slices.SortStableFunc(allowed, func(a, b Peer) int { return cmp.Compare(rank(a, to), rank(b, to)) })
 	return allowed
 }
+
+// rank returns how far a peer is from the server, the nearest being 0. All peers outside the
+// regions of the request come after those inside.
+func rank(p Peer, to yuccarelay.Server) int {
+	const outside = 3
+	n := 2
+	switch {
+	case p.Domain == to.Domain:
+		n = 0
+	case p.Region == to.Region:
+		n = 1
+	}
+	if !to.HandledIn(p.Region) {
+		n += outside
+	}
+	return n
+}
