A caller with less time than a response takes closes no idle connections

After one request whose caller had less time than the server takes, the entry closed its idle connections to that server and opened new ones for all callers; for ten minutes it also closed each connection to that address at the age that the request's connection had.

Cause: a request that timed out without a byte of a response was taken for a connection that the network has silently dropped, whatever time the caller had. The class of the fault: a failure that follows from one request's constraints is taken for a property of the path.

Change: a timeout makes connections suspect only if the attempt lasted as long as the 0.99 quantile of the service's responses, which also starts hedged requests, or 500 ms while that is not known. Silent connections are noticed as before by callers with more time.

--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -249,12 +249,22 @@
 	}
 	blamed := k != yuccaerror.Canceled && blamesServer(err)
 	a.abort(yuccaadmission.Result{Kind: k, NoResponse: blamed && a.serverUnreachable(err), Failed: blamed})
-	if !a.task.relay.opt.NoHedge && a.noResponseBytes() && (isTimeout(err) || a.superseded.Load()) {
+	if !a.task.relay.opt.NoHedge && a.noResponseBytes() && (isTimeout(err) && a.waitedLong() || a.superseded.Load()) {
 		a.task.relay.pool.discardSuspects(a.conn)
 	}
 	return yuccalifecycle.Failed{Kind: k}
 }
 
+// waitedLong reports whether the attempt has lasted longer than most responses of the service
+// take. A caller with less time learns nothing about the connection.
+func (a *attempt) waitedLong() bool {
+	usual, known := a.task.relay.retries.Quantile(a.task.service, hedgeQuantile)
+	if !known {
+		usual = silenceDelay
+	}
+	return time.Since(a.started) >= usual
+}
+
 // blamesServer reports whether an error may be the server's fault. A lost link, the lack
 // of an entry that may carry the request and a caller with too little time for a connection
 // say nothing about the server.
