Requests that no entry may carry use own links that are back

Cause: while the entry counts as cut off, a request with a body that no entry in its regions may carry was rejected without a try of the direct connection; the end of the partition shows only at the next probe.

Change: one such request at a time tries the direct connection. The others are rejected at once as before, and all are on links that may be silent, on which a request would be sent and lost. A failed try says nothing about the server.

TestRequestWithoutCarrierUsesLinksThatAreBack fails on the code before. With 20 callers on links that hang, 2 at most wait. Without the comparison for silent links TestProbesPassAnyRegion fails.

--- a/core/yuccatunnel/dialer.go
+++ b/core/yuccatunnel/dialer.go
@@ -130,6 +130,13 @@
 	return d.detector.CutOff()
 }
 
+// silentlyCutOff reports whether the entry is cut off by silent links.
+func (d *Dialer) silentlyCutOff() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.detector.SilentlyCutOff()
+}
+
 // WorksSince reports whether a server has responded directly later than t, or no server has
 // failed to since the last response.
 func (d *Dialer) WorksSince(t time.Time) bool {
@@ -154,7 +161,11 @@
 	d.remember(to)
 	cutOff := d.CutOff()
 	if cutOff {
-		if c, err := d.tunnel(ctx, to); !errors.Is(err, errCutOff) {
+		c, err := d.tunnel(ctx, to)
+		if errors.Is(err, yuccarelay.ErrNoCarrier) {
+			return d.tryOwnLinks(ctx, to, err)
+		}
+		if !errors.Is(err, errCutOff) {
 			return c, err
 		}
 	}
@@ -173,6 +184,21 @@
 	return t, nil
 }
 
+// tryOwnLinks opens a direct connection for a request that no other entry may carry, as the
+// links may be back before a probe shows it. One caller at a time waits for that. The others,
+// and all on links that may be silent, get the error noCarrier at once.
+func (d *Dialer) tryOwnLinks(ctx context.Context, to yuccarelay.Server, noCarrier error) (net.Conn, error) {
+	if d.silentlyCutOff() || !d.verifying.CompareAndSwap(false, true) {
+		return nil, noCarrier
+	}
+	defer d.verifying.Store(false)
+	c, err := d.dialDirect(ctx, to)
+	if err != nil {
+		return nil, noCarrier
+	}
+	return c, nil
+}
+
 // Usable implements yuccarelay.Path. Direct connections are used while the entry is not
 // cut off, tunnels while it is, no byte of theirs is under way and their other entry does
 // not leave.
@@ -443,11 +469,8 @@
 	if len(servers) == 0 {
 		return
 	}
-	d.mu.Lock()
-	silent := d.detector.SilentlyCutOff()
-	d.mu.Unlock()
 	reaches := d.accepts
-	if silent {
+	if d.silentlyCutOff() {
 		reaches = d.closes
 	}
 	ctx, cancel := context.WithTimeout(ctx, verifyTimeouts*d.settings.Timeout)
--- a/core/yuccatunnel/silence_test.go
+++ b/core/yuccatunnel/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -114,6 +115,8 @@
 	}
 	w.startDialer(t, a, b)
 	w.c.Assert(w.leaveUnanswered(3*time.Second, a, b), qt.IsTrue)
+	_, err := w.dialer.Dial(t.Context(), a)
+	w.c.Assert(errors.Is(err, yuccarelay.ErrNoCarrier), qt.IsTrue, qt.Commentf("no request goes to a silent link: %v", err))
 }
 
 // TestOverloadIsNotTakenForSilence has servers leave requests unanswered for long, as
--- a/core/yuccatunnel/tunnel_test.go
+++ b/core/yuccatunnel/tunnel_test.go
@@ -202,6 +202,44 @@
 	}
 }
 
+// TestRequestWithoutCarrierUsesLinksThatAreBack guards against requests that are rejected
+// until the next probe because no entry may carry them, although the links are back, and
+// against callers who all wait while the links are down.
+func TestRequestWithoutCarrierUsesLinksThatAreBack(t *testing.T) {
+	const callers = 20
+	w := newWorld(t)
+	a, b := w.addServer(t, "a", echo), w.addServer(t, "b", echo)
+	w.addPeer(t, "e2")
+	w.peers[0].Region = "q"
+	w.cut(a, b)
+	w.c.Assert(w.dialer.CutOff(), qt.IsTrue)
+	homed := a
+	homed.Regions = []string{"r"}
+	w.linkDown.Store(false)
+	c, err := w.dialer.Dial(t.Context(), homed)
+	w.c.Assert(err, qt.IsNil)
+	_, tunneled := c.(yuccarelay.Tunnel)
+	w.c.Assert(tunneled, qt.IsFalse)
+	_ = c.Close()
+
+	w.hanging.Store(true)
+	group := &errgroup.Group{}
+	var waited atomic.Int64
+	for range callers {
+		group.Go(func() error {
+			began := time.Now()
+			_, err := w.dialer.Dial(t.Context(), homed)
+			w.c.Check(errors.Is(err, yuccarelay.ErrNoCarrier), qt.IsTrue, qt.Commentf("%v", err))
+			if time.Since(began) > 50*time.Millisecond {
+				waited.Add(1)
+			}
+			return nil
+		})
+	}
+	w.c.Assert(group.Wait(), qt.IsNil)
+	w.c.Assert(waited.Load() <= 2, qt.IsTrue, qt.Commentf("%d of %d waited", waited.Load(), callers))
+}
+
 // TestDeadServersAreNotTakenForPartition stops two servers: no other entry reaches them
 // either, so the entry goes on connecting directly.
 func TestDeadServersAreNotTakenForPartition(t *testing.T) {
