Probes name the server that has the address now

After an address had gone to another server, an entry whose links fell silent did not notice it: its callers got no response until their time had passed.

Cause: servers are remembered for probes by address, and the first one with an address stayed there. Other entries were asked for a server that they no longer know, and then nobody could tell that the servers are reached. The class of the fault: what was learned of one server is used for another one with its address.

Change: the server that was connected to last takes the place of the one with its address.

Evidence: TestProbesNameTheServerThatHasTheAddress fails on the code before (not cut off after 3 s of silence) and passes 3 of 3 times now.

--- a/core/yuccatunnel/dialer.go
+++ b/core/yuccatunnel/dialer.go
@@ -288,7 +288,9 @@
 	s = s.WithoutRegions()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if slices.ContainsFunc(d.recent, func(r yuccarelay.Server) bool { return r.Addr == s.Addr }) {
+	if i := slices.IndexFunc(d.recent, func(r yuccarelay.Server) bool { return r.Addr == s.Addr }); i >= 0 {
+		// The address may have belonged to another server.
+		d.recent[i] = s
 		return
 	}
 	if len(d.recent) < maxRecentServers {
--- a/core/yuccatunnel/silence_test.go
+++ b/core/yuccatunnel/silence_test.go
@@ -119,6 +119,21 @@
 	w.c.Assert(errors.Is(err, yuccarelay.ErrNoCarrier), qt.IsTrue, qt.Commentf("no request goes to a silent link: %v", err))
 }
 
+// TestProbesNameTheServerThatHasTheAddress guards against a partition that goes unnoticed
+// because other entries are asked for servers whose addresses belong to others now.
+func TestProbesNameTheServerThatHasTheAddress(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.addServer(t, "a", echo), w.addServer(t, "b", echo)
+	w.addPeer(t, "e2")
+	for _, s := range []yuccarelay.Server{a, b} {
+		w.redirects.Store(s.Addr, w.silentAddr(t))
+	}
+	goneA, goneB := a, b
+	goneA.Name, goneB.Name = "gone-a", "gone-b"
+	w.startDialer(t, goneA, goneB, a, b)
+	w.c.Assert(w.leaveUnanswered(3*time.Second, a, b), qt.IsTrue)
+}
+
 // TestOverloadIsNotTakenForSilence has servers leave requests unanswered for long, as
 // under overload. The links bring bytes, or nobody reaches the servers, or nobody can
 // tell: none of it shows a partition.
