Expired tunnels leave the pool although the request may not use them

At an address whose requests all have homes, connections to the server were opened anew for each request after a partition, and up to 32 dead tunnels stayed open for good.

Cause: since tunnels of other regions stay in the pool for other requests, a request that may not use one passed it over without looking at its age. Without other requests the tunnels filled the pool of the address, which then took no further connection.

Change: a connection that is too old is closed whoever takes the next one.

--- a/core/yuccarelay/pool.go
+++ b/core/yuccarelay/pool.go
@@ -167,17 +167,18 @@
 }
 
 // takeIdle removes and returns an idle connection that the request may use, nil if there
-// is none. Those that only other requests may use stay in the pool.
+// is none. Those that only other requests may use stay in the pool until they are too old.
 func (p *pool) takeIdle(to Server) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := len(p.idle[to.Addr]) - 1; i >= 0; i-- {
 		c := p.idle[to.Addr][i]
-		if !to.allows(c.Conn) {
+		usable := p.isUsable(c)
+		if usable && !to.allows(c.Conn) {
 			continue
 		}
 		p.idle[to.Addr] = slices.Delete(p.idle[to.Addr], i, i+1)
-		if p.isUsable(c) {
+		if usable {
 			return c
 		}
 		_ = c.Close()
--- a/core/yuccarelay/pool_test.go
+++ b/core/yuccarelay/pool_test.go
@@ -117,6 +117,26 @@
 	}
 }
 
+// TestExpiredTunnelsLeaveRoom guards against connections that are never pooled again, and
+// tunnels that stay open, because tunnels fill the pool that none of the requests may use.
+func TestExpiredTunnelsLeaveRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := newPool(tcpPath{}, 0)
+		defer p.close()
+		for range maxIdlePerAddr {
+			p.put(newConn(pooledConn("q"), "a"))
+		}
+		time.Sleep(maxIdleTime)
+		homed := Server{Addr: "a", Regions: []string{"r"}}
+		c.Assert(p.takeIdle(homed), qt.IsNil)
+		direct := newConn(pooledConn(""), "a")
+		p.put(direct)
+		c.Assert(p.takeIdle(homed), qt.Equals, direct)
+		_ = direct.Close()
+	})
+}
+
 // pooledConn returns a tunnel through a region, or a direct connection if it is empty.
 func pooledConn(region string) net.Conn {
 	near, _ := net.Pipe()
