A stopping entry refuses requests that it can't answer in time

Cause: the socket closes 2.7 s after the signal, but a request can be complete later. The entry may have read a part of its head or body, the connection may have been accepted last and not been used, or the request is sent behind another in progress. It went to a server with a deadline shortened to the end of the grace; one whose head had been read before the signal, with a body in chunks or of more than 8 KB, had not even that.

The end of the entry is applied after the body has been read, not before.

Open: bodies of more than 64 KiB go to the server while they arrive and are not covered.

--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -218,8 +218,8 @@
 	failures zerolog.Logger
 	// unnamed counts the responses that did not say which request they belong to.
 	unnamed atomic.Uint64
-	// stopAt is when the relay stops to wait for servers, nil if it does not stop.
-	stopAt atomic.Pointer[time.Time]
+	// stop is how the relay stops, nil if it does not.
+	stop atomic.Pointer[stop]
 }
 
 // New returns a relay with the given options.
@@ -268,10 +268,6 @@
 	return r.opt.Router.Idempotent(h)
 }
 
-// StopAt bounds the deadlines of all further requests, so that those for which a server
-// does not answer in time get a response before the entry exits.
-func (r *Relay) StopAt(at time.Time) { r.stopAt.Store(&at) }
-
 // SetRetryLimits replaces the limits of retries, hedged requests and resumed
 // downloads.
 func (r *Relay) SetRetryLimits(l yuccaretry.Limits) { r.retries.SetLimits(l) }
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -140,6 +140,9 @@
 	if t.body, err = newRequestBody(t.ctx); err != nil {
 		return err
 	}
+	if err = t.limitToStop(time.Now()); err != nil {
+		return err
+	}
 	t.idempotent = t.route.Idempotent
 	if t.route.Affinity {
 		t.affinityKey = protocol.AffinityKey(h)
@@ -150,8 +153,7 @@
 	return t.takeToken()
 }
 
-// setDeadline sets the deadline to the earliest of the caller's, the route's and the end
-// of the entry.
+// setDeadline sets the deadline to the earlier of the caller's and the route's.
 func (t *task) setDeadline() error {
 	limit, err := t.relay.opt.Protocol.Deadline(t.arrived, &t.ctx.Request.Header)
 	if err != nil {
@@ -161,9 +163,6 @@
 	if t.route.Timeout > 0 {
 		t.limitDeadline(t.arrived.Add(t.route.Timeout))
 	}
-	if at := t.relay.stopAt.Load(); at != nil {
-		t.limitDeadline(*at)
-	}
 	return nil
 }
 
