--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -253,8 +253,8 @@
 	unnamed atomic.Uint64
 	// tunneled counts the requests that went through other entries.
 	tunneled tunnelCounters
-	// stopAt is when the relay stops to wait for servers, nil if it does not stop.
-	stopAt atomic.Pointer[time.Time]
+	// stop is how the relay stops, nil if it does not.
+	stop atomic.Pointer[stop]
 }
 
 // New returns a relay with the given options.
@@ -303,10 +303,6 @@
 	return r.opt.Router.Idempotent(h)
 }
 
-// StopAt bounds the deadlines of all further requests, so that those for which a server
-// does not answer in time get a response before the entry exits.
-func (r *Relay) StopAt(at time.Time) { r.stopAt.Store(&at) }
-
 // SetRetryLimits replaces the limits of retries, hedged requests and resumed
 // downloads.
 func (r *Relay) SetRetryLimits(l yuccaretry.Limits) { r.retries.SetLimits(l) }
