Callers' connections are bounded by the descriptors of the process

What callers saw: an entry whose callers held more idle connections than it had descriptors accepted nobody, answered neither look-ups nor readiness checks, and reached neither its servers nor the store.

Cause: callers' connections had no limit, so they took the descriptors that everything else needs.

Why it works: yuccaconns, a pure decision, keeps callers' connections to half of the descriptors, look-ups to an eighth, readiness checks to a sixteenth; the rest is for servers, the store, peers, tunnels and files. At the limit, the connection that has been without a request for longest is closed for a new one, unless data of a next request has arrived or it has been idle for less than 0.1 s. A request that is read while its connection is closed isn't passed on. If no connection can be closed, the new one's request is answered 503 with Retry-After, and beyond a sixteenth more the new one is closed unread.

At its limit, and 5 s after, an entry counts as saturated in its heartbeats. That halves its part of the callers where the entries of a region differ much in size; elsewhere look-ups name it as before.

--- a/core/yuccacapacity/capacity.go
+++ b/core/yuccacapacity/capacity.go
@@ -62,7 +62,7 @@
 	Cores float64
 	// Megabits is the bandwidth of the response bodies in Mbit/s.
 	Megabits float64
-	// Saturated is set while the processor or the link has no room left.
+	// Saturated is set while the processor, the link or the connections have no room left.
 	Saturated bool
 }
 
--- a/core/yuccafront/listener.go
+++ b/core/yuccafront/listener.go
@@ -14,6 +14,7 @@
 package yuccafront
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -25,6 +26,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"yuccawell.example/core/yuccaconns"
 	"yuccawell.example/core/yuccaerror"
 	"yuccawell.example/core/yuccapipeline"
 	"yuccawell.example/core/yuccasleep"
@@ -51,6 +53,13 @@
 	// Concurrent reports whether a request without a body may run before the requests
 	// before it on the same connection have ended. Nil means that none may.
 	Concurrent func(h *fasthttp.RequestHeader) bool
+	// Name is the name of the listener in log lines; empty means its address.
+	Name string
+	// MaxConns limits the open connections, 0 for no limit.
+	MaxConns int
+	// Refuse answers a request on a connection beyond MaxConns. It says that the request has
+	// not run and when to come back. Nil means a response like those of New.
+	Refuse fasthttp.RequestHandler
 }
 
 const (
@@ -77,8 +86,10 @@
 	// pipeline is nil if no requests run concurrently.
 	pipeline *yuccapipeline.Pipeline
 	socket   *drainableSocket
-	leaving  atomic.Bool
-	done     chan struct{}
+	// conns limits the number of connections.
+	conns   *connLimiter
+	leaving atomic.Bool
+	done    chan struct{}
 
 	// mu guards newConns.
 	mu sync.Mutex
@@ -96,7 +107,12 @@
 // NewWithHandler returns a listener that passes all requests to handler. It calls
 // handleReadError for a request that cannot be read or parsed.
 func NewWithHandler(settings Settings, handler fasthttp.RequestHandler, handleReadError func(*fasthttp.RequestCtx, error), log zerolog.Logger) *Listener {
+	settings.Name = cmp.Or(settings.Name, settings.Addr)
+	if settings.Refuse == nil {
+		settings.Refuse = writeRefusal
+	}
 	f := &Listener{settings: settings, handler: handler, log: log, done: make(chan struct{}), newConns: map[net.Conn]struct{}{}}
+	f.conns = newConnLimiter(settings.Name, settings.MaxConns, log)
 	f.server = &fasthttp.Server{
 		Handler:                       f.serve,
 		Name:                          "yuccawell",
@@ -162,12 +178,20 @@
 	return nil
 }
 
-// trackConn keeps newConns up to date and tells the pipeline of the change.
+// SetMaxConns changes Settings.MaxConns. Connections beyond it are closed as new ones come.
+func (f *Listener) SetMaxConns(n int) { f.conns.setLimit(n) }
+
+// ConnStatus describes the open connections.
+func (f *Listener) ConnStatus() ConnStatus { return f.conns.status(time.Now()) }
+
+// trackConn keeps newConns up to date and tells the pipeline and the limit of the change.
 func (f *Listener) trackConn(c net.Conn, state fasthttp.ConnState) {
 	f.updateNewConns(c, state)
 	if f.pipeline != nil {
 		f.pipeline.SetState(c, state)
 	}
+	// The pipeline has written all responses when a connection is idle.
+	f.conns.track(c, state)
 }
 
 func (f *Listener) updateNewConns(c net.Conn, state fasthttp.ConnState) {
@@ -211,12 +235,19 @@
 	f.pipeline.End(ctx, f.leaving.Load())
 }
 
-// handle calls the handler. A panic ends only this request and its connection; the
-// server would not recover it.
+// handle calls the handler that the limit of connections allows. A panic ends only this
+// request and its connection; the server would not recover it.
 func (f *Listener) handle(ctx *fasthttp.RequestCtx) {
+	handler := f.handler
+	switch f.conns.serves(ctx.Conn()) {
+	case yuccaconns.Refuse:
+		handler = f.refuse
+	case yuccaconns.Drop:
+		handler = (*fasthttp.RequestCtx).SetConnectionClose
+	}
 	err := func() (err error) {
 		defer yuccaerror.Recover(&err)
-		f.handler(ctx)
+		handler(ctx)
 		return nil
 	}()
 	if err != nil {
@@ -227,6 +258,18 @@
 	}
 }
 
+// lingerer is a connection whose close may wait until the client stops sending.
+type lingerer interface{ Linger() }
+
+// refuse answers a request on a connection beyond the limit and closes the connection.
+func (f *Listener) refuse(ctx *fasthttp.RequestCtx) {
+	f.settings.Refuse(ctx)
+	ctx.SetConnectionClose()
+	if c, ok := ctx.Conn().(lingerer); ok && ctx.Request.IsBodyStream() {
+		c.Linger()
+	}
+}
+
 // discardLogger drops the log output of fasthttp, since every failure is logged as
 // an event of its own.
 type discardLogger struct{}
--- a/core/yuccafront/lookup.go
+++ b/core/yuccafront/lookup.go
@@ -124,6 +124,11 @@
 	ctx.SetConnectionClose()
 }
 
+// writeRefusal responds to a request that is refused for lack of connections.
+func writeRefusal(ctx *fasthttp.RequestCtx) {
+	yuccarelay.WriteError(ctx, yuccaerror.Shed, yuccaerror.NotRun)
+}
+
 // ReadErrorKind returns the error kind for a request that could not be read: Large
 // if its header exceeds the limit, Malformed otherwise.
 func ReadErrorKind(err error) yuccaerror.Kind {
--- a/core/yuccapipeline/conn.go
+++ b/core/yuccapipeline/conn.go
@@ -73,6 +73,14 @@
 	return c.arrivedAt
 }
 
+// Buffered returns the number of bytes that have been read from the socket and that the
+// server has not got yet.
+func (c *Conn) Buffered() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.unread)
+}
+
 // Read implements net.Conn. It returns no bytes beyond the request that the server is
 // reading.
 func (c *Conn) Read(p []byte) (int, error) {
--- a/core/yuccasocket/accept.go
+++ b/core/yuccasocket/accept.go
@@ -18,6 +18,14 @@
 // descriptors or memory, or the connection has ended before it was accepted.
 var scarcity = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED}
 
+// acceptFailures counts the failures of all listeners, since descriptors and memory are those
+// of the process.
+var acceptFailures atomic.Uint64
+
+// AcceptFailures returns how often the listeners of the process have failed to accept a
+// connection for a reason that passes.
+func AcceptFailures() uint64 { return acceptFailures.Load() }
+
 // Listener is a net.Listener that goes on accepting when it has failed for a reason that
 // passes. It writes one log line when that begins, and one when it is over. Create one with
 // NewListener.
@@ -46,6 +54,7 @@
 		if !passes(err) {
 			return nil, err
 		}
+		acceptFailures.Add(1)
 		if l.failures.Add(1) == 1 {
 			l.log.Warn().Err(err).Str("listener", l.name).Msg("connections_not_accepted")
 		}
