A test of late quota reports of an entry's process before

A mutant that takes a report of a lower incarnation at any time was not detected. With a late report of the process before after each report, both entries must still admit 4500 requests; the mutant admits 2500.

--- a/core/yuccaquota/ledger_test.go
+++ b/core/yuccaquota/ledger_test.go
@@ -184,6 +184,14 @@
 			}
 		}, 4500},
 		{"all reports are lost", func(p *pair) { p.deliver = func(yuccaquota.Report) {} }, 2400},
+		{"late reports of the other's process before", func(p *pair) {
+			deliver := p.deliver
+			p.deliver = func(r yuccaquota.Report) {
+				deliver(r)
+				r.Incarnation, r.View, r.Usages = 0, 0, nil
+				deliver(r)
+			}
+		}, 4500},
 		{"the other starts again after its clock went back", func(p *pair) {
 			p.idle(time.Second)
 			p.now = p.now.Add(6 * time.Second)
