An answer to HEAD that is another request's ends the connection

What callers saw: on a kept connection, an answer to an earlier GET that came once more, ahead of the answer to a HEAD request, was skipped as if it had no body. Its body was then read as the next answer: bytes of it that look like an answer with the id of the HEAD request were given to that caller (MIXED).

Cause: whether an answer has a body was decided by the method of the request that waits, also for an answer that belongs to another request.

Why it works: an answer that isn't the waiting HEAD request's and announces a body ends the connection. HEAD may be sent again.

--- a/core/yuccarelay/exchange.go
+++ b/core/yuccarelay/exchange.go
@@ -143,6 +143,9 @@
 		default:
 			return nil
 		}
+		if t.isHead && x.announcesBody() {
+			return errWrongResponse
+		}
 		if err := x.skipBody(); err != nil {
 			return err
 		}
@@ -150,6 +153,12 @@
 	return errWrongResponse
 }
 
+// announcesBody reports whether a body follows the header unless it responds to a HEAD
+// request. A mismatched response may belong to a request of another method.
+func (x *exchange) announcesBody() bool {
+	return !x.hasNoBody(false) && x.head.ContentLength() != 0
+}
+
 // awaitResponse waits for the first byte of a response and sets the deadline for reading
 // its header. A server need not respond before it has the whole request.
 func (x *exchange) awaitResponse() error {
--- a/core/yuccarelay/relay_test.go
+++ b/core/yuccarelay/relay_test.go
@@ -67,6 +67,12 @@
 
 // start starts a relay in front of the backends.
 func (w *fixture) start(t testing.TB, opt yuccarelay.Options, backends []backend) {
+	w.relay = w.newRelay(t, opt, backends)
+	w.serve(t, w.relay)
+}
+
+// newRelay returns a relay in front of the backends.
+func (w *fixture) newRelay(t testing.TB, opt yuccarelay.Options, backends []backend) *yuccarelay.Relay {
 	rules, faults := yuccarule.Parse("rules", []byte("region a domains=a1 # t\nservice s host=s.example regions=a # t"))
 	qt.Assert(t, faults, qt.HasLen, 0)
 	list := []yuccastore.Instance{{Name: "e1", Kind: yuccastore.KindEntry, Region: "a"}}
@@ -80,8 +86,7 @@
 	snapshot := yuccasync.Snapshot{Document: yuccarule.Document{Version: 1}, Rules: rules, View: view, Plan: plan}
 	snapshot.Table = newLocatorTable(rules)
 	opt.Region, opt.Picker, opt.Source = "a", w.picker, fixedSource{snapshot}
-	w.relay = yuccarelay.New(opt)
-	w.serve(t, w.relay)
+	return yuccarelay.New(opt)
 }
 
 // serve starts an HTTP server for the relay and a client for that server.
