A response that its server cuts isn't taken for the caller's cancellation

What callers saw: a request whose server ended its connection within the body of a response that is read whole before it is forwarded got 499 "canceled" on the project's own interface, although its caller waited. On the platform such a request got 502; its log line said that the caller had closed its connection.

Cause: the end of the body ends the attempt and its context, and an attempt that fails with its context ended counted as canceled.

Why it works: an ended context means a cancellation only if the attempt has not ended by itself. What the balancer learns was right before and stays.

--- a/core/yuccarelay/answer_fuzz_test.go
+++ b/core/yuccarelay/answer_fuzz_test.go
@@ -22,6 +22,8 @@
 const (
 	// idHeader names the request that an answer belongs to.
 	idHeader = "Id"
+	// canceled is the name of the error of a request whose caller has left.
+	canceled = "canceled"
 	// freshHeader marks the answers on connections after the first.
 	freshHeader = "Fresh"
 	// nextRequestTimeout is how long the server keeps the first connection for the second
@@ -247,8 +249,8 @@
 func requestID(i int) string { return fmt.Sprint("q", i) }
 
 // FuzzAnswers has a server write any bytes, in any parts, after the requests of a connection.
-// It guards against bytes of one answer that count for another request, and against answers
-// that are not whole and look so to the caller.
+// It guards against bytes of one answer that count for another request, against answers that
+// are not whole and look so to the caller, and against a cut that is taken for the caller's.
 func FuzzAnswers(f *testing.F) {
 	for _, s := range answerSeeds {
 		for _, kind := range []uint8{0, 1, 2, 4, 6, 8, 129} {
@@ -267,6 +269,9 @@
 			if whole {
 				want, whole = expectedAnswer(r, methods[i], requestID(i), s.reset)
 			}
+			if got != nil && got.id == "" && got.failure == canceled {
+				t.Fatalf("request %d (%s), whose caller waits, is answered as canceled by it", i, methods[i])
+			}
 			if got == nil || got.id == "" && got.status >= fasthttp.StatusBadRequest && got.failure != "" {
 				continue
 			}
--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -228,10 +228,10 @@
 }
 
 // fail ends the attempt with an error. The kind is Canceled if the attempt's
-// context has ended.
+// context has ended before the attempt.
 func (a *attempt) fail(k yuccaerror.Kind, err error) yuccalifecycle.Event {
 	a.err = err
-	if a.ctx.Err() != nil {
+	if a.ctx.Err() != nil && !a.ended {
 		k = yuccaerror.Canceled
 	}
 	if k != yuccaerror.Canceled && a.conn != nil && !a.reusedConn && isConnBroken(err) && a.noResponseBytes() {
