--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -29,6 +29,7 @@
 	"held":    caseHeld,
 	"refused": caseRefused,
 	"cut":     caseCut,
+	"thrown":  caseThrown,
 	"crasher": caseCrasher,
 }
 
