Keep the clients' connections in review cases 6 and 9

Cause: the rule speaks of requests from a kept connection, and the clients opened one for each pair of requests. Change: they keep it, and a request counts only if its connection has carried an answer before.

--- a/review/rig-2/case_cut.go
+++ b/review/rig-2/case_cut.go
@@ -88,8 +88,10 @@
 	end := time.Now().Add(cutLength)
 	for k := range desks {
 		wg.Go(func() {
+			kept := &keeper{addr: w.entries[k%len(w.entries)].front()}
+			defer kept.close()
 			for n := 0; time.Now().Before(end); n++ {
-				ids, results := manifestWithStatuses(w.entries[k%len(w.entries)].front(), k, n)
+				ids, results, carried := manifestWithStatuses(kept, k, n)
 				mu.Lock()
 				for i, v := range results {
 					asked++
@@ -97,7 +99,9 @@
 						answered++
 						continue
 					}
-					lost[ids[i]] = v.String()
+					if carried > 0 {
+						lost[ids[i]] = fmt.Sprintf("%v; its connection had carried %d answers", v, carried)
+					}
 				}
 				mu.Unlock()
 				time.Sleep(deskPause)
@@ -108,14 +112,14 @@
 	return judgeCut(w, sound, lost, asked, answered)
 }
 
-// manifestWithStatuses sends a manifest request and those behind it on one connection and
-// reads the answers.
-func manifestWithStatuses(front string, desk, n int) (ids []string, results []result) {
-	c, err := dial(front)
+// manifestWithStatuses sends a manifest request and those behind it on the connection that is
+// kept and reads the answers. It returns how many answers that connection had carried before.
+func manifestWithStatuses(kept *keeper, desk, n int) (ids []string, results []result, carried int) {
+	c, err := kept.conn()
 	if err != nil {
-		return nil, nil
+		return nil, nil, 0
 	}
-	defer c.Close()
+	carried = c.answers
 	var all []request
 	var text strings.Builder
 	for j := range 1 + behind {
@@ -128,13 +132,14 @@
 		text.WriteString(r.text())
 	}
 	if _, err := io.WriteString(c, text.String()); err != nil {
-		return nil, nil
+		c.ended = true
+		return nil, nil, 0
 	}
 	deadline := time.Now().Add(4 * time.Second)
 	for _, r := range all {
 		results = append(results, c.read(r, deadline))
 	}
-	return ids, results
+	return ids, results, carried
 }
 
 func judgeCut(w *world, sound map[string]bool, lost map[string]string, asked, answered int) error {
--- a/review/rig-2/case_thrown.go
+++ b/review/rig-2/case_thrown.go
@@ -19,8 +19,10 @@
 
 // job is a job that a client has sent, with what became of it.
 type job struct {
-	id     string
-	result result
+	id string
+	// carried is the number of answers that had come on its connection before.
+	carried int
+	result  result
 }
 
 // caseThrown lets clients book a job and ask for a manifest behind it. Some servers of the
@@ -79,8 +81,10 @@
 	end := time.Now().Add(cutLength)
 	for k := range desks {
 		wg.Go(func() {
+			kept := &keeper{addr: w.entries[k%len(w.entries)].front()}
+			defer kept.close()
 			for n := 0; time.Now().Before(end); n++ {
-				j, ok := bookWithManifest(w.entries[k%len(w.entries)].front(), k, n)
+				j, ok := bookWithManifest(kept, k, n)
 				if ok {
 					mu.Lock()
 					jobs = append(jobs, j)
@@ -94,14 +98,14 @@
 	return judgeThrown(w, sound, jobs)
 }
 
-// bookWithManifest sends a job and a manifest request on one connection and reads the answers.
-// It returns false if they could not be sent.
-func bookWithManifest(front string, desk, n int) (job, bool) {
-	c, err := dial(front)
+// bookWithManifest sends a job and a manifest request on the connection that is kept and reads
+// the answers. It returns false if they could not be sent.
+func bookWithManifest(kept *keeper, desk, n int) (job, bool) {
+	c, err := kept.conn()
 	if err != nil {
 		return job{}, false
 	}
-	defer c.Close()
+	carried := c.answers
 	id := fmt.Sprintf("d%02d-%04d", desk, n)
 	thing := fmt.Sprintf("Cookie: %s=%d\r\n", names["affinity"], (desk+n)%118)
 	all := []request{
@@ -113,10 +117,11 @@
 		text.WriteString(r.text())
 	}
 	if _, err := io.WriteString(c, text.String()); err != nil {
+		c.ended = true
 		return job{}, false
 	}
 	now := time.Now()
-	booked := job{all[0].id, c.read(all[0], now.Add(all[0].limit))}
+	booked := job{all[0].id, carried, c.read(all[0], now.Add(all[0].limit))}
 	if booked.result.status != 0 {
 		c.read(all[1], now.Add(all[1].limit))
 	}
@@ -136,9 +141,9 @@
 			answered++
 			continue
 		}
-		if server, ran := ranAt[j.id]; ran {
+		if server, ran := ranAt[j.id]; ran && j.carried > 0 {
 			lost++
-			w.rec.add("LOST: job %s ran at %s, which has answered it: %s", j.id, server, j.result)
+			w.rec.add("LOST: job %s ran at %s, which has answered it: %s; its connection had carried %d answers", j.id, server, j.result, j.carried)
 		}
 	}
 	w.rec.add("%d jobs, %d answered, %d ran and have no answer", len(jobs), answered, lost)
--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -63,6 +63,37 @@
 type client struct {
 	net.Conn
 	r *bufio.Reader
+	// answers counts the whole answers that came on it.
+	answers int
+	// ended is set if an answer did not come or was the last one.
+	ended bool
+}
+
+// keeper keeps a client's connection for many requests.
+type keeper struct {
+	addr string
+	c    *client
+}
+
+// conn returns the connection that is kept, or a new one.
+func (k *keeper) conn() (*client, error) {
+	if k.c != nil && !k.c.ended {
+		return k.c, nil
+	}
+	k.close()
+	c, err := dial(k.addr)
+	if err != nil {
+		return nil, err
+	}
+	k.c = c
+	return c, nil
+}
+
+func (k *keeper) close() {
+	if k.c != nil {
+		_ = k.c.Close()
+		k.c = nil
+	}
 }
 
 func dial(addr string) (*client, error) {
@@ -70,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &client{c, bufio.NewReader(c)}, nil
+	return &client{Conn: c, r: bufio.NewReader(c)}, nil
 }
 
 // read reads the next answer until a deadline.
@@ -79,10 +110,15 @@
 	_ = c.SetReadDeadline(deadline)
 	resp, err := http.ReadResponse(c.r, &http.Request{Method: req.method})
 	if err != nil {
+		c.ended = true
 		return result{err: err, took: time.Since(start)}
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
+	c.ended = c.ended || err != nil || resp.Close
+	if err == nil {
+		c.answers++
+	}
 	own := resp.Header.Get(names["seal"]) == "seal."+req.id && resp.Header.Get(names["id"]) == req.id
 	return result{status: resp.StatusCode, complete: err == nil, own: own, body: body, err: err, took: time.Since(start)}
 }
