--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -101,6 +101,7 @@
 			w.rec.add("the script takes longer than %v", maxLength)
 		}
 		w.killEntries()
+		_ = os.RemoveAll(w.dir)
 		w.rec.close()
 		os.Exit(noResult)
 	})
