--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,3 +5,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target
 (cd review/rig-2 && GOWORK=off GOFLAGS=-mod=mod go build -o ../../target/review-rig-2 .)
+(cd review/rig-3 && GOWORK=off GOFLAGS=-mod=mod go build -o ../../target/review-rig-3 .)
--- a/review/rig-6/main.go
+++ b/review/rig-3/main.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -32,6 +33,8 @@
 	poisonPath = "/records/91"
 	// quietPath is the path of other requests.
 	quietPath = "/records/17"
+	// serverPort is the port of the servers.
+	serverPort = "8080"
 	// service is the name of the service.
 	service = "records"
 )
@@ -220,17 +223,44 @@
 	return map[string]any{"version": "r7", "resources": resources}
 }
 
+// freeAddresses returns a function of loopback addresses, by group and number, of which no
+// other process uses the ports of the rig.
+func freeAddresses() (func(group, i int) string, error) {
+	var err error
+	for range 10 {
+		second, third := 64+rand.IntN(150), rand.IntN(250)
+		ip := func(group, i int) string { return fmt.Sprintf("127.%d.%d.%d", second, third+group, i+1) }
+		if err = probe(net.JoinHostPort(ip(1, 0), serverPort), net.JoinHostPort(ip(2, 0), strconv.Itoa(frontPort))); err == nil {
+			return ip, nil
+		}
+	}
+	return nil, err
+}
+
+// probe returns an error if one of the addresses can't be listened on.
+func probe(addresses ...string) error {
+	for _, addr := range addresses {
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			return err
+		}
+		_ = l.Close()
+	}
+	return nil
+}
+
 // startAll starts the stand-ins and the entries and waits until all are ready.
 func (r *rig) startAll() error {
-	second, third := 64+rand.IntN(150), rand.IntN(250)
-	ip := func(group, i int) string { return fmt.Sprintf("127.%d.%d.%d", second, third+group, i+1) }
-	var err error
+	ip, err := freeAddresses()
+	if err != nil {
+		return err
+	}
 	if r.store, err = startStore(&r.group, ip(0, 0)); err != nil {
 		return err
 	}
 	r.store.put("config", "main", r.config())
 	for i := range 16 {
-		addr := net.JoinHostPort(ip(1, i), "8080")
+		addr := net.JoinHostPort(ip(1, i), serverPort)
 		b := &backend{rig: r, number: i + 1, service: service, zone: r.zoneNames[i%len(r.zoneNames)], addr: addr, running: make(chan struct{}, slots)}
 		r.backends = append(r.backends, b)
 		if err := b.start(0); err != nil {
@@ -386,7 +416,7 @@
 	r.kind, r.work = "idempotent", 5*time.Millisecond
 	switch name {
 	case "callers":
-		r.grown, r.tenants, r.stableWindow = true, true, 4*time.Second
+		r.grown, r.tenants, r.kind, r.stableWindow = true, true, "non_idempotent", 4*time.Second
 	case "pipeline":
 		r.grown, r.stableWindow, r.work = true, 4*time.Second, 30*time.Millisecond
 	case "midway":
--- a/review/rig-6/plays.go
+++ b/review/rig-3/plays.go
@@ -12,8 +12,6 @@
 	clientTimeout = 1200 * time.Millisecond
 	// crashInterval is the pause between two retries of the request that crashes servers.
 	crashInterval = 750 * time.Millisecond
-	// rareInterval is the same where other callers send the request too.
-	rareInterval = 2 * time.Second
 	// otherInterval is the pause between two other requests.
 	otherInterval = 50 * time.Millisecond
 	// sameInterval is the pause between two requests of other callers that are the same.
@@ -69,16 +67,16 @@
 		return trouble && q.URL.Path == poisonPath && q.Header.Get(field("Tenant-Name")) == tenantNames[0]
 	})
 	r.repeat(sameInterval, func() request {
-		q := request{method: "GET", path: poisonPath, key: keyOf(tenantNames[1+rand.IntN(len(tenantNames)-1)]), timeout: clientTimeout}
+		q := request{method: "POST", path: poisonPath, key: keyOf(tenantNames[1+rand.IntN(len(tenantNames)-1)]), timeout: clientTimeout}
 		if alone {
 			q.path = otherPath()
 		}
 		return q
 	})
-	r.repeat(rareInterval, func() request {
-		return request{method: "GET", path: poisonPath, key: keyOf(tenantNames[0]), timeout: clientTimeout, label: tenantNames[0]}
+	r.repeat(crashInterval, func() request {
+		return request{method: "POST", path: poisonPath, key: keyOf(tenantNames[0]), timeout: clientTimeout, label: tenantNames[0]}
 	})
-	r.sleep(40 * time.Second)
+	r.sleep(30 * time.Second)
 }
 
 // playMidway lets a client repeat a download that crashes servers, the trouble, after they
