--- a/review/rig-3/entry.go
+++ b/review/rig-3/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -75,8 +76,18 @@
 
 func (e *entry) settingsPath() string { return filepath.Join(e.rig.dir, e.name+".json") }
 
+// errOver is the cause of a start after the end of the case.
+var errOver = errors.New("the case is over")
+
 // start runs the process with the command of the deploy file.
 func (e *entry) start() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.rig.done:
+		return errOver
+	default:
+	}
 	log, err := os.OpenFile(filepath.Join(e.rig.dir, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -88,8 +99,6 @@
 		return err
 	}
 	exited := make(chan struct{})
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.cmd, e.exited, e.touchFrom = cmd, exited, time.Now().Add(e.rig.stableWindow)
 	e.rig.group.Go(func() {
 		defer close(exited)
