Review: a script of rig-3 that is ended early exits with 2

Cause: after a signal the case went on to its verdict and could end with 0.

Change: a case that is broken off returns 2.

--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -63,6 +64,7 @@
 	group     sync.WaitGroup
 	done      chan struct{}
 	ending    sync.Once
+	brokenOff atomic.Bool
 	started   time.Time
 
 	mu  sync.Mutex
@@ -322,6 +324,7 @@
 			return
 		}
 		r.record("the case is broken off")
+		r.brokenOff.Store(true)
 		r.finish()
 		_ = os.RemoveAll(r.dir)
 		os.Exit(2)
@@ -431,5 +434,8 @@
 	r.record("all entries are ready")
 	r.sleep(r.stableWindow + time.Second)
 	chosen(r, trouble != "0", trouble == "alone")
+	if r.brokenOff.Load() {
+		return 2
+	}
 	return r.verdict(name)
 }
