Connections of callers linger until the last response is received

Cause: after the last response the connection was closed once the bytes that had arrived by then were discarded. What the caller sent after that reached a closed socket; the kernel answered with a reset and dropped the rest of the response from its send buffer.

Change: yuccalinger ends the sending side and discards what arrives until the caller has closed, or has received everything and had a second, or has made no progress for 5 s. Every close of a caller's connection goes through one decision (yuccapipeline/close.go), with or without pipelining. A planned stop waits for lingering connections until 0.2 s after its drain.

--- a/core/yuccafront/listener.go
+++ b/core/yuccafront/listener.go
@@ -70,6 +70,11 @@
 	maxBodyBytes = 1 << 50
 	// idleTimeout is how long a connection may stay idle between two requests.
 	idleTimeout = 2 * time.Minute
+	// lastReceiveTime is how long clients may take after DrainTimeout to receive the last
+	// responses.
+	lastReceiveTime = 200 * time.Millisecond
+	// maxReceiveTime is how long they may take if there is no DrainTimeout.
+	maxReceiveTime = 5 * time.Second
 	// newConnGrace is how long a connection that was accepted last has for its first
 	// request when the listener stops. It covers a packet that is sent again, which takes
 	// 200 ms at least.
@@ -83,7 +88,6 @@
 	handler  fasthttp.RequestHandler
 	log      zerolog.Logger
 	server   *fasthttp.Server
-	// pipeline is nil if no requests run concurrently.
 	pipeline *yuccapipeline.Pipeline
 	socket   *drainableSocket
 	// conns limits the number of connections.
@@ -125,14 +129,11 @@
 		ReadBufferSize:                maxHeaderBytes,
 		MaxRequestBodySize:            maxBodyBytes,
 		IdleTimeout:                   idleTimeout,
-		CloseOnShutdown:               settings.Concurrent == nil,
 		ErrorHandler:                  handleReadError,
 		ConnState:                     f.trackConn,
 		Logger:                        discardLogger{},
 	}
-	if settings.Concurrent != nil {
-		f.pipeline = yuccapipeline.New(settings.Concurrent, f.server.ServeConn)
-	}
+	f.pipeline = yuccapipeline.New(settings.Concurrent, f.server.ServeConn)
 	return f
 }
 
@@ -145,10 +146,7 @@
 	}
 	f.log.Info().Str("addr", socket.Addr().String()).Msg("listening")
 	f.socket = socket
-	var l net.Listener = yuccasocket.NewListener(socket, socket.Addr().String(), f.log)
-	if f.pipeline != nil {
-		l = f.pipeline.Listener(l)
-	}
+	l := f.pipeline.Listener(yuccasocket.NewListener(socket, socket.Addr().String(), f.log))
 	group.Go(func() error { return f.server.Serve(l) })
 	return nil
 }
@@ -164,17 +162,19 @@
 	// The server closes idle connections itself, but waits for those without a request.
 	unused := time.AfterFunc(newConnGrace, f.closeNewConns)
 	defer unused.Stop()
+	drained := time.Now().Add(f.settings.DrainTimeout)
 	if f.settings.DrainTimeout > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, f.settings.DrainTimeout)
+		ctx, cancel = context.WithDeadline(ctx, drained)
 		defer cancel()
 	}
 	if err := f.server.ShutdownWithContext(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
-	if f.pipeline != nil {
-		f.pipeline.Wait()
+	if f.settings.DrainTimeout == 0 {
+		drained = time.Now().Add(maxReceiveTime)
 	}
+	f.pipeline.Wait(drained.Add(lastReceiveTime))
 	return nil
 }
 
@@ -187,9 +187,7 @@
 // trackConn keeps newConns up to date and tells the pipeline and the limit of the change.
 func (f *Listener) trackConn(c net.Conn, state fasthttp.ConnState) {
 	f.updateNewConns(c, state)
-	if f.pipeline != nil {
-		f.pipeline.SetState(c, state)
-	}
+	f.pipeline.SetState(c, state)
 	// The pipeline has written all responses when a connection is idle.
 	f.conns.track(c, state)
 }
@@ -223,13 +221,6 @@
 // header Connection: close, so that clients do not mistake the end of the
 // connection for a failure. Of pipelined requests in progress only the last has it.
 func (f *Listener) serve(ctx *fasthttp.RequestCtx) {
-	if f.pipeline == nil {
-		f.handle(ctx)
-		if f.leaving.Load() {
-			ctx.SetConnectionClose()
-		}
-		return
-	}
 	f.pipeline.Begin(ctx)
 	f.handle(ctx)
 	f.pipeline.End(ctx, f.leaving.Load())
@@ -258,16 +249,10 @@
 	}
 }
 
-// lingerer is a connection whose close may wait until the client stops sending.
-type lingerer interface{ Linger() }
-
 // refuse answers a request on a connection beyond the limit and closes the connection.
 func (f *Listener) refuse(ctx *fasthttp.RequestCtx) {
 	f.settings.Refuse(ctx)
 	ctx.SetConnectionClose()
-	if c, ok := ctx.Conn().(lingerer); ok && ctx.Request.IsBodyStream() {
-		c.Linger()
-	}
 }
 
 // discardLogger drops the log output of fasthttp, since every failure is logged as
--- a/core/yuccapipeline/conn.go
+++ b/core/yuccapipeline/conn.go
@@ -57,12 +57,12 @@
 	gone bool
 	// closing is set if Close has been called while responses were outstanding.
 	closing bool
-	// pipelined is set if a request was ever received behind another.
-	pipelined bool
-	// lingers is set if the caller may still be sending when the connection closes.
-	lingers bool
-	// lingering is set when it closes by itself, after the caller has stopped sending.
-	lingering bool
+	// received is set when a byte has been received.
+	received bool
+	// callerEnded is set when the caller has ended its sending side.
+	callerEnded bool
+	// closed is set when the connection has been closed, or left to the closer.
+	closed bool
 }
 
 // ArrivedAt returns when the head of the request in progress was read, the zero time
@@ -90,11 +90,11 @@
 		return 0, io.EOF
 	}
 	if c.idle {
-		c.idle = false
 		c.frame.startHead()
 	}
 	if len(c.unread) > 0 {
 		defer c.mu.Unlock()
+		c.idle = false
 		n, headEnded := c.frame.take(c.unread[:min(len(p), len(c.unread))])
 		if headEnded {
 			c.arrivedAt = c.readAt
@@ -105,17 +105,22 @@
 	}
 	c.mu.Unlock()
 	n, err := c.TCPConn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, io.EOF
+	}
 	if n <= 0 {
+		c.callerEnded = c.callerEnded || err == io.EOF
 		return n, err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.received, c.idle = true, false
 	taken, headEnded := c.frame.take(p[:n])
 	if headEnded {
 		c.arrivedAt = time.Time{}
 	}
 	if taken < n {
-		c.unread, c.readAt, c.pipelined = append(c.unread, p[taken:n]...), time.Now(), true
+		c.unread, c.readAt = append(c.unread, p[taken:n]...), time.Now()
 	}
 	return taken, err
 }
@@ -252,26 +257,6 @@
 	return c.closeNow()
 }
 
-// closeNow closes the connection and cancels its requests.
-func (c *Conn) closeNow() error {
-	c.mu.Lock()
-	c.gone, c.ended = true, true
-	c.cancelAheads()
-	discard, lingers, lingering := c.pipelined, c.lingers, c.lingering
-	c.lingering = lingers
-	c.mu.Unlock()
-	switch {
-	case lingering:
-		return nil
-	case lingers:
-		c.pipeline.group.Go(c.lingerAndClose)
-		return nil
-	case discard:
-		discardReceived(c.TCPConn)
-	}
-	return c.TCPConn.Close()
-}
-
 // hijacked cancels the requests behind one whose handler has taken over the
 // connection.
 func (c *Conn) hijacked() {
--- a/core/yuccapipeline/pipeline.go
+++ b/core/yuccapipeline/pipeline.go
@@ -26,8 +26,11 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"yuccawell.example/core/yuccalinger"
 )
 
 const (
@@ -56,22 +59,32 @@
 	// waiting is the number of response bytes that wait for their turn.
 	waiting atomic.Int64
 	group   sync.WaitGroup
+	// closer closes the connections whose callers may still be sending.
+	closer *yuccalinger.Closer
 }
 
 // New returns a Pipeline. The function concurrent reports whether a request may run
 // while requests before it are in progress; requests with a body are never asked for.
-// The function serve serves all requests of a connection and closes it.
+// If it is nil, none may. The function serve serves all requests of a connection and closes
+// it.
 func New(concurrent func(*fasthttp.RequestHeader) bool, serve func(net.Conn) error) *Pipeline {
-	return &Pipeline{concurrent: concurrent, serve: serve}
+	if concurrent == nil {
+		concurrent = func(*fasthttp.RequestHeader) bool { return false }
+	}
+	return &Pipeline{concurrent: concurrent, serve: serve, closer: yuccalinger.New()}
 }
 
 // Listener returns a listener whose connections are of type *Conn if those of l are
 // TCP connections.
 func (p *Pipeline) Listener(l net.Listener) net.Listener { return listener{l, p} }
 
-// Wait waits for the requests that were read ahead. It must not be called while the
-// server still serves connections.
-func (p *Pipeline) Wait() { p.group.Wait() }
+// Wait waits for the requests that were read ahead, and until a deadline for callers that
+// are still receiving or sending on a connection which the server has closed. It must not be
+// called while the server still serves connections.
+func (p *Pipeline) Wait(deadline time.Time) {
+	p.group.Wait()
+	p.closer.Wait(deadline)
+}
 
 // Begin notes that the handler of a request starts. It must be called before the
 // handler.
--- a/core/yuccapipeline/pipeline_test.go
+++ b/core/yuccapipeline/pipeline_test.go
@@ -77,7 +77,7 @@
 			c.Assert(conn.Close(), qt.IsNil)
 			c.Assert(server.Shutdown(), qt.IsNil)
 			c.Assert(group.Wait(), qt.IsNil)
-			p.Wait()
+			p.Wait(time.Now())
 			c.Assert(p.running.Load(), qt.Equals, test.running)
 			c.Assert(p.waiting.Load(), qt.Equals, test.waiting)
 		})
--- a/core/yuccapipeline/watch.go
+++ b/core/yuccapipeline/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"os"
 	"slices"
 	"syscall"
@@ -138,7 +137,6 @@
 func (c *Conn) fill(fd uintptr) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pipelined = true
 	if !c.readAhead || c.atLimit || len(c.unread) >= maxHeadBytes {
 		return false
 	}
@@ -158,7 +156,7 @@
 func (c *Conn) callerClosed() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.gone, c.ended = true, true
+	c.gone, c.ended, c.callerEnded = true, true, true
 	c.cancelAheads()
 	c.notify(func(*watcher) bool { return true })
 }
@@ -180,22 +178,3 @@
 		w.onClose()
 	}
 }
-
-// discardReceived discards what the caller has sent, up to a bound, without waiting
-// for more. A close with unread data resets the connection, and the caller may then
-// lose the end of the last response.
-func discardReceived(c *net.TCPConn) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return
-	}
-	// Control does not wait for the watch, which may be blocked in a read.
-	_ = raw.Control(func(fd uintptr) {
-		var b [readBytes]byte
-		for range 4 * maxHeadBytes / readBytes {
-			if n, err := syscall.Read(int(fd), b[:]); err != nil || n <= 0 {
-				return
-			}
-		}
-	})
-}
--- a/core/yuccarelay/ending.go
+++ b/core/yuccarelay/ending.go
@@ -14,9 +14,6 @@
 func (t *task) answerError(k yuccaerror.Kind, ran yuccaerror.RunStatus) {
 	f := ErrorResponse{Kind: k, RunStatus: ran, RetryAfter: yuccaerror.RetryAfter(t.err)}
 	f.RetryAfter = t.relay.opt.Protocol.WriteError(t.ctx, f)
-	if MayHaveUnreadBody(&t.ctx.Request) {
-		t.leaveUnread()
-	}
 	t.observe(f, t.ctx.Response.StatusCode(), 0)
 	t.end(nil)
 	t.logFailure(f, t.ctx.Response.StatusCode())
--- a/core/yuccarelay/upload.go
+++ b/core/yuccarelay/upload.go
@@ -74,15 +74,5 @@
 // so that the connection can carry no further request.
 func (t *task) interruptBody() {
 	t.body.interrupted = true
-	c := t.ctx.Conn()
-	_ = c.SetReadDeadline(time.Unix(1, 0))
-	t.leaveUnread()
-}
-
-// leaveUnread makes the close of the caller's connection wait for what the caller is still
-// sending, so that it does not lose the response.
-func (t *task) leaveUnread() {
-	if c, ok := t.ctx.Conn().(CallerConn); ok {
-		c.Linger()
-	}
+	_ = t.ctx.Conn().SetReadDeadline(time.Unix(1, 0))
 }
--- a/core/yuccarelay/watch.go
+++ b/core/yuccarelay/watch.go
@@ -11,7 +11,8 @@
 )
 
 // CallerConn is a caller's connection that tells the relay when it closes and when a
-// request arrived. The relay watches other connections itself.
+// request arrived. Its close lets the caller receive all that was written to it, also if the
+// caller is still sending. The relay watches other connections itself.
 type CallerConn interface {
 	// ArrivedAt returns when the head of the request in progress was read; the zero
 	// time means just before its handler started.
@@ -20,9 +21,6 @@
 	// Until stop is called, further requests on the connection may be started if
 	// concurrent is set. The function stop must be called before the request ends.
 	WatchClose(concurrent bool, onClose func()) (stop func())
-	// Linger makes the close of the connection wait a while for the caller to stop
-	// sending: a close with unread bytes takes the response from the caller.
-	Linger()
 }
 
 // arrivalTime returns when the request in progress on a connection arrived.
--- a/core/yuccasocket/socket.go
+++ b/core/yuccasocket/socket.go
@@ -67,3 +67,14 @@
 	})
 	return err == nil && isClosed
 }
+
+// Unacked returns the number of bytes that were written to a socket and that the peer has
+// not acknowledged, zero if the system call fails. The end of the sending side counts as
+// one byte.
+func Unacked(fd uintptr) int {
+	n, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ)
+	if err != nil {
+		return 0
+	}
+	return n
+}
