A crash after the header of the response counts as a crash

Cause: the quarantine was told the outcome when the header had been read. A genuine header counted as an answer and cleared the crashes before it.

Change: an attempt is judged once, at its end. Only a complete response counts as an answer; a connection that breaks before that may be a crash, which the check of the server decides as before.

--- a/core/yuccafake/faultyserver.go
+++ b/core/yuccafake/faultyserver.go
@@ -31,6 +31,8 @@
 	MidHead
 	// MidBody is inside the body of the response.
 	MidBody
+	// AfterResponse is after the last byte of the response.
+	AfterResponse
 )
 
 // FailureMode is how a FaultyServer fails at a Step.
@@ -175,7 +177,7 @@
 	token := req.Header.Get(TokenHeader)
 	w.executions.Record(token, req.Method)
 	response := w.reply(token)
-	offsets := map[Step]int{AfterRequest: 0, MidHead: 10, MidBody: len(response) - len(token)/2 - 1}
+	offsets := map[Step]int{AfterRequest: 0, MidHead: 10, MidBody: len(response) - len(token)/2 - 1, AfterResponse: len(response)}
 	n, fails := offsets[fault.Step]
 	if !fails {
 		n = len(response)
--- a/core/yuccapoison/poison.go
+++ b/core/yuccapoison/poison.go
@@ -33,12 +33,13 @@
 type Outcome uint8
 
 const (
-	// Unproven shows nothing: the server declined the request, the time ran out, or the
-	// caller has left.
+	// Unproven shows nothing: the server declined the request, the time ran out, the caller
+	// has left, or the response was not read to its end.
 	Unproven Outcome = iota
-	// Answered shows that the server ran the request and is alive.
+	// Answered means that the response is complete, which shows that the server ran the
+	// request and is alive.
 	Answered
-	// Broken means that the connection broke before the header of a response. The server
+	// Broken means that the connection broke before the response was complete. The server
 	// may have crashed.
 	Broken
 )
--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -64,6 +64,8 @@
 	reusedConn bool
 	// superseded is set if another server responded first.
 	superseded atomic.Bool
+	// judged is set when the quarantine has been told what became of the request.
+	judged bool
 }
 
 // headerField is one field of an HTTP header.
@@ -197,12 +199,25 @@
 	if err == nil {
 		a.class = t.relay.opt.Protocol.ClassifyResponse(t.id, &a.exchange.head)
 	}
-	quarantine.End(t.fingerprint, a.ticket.Server, a.crashOutcome(err))
+	if err != nil || a.class != Genuine {
+		a.judge(err)
+	}
 	return err
 }
 
-// crashOutcome returns what the end of sending shows about whether the request crashed its
-// server.
+// judge tells the quarantine, once, what the end of the attempt shows about whether the
+// request crashed its server. A server may crash at any point of its response, so that only a
+// complete one shows that it did not.
+func (a *attempt) judge(err error) {
+	if !a.sent || a.judged {
+		return
+	}
+	a.judged = true
+	a.task.relay.opt.Quarantine.End(a.task.fingerprint, a.ticket.Server, a.crashOutcome(err))
+}
+
+// crashOutcome returns what the end of the attempt shows about whether the request crashed
+// its server. The error is nil if the response is complete.
 func (a *attempt) crashOutcome(err error) yuccapoison.Outcome {
 	switch {
 	case err == nil && a.class == Genuine:
@@ -315,6 +330,7 @@
 		a.stopCloseOnCancel()
 		_ = a.conn.Close()
 	}
+	a.judge(errAbandoned)
 	a.cancel()
 	a.returnTicket(r)
 }
@@ -348,6 +364,7 @@
 		r.Failed = a.exchange.status() >= fasthttp.StatusInternalServerError
 		r.Succeeded = !r.Failed
 	}
+	a.judge(err)
 	// Call stopCloseOnCancel first: if it returns false, the connection is being
 	// closed and must not go back to the pool.
 	if !a.stopCloseOnCancel() || err != nil || !a.exchange.reusable() {
--- a/core/yuccarelay/exchange.go
+++ b/core/yuccarelay/exchange.go
@@ -63,6 +63,7 @@
 	errCallerBody     = errors.New("request body from the caller is incomplete")
 	errWrongResponse  = errors.New("response is invalid or belongs to another request")
 	errUnnamed        = errors.New("response does not say which request it belongs to")
+	errAbandoned      = errors.New("response is not read to its end")
 	errLinkLost       = errors.New("no response, and the link to the servers delivers no data")
 )
 
@@ -450,7 +451,7 @@
 // Close ends the exchange. A body that was not read to its end counts as
 // broken.
 func (x *exchange) Close() error {
-	x.finish(io.ErrUnexpectedEOF)
+	x.finish(errAbandoned)
 	return nil
 }
 
--- a/core/yuccarelay/guard.go
+++ b/core/yuccarelay/guard.go
@@ -28,8 +28,8 @@
 	Check(p yuccapoison.Fingerprint) error
 	// Start is called before the first byte may be sent to a server.
 	Start(p yuccapoison.Fingerprint, server string)
-	// End is called after Start, when the header of a response has been read or the
-	// attempt has failed.
+	// End is called once after Start, when a response has been read to its end or the
+	// attempt has ended without that.
 	End(p yuccapoison.Fingerprint, server string, o yuccapoison.Outcome)
 }
 
--- a/core/yuccarelay/guard_test.go
+++ b/core/yuccarelay/guard_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -150,31 +151,67 @@
 	}
 }
 
+// ended reports whether all attempts have ended.
+func (s *fakeQuarantine) ended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running == 0 && len(s.outcomes) > 0
+}
+
 // TestRelayTellsWhatAttemptsProve guards against crashes of a request that are forgotten since
-// a server has declined it, or its time has run out, as under overload.
+// a server has declined it, or its time has run out, as under overload, and against crashes
+// that are not seen since they come after the head of the response (review case 10).
 func TestRelayTellsWhatAttemptsProve(t *testing.T) {
 	const declined = "HTTP/1.1 503 Unavailable\r\nYucca-Run: no\r\nContent-Length: 0\r\n\r\n"
 	const failed = "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
-	stall, closing := yuccafake.Fault{Step: yuccafake.AfterRequest, Mode: yuccafake.Stall}, yuccafake.Fault{Step: yuccafake.AfterRequest, Mode: yuccafake.CloseConn}
+	const chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+	none := yuccafake.Fault{}
+	at := func(step yuccafake.Step, mode yuccafake.FailureMode) yuccafake.Fault {
+		return yuccafake.Fault{Step: step, Mode: mode}
+	}
+	stall, closing, reset := at(yuccafake.AfterRequest, yuccafake.Stall), at(yuccafake.AfterRequest, yuccafake.CloseConn), at(yuccafake.AfterResponse, yuccafake.ResetConn)
+	closed, silent := at(yuccafake.AfterResponse, yuccafake.CloseConn), at(yuccafake.AfterResponse, yuccafake.Stall)
+	sized := func(status string, length, sent int) string {
+		return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, length, strings.Repeat("x", sent))
+	}
 	tests := []struct {
 		name, response string
 		fault          yuccafake.Fault
 		want           yuccapoison.Outcome
 	}{
-		{"answered", yuccafake.Echo("t"), yuccafake.Fault{}, yuccapoison.Answered},
-		{"failed", failed, yuccafake.Fault{}, yuccapoison.Answered},
-		{"declined", declined, yuccafake.Fault{}, yuccapoison.Unproven},
+		{"answered", yuccafake.Echo("t"), none, yuccapoison.Answered},
+		{"failed", failed, none, yuccapoison.Answered},
+		{"declined", declined, none, yuccapoison.Unproven},
 		{"no response in time", "", stall, yuccapoison.Unproven},
 		{"connection closed", "", closing, yuccapoison.Broken},
+		{"crash behind an interim response", "HTTP/1.1 100 Continue\r\n\r\n", reset, yuccapoison.Broken},
+		{"crash in the head", "HTTP/1.1 200 OK\r\nContent-Le", reset, yuccapoison.Broken},
+		{"crash after the head", sized("200 OK", 90_000, 0), reset, yuccapoison.Broken},
+		{"crash midway", sized("200 OK", 90_000, 20_000), reset, yuccapoison.Broken},
+		{"close midway", sized("200 OK", 90_000, 20_000), closed, yuccapoison.Broken},
+		{"one byte short", sized("200 OK", 10, 9), closed, yuccapoison.Broken},
+		{"crash in the body of a failure", sized("500 Failed", 10, 5), reset, yuccapoison.Broken},
+		{"crash between chunks", chunkedHead + "\r\n4\r\nbody\r\n", reset, yuccapoison.Broken},
+		{"crash in the trailer", chunkedHead + "Trailer: T\r\n\r\n4\r\nbody\r\n0\r\nT: ", closed, yuccapoison.Broken},
+		{"crash in a body without a length", "HTTP/1.1 200 OK\r\n\r\nbody", reset, yuccapoison.Broken},
+		{"body without a length", "HTTP/1.1 200 OK\r\n\r\nbody", closed, yuccapoison.Answered},
+		{"body not in time", sized("200 OK", 90_000, 20_000), silent, yuccapoison.Unproven},
+		{"crash in the body of a refusal", "HTTP/1.1 503 Unavailable\r\nYucca-Run: no\r\nContent-Length: 9\r\n\r\nb", reset, yuccapoison.Unproven},
 	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			guard := &fakeQuarantine{deaths: map[yuccapoison.Fingerprint]int{}}
-			w := newFaultyServers(t, 1, yuccarelay.Options{Quarantine: guard}, func(int64) yuccafake.Fault { return test.fault }, func(string) string { return test.response })
-			_, err := w.callWithToken(fasthttp.MethodPost, "t", shortTimeout)
-			qt.Assert(t, err, qt.IsNil)
-			qt.Assert(t, guard.outcomes, qt.DeepEquals, []yuccapoison.Outcome{test.want})
-		})
+	for _, buffered := range []int{0, 64 << 10} {
+		for _, test := range tests {
+			t.Run(fmt.Sprint(test.name, " ", buffered), func(t *testing.T) {
+				guard := &fakeQuarantine{deaths: map[yuccapoison.Fingerprint]int{}}
+				options := yuccarelay.Options{Quarantine: guard, MaxBufferedBytes: buffered, NoResume: true}
+				w := newFaultyServers(t, 1, options, func(int64) yuccafake.Fault { return test.fault }, func(string) string { return test.response })
+				_, err := w.callWithToken(fasthttp.MethodPost, "t", shortTimeout)
+				qt.Assert(t, err == nil || test.fault != none, qt.IsTrue, qt.Commentf("%v", err))
+				for end := time.Now().Add(longTimeout); !guard.ended() && time.Now().Before(end); {
+					time.Sleep(time.Millisecond)
+				}
+				qt.Assert(t, guard.outcomes, qt.DeepEquals, []yuccapoison.Outcome{test.want})
+			})
+		}
 	}
 }
 
--- a/core/yuccarelay/stream.go
+++ b/core/yuccarelay/stream.go
@@ -102,7 +102,7 @@
 
 // Close ends the stream. A body that was not read to its end counts as broken.
 func (s *responseStream) Close() error {
-	s.finish(io.ErrUnexpectedEOF)
+	s.finish(errAbandoned)
 	return nil
 }
 
