Malformed responses are no answers

A server in trouble sent an answer with the status 000, and the caller got it as a success (MIXED, reported by operators). Names of fields with a blank or a control byte were reported from elsewhere.

Cause: fasthttp takes 000 for 200 and parses much that no grammar of HTTP allows; the relay checked the fields of a head, but neither its first line nor trailers. The clients of the stores and of the admin pages checked nothing.

Change: yuccahead checks heads, interim heads and trailers strictly, before the parser; a Conn does it for fasthttp's clients. checkFields moved there.

--- a/core/yuccarelay/exchange.go
+++ b/core/yuccarelay/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"yuccawell.example/core/yuccahead"
 )
 
 const (
@@ -301,7 +303,7 @@
 func (x *exchange) readHead() error {
 	for range maxInterimResponses {
 		x.head.Reset()
-		if err := checkHead(x.conn.r); err != nil {
+		if err := yuccahead.PeekResponse(x.conn.r); err != nil {
 			return err
 		}
 		if err := x.head.Read(x.conn.r); err != nil {
@@ -435,12 +437,23 @@
 
 // readTrailer reads the trailer section, which follows the last chunk.
 func (x *exchange) readTrailer() error {
+	if err := yuccahead.PeekTrailer(x.conn.r); err != nil {
+		return unexpectedEOF(err)
+	}
 	if err := x.head.ReadTrailer(x.conn.r); err != nil {
-		return io.ErrUnexpectedEOF
+		return unexpectedEOF(err)
 	}
 	return io.EOF
 }
 
+// unexpectedEOF replaces io.EOF by io.ErrUnexpectedEOF.
+func unexpectedEOF(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 func nilIfEOF(err error) error {
 	if err == io.EOF {
 		return nil
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -12,6 +12,7 @@
 	"yuccawell.example/core/yuccaaccount"
 	"yuccawell.example/core/yuccaadmission"
 	"yuccawell.example/core/yuccaerror"
+	"yuccawell.example/core/yuccahead"
 	"yuccawell.example/core/yuccaidempotency"
 	"yuccawell.example/core/yuccalifecycle"
 	"yuccawell.example/core/yuccapoison"
@@ -120,8 +121,8 @@
 // prepare checks the request, finds its route and account, and reads its body as far
 // as it is buffered.
 func (t *task) prepare() error {
-	if err := checkRequest(t.ctx.Request.Header.RawHeaders()); err != nil {
-		return err
+	if err := yuccahead.CheckRequest(t.ctx.Request.Header.RawHeaders()); err != nil {
+		return yuccaerror.Wrap(yuccaerror.Malformed, err)
 	}
 	h, protocol := &t.ctx.Request.Header, t.relay.opt.Protocol
 	t.originRegion = t.relay.opt.Region
--- a/core/yuccastore/http.go
+++ b/core/yuccastore/http.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"yuccawell.example/core/yuccaerror"
+	"yuccawell.example/core/yuccahead"
 )
 
 // CallTimeout is the longest time that a call waits for its response. A List
@@ -46,11 +47,11 @@
 	}
 }
 
-// newClient returns a client that never retries a request.
+// newClient returns a client that never retries a request and takes no malformed response.
 func newClient(dial fasthttp.DialFunc) *fasthttp.Client {
 	return &fasthttp.Client{
 		Name:                      "yuccawell",
-		Dial:                      dial,
+		Dial:                      yuccahead.Dial(dial),
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxResponseBodySize:       64 * MaxValue,
--- a/ctl/discovery.go
+++ b/ctl/discovery.go
@@ -50,7 +50,7 @@
 // fetchDiscoveryStatus fetches the status from an admin address.
 func fetchDiscoveryStatus(addr string) discoveryStatus {
 	e := discoveryStatus{Addr: addr}
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+addr+"/status", adminTimeout)
+	status, body, err := getAdminPage(addr, "/status")
 	switch {
 	case err != nil:
 		e.FetchError = "unreachable"
--- a/ctl/report.go
+++ b/ctl/report.go
@@ -103,7 +103,7 @@
 
 // fetchSnapshots fetches the snapshots from the admin address of an entry.
 func fetchSnapshots(admin string) ([]yuccaburn.ExportedSnapshot, error) {
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+admin+"/burn", adminTimeout)
+	status, body, err := getAdminPage(admin, "/burn")
 	if err != nil {
 		return nil, yuccaerror.Wrap(yuccaerror.Unreachable, err)
 	}
--- a/ctl/status.go
+++ b/ctl/status.go
@@ -20,12 +20,8 @@
 	"yuccawell.example/core/yuccasync"
 )
 
-const (
-	// adminTimeout is the limit for a request to the admin address of an entry.
-	adminTimeout = 2 * time.Second
-	// pollInterval is how often apply --wait asks the entries for their versions.
-	pollInterval = 100 * time.Millisecond
-)
+// pollInterval is how often apply --wait asks the entries for their versions.
+const pollInterval = 100 * time.Millisecond
 
 // entryStatus is the status of a listed entry, or the reason why it could not be
 // fetched.
@@ -202,7 +198,7 @@
 // fetchStatus fetches the status from the admin address of an instance.
 func fetchStatus(i yuccastore.Instance) entryStatus {
 	s := entryStatus{Status: yuccasync.Status{Name: i.Name, Region: i.Region, Domain: i.Domain}}
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+i.Admin+"/status", adminTimeout)
+	status, body, err := getAdminPage(i.Admin, "/status")
 	switch {
 	case err != nil:
 		s.FetchError = "unreachable"
