A reset is not the end of a response while a request is written

Cause: the kernel reports a reset once. When the write got it, the read returned io.EOF, the end of a response without a length. An entry that carries a tunnel marked the end of the server's connection as proper then. It also closed its connection to a server that took no more of the request, with the response unread, so that an early response was lost through a tunnel.

Change: yuccasocket.Conn fails the read if a write has got a reset; a reset behind the end of the server's side is EPIPE and changes nothing. Tunnels mark a break in place of resetting, so that all that came before it arrives, and discard the rest of a request that the server does not take.

--- a/core/yuccarelay/pool.go
+++ b/core/yuccarelay/pool.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"yuccawell.example/core/yuccasocket"
 )
 
 const (
@@ -41,7 +43,11 @@
 // Dial implements Path.
 func (tcpPath) Dial(ctx context.Context, to Server) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
-	return d.DialContext(ctx, "tcp", to.Addr)
+	c, err := d.DialContext(ctx, "tcp", to.Addr)
+	if err != nil {
+		return nil, err
+	}
+	return yuccasocket.NewConn(c.(*net.TCPConn)), nil
 }
 
 // Usable implements Path.
--- a/core/yuccatunnel/conn.go
+++ b/core/yuccatunnel/conn.go
@@ -86,10 +86,3 @@
 	_, err := protodelim.MarshalTo(w, m)
 	return err
 }
-
-// reset closes a connection so that the other side gets an error, not the end of a
-// complete stream.
-func reset(c *net.TCPConn) {
-	_ = c.SetLinger(0)
-	_ = c.Close()
-}
--- a/core/yuccatunnel/dialer.go
+++ b/core/yuccatunnel/dialer.go
@@ -13,6 +13,7 @@
 
 	"yuccawell.example/core/yuccakernel"
 	"yuccawell.example/core/yuccarelay"
+	"yuccawell.example/core/yuccasocket"
 )
 
 // errBrokenAtOnce is the cause of a connection that was accepted and broken at once, as
@@ -71,7 +72,7 @@
 	direct := newServerDialer(settings.Source)
 	d := &Dialer{
 		settings:  settings,
-		direct:    func(ctx context.Context, addr string) (net.Conn, error) { return direct.DialContext(ctx, "tcp", addr) },
+		direct:    direct.dial,
 		peers:     peers,
 		onChange:  onChange,
 		log:       log,
@@ -82,13 +83,26 @@
 	return d
 }
 
-// newServerDialer returns a dialer for connections to servers.
-func newServerDialer(source net.IP) net.Dialer {
+// serverDialer opens connections to servers.
+type serverDialer struct{ dialer net.Dialer }
+
+// newServerDialer returns a dialer of connections from the address source; nil means that the
+// system chooses.
+func newServerDialer(source net.IP) serverDialer {
 	var d net.Dialer
 	if source != nil {
 		d.LocalAddr = &net.TCPAddr{IP: source}
 	}
-	return d
+	return serverDialer{d}
+}
+
+// dial opens a connection, which is a *yuccasocket.Conn.
+func (s serverDialer) dial(ctx context.Context, addr string) (net.Conn, error) {
+	c, err := s.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return yuccasocket.NewConn(c.(*net.TCPConn)), nil
 }
 
 // CutOff reports whether the entry is cut off from all servers.
--- a/core/yuccatunnel/frame.go
+++ b/core/yuccatunnel/frame.go
@@ -3,25 +3,35 @@
 import (
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"io"
+	"math"
+	"syscall"
 )
 
 // The bytes from a server travel through a tunnel in frames: the length of the data, and
-// the data. A frame without data marks the end of the server's connection. Without that
-// mark, the end of the tunnel says nothing about the server: the kernel also ends it
-// properly when the process that carries it is killed.
+// the data. A frame without data marks the end of the server's connection, and a length that
+// no frame has marks that the connection broke. Without such a mark, the end of the tunnel
+// says nothing about the server: the kernel also ends it properly when the process that
+// carries it is killed.
 const (
 	// frameHeaderBytes is the size of the length, a big-endian number.
 	frameHeaderBytes = 4
 	// maxFrameBytes is the longest data of a frame.
 	maxFrameBytes = copyBufferBytes
+	// endMark is the length that marks the end of the server's connection, and breakMark
+	// the one that marks its break.
+	endMark, breakMark = 0, math.MaxUint32
 )
 
 // errFrame is the cause of a tunnel that ends because what it brings is no frame.
 var errFrame = errors.New("frame of a tunnel is too long")
 
-// copyFramed copies until the source ends, and then writes the end mark. It returns nil
-// if all bytes of the source and the mark are written.
+// errBroken is the cause of a tunnel that ends because the server's connection broke.
+var errBroken = fmt.Errorf("the server's connection broke behind a tunnel: %w", syscall.ECONNRESET)
+
+// copyFramed copies until the source ends or breaks, and then writes the mark for that. It
+// returns nil if all bytes of the source and the mark are written.
 func copyFramed(to io.Writer, from io.Reader) error {
 	buffer := make([]byte, frameHeaderBytes+maxFrameBytes)
 	for {
@@ -33,16 +43,16 @@
 			}
 		}
 		if err == io.EOF {
-			return writeEndMark(to)
+			return writeMark(to, endMark)
 		}
 		if err != nil {
-			return err
+			return writeMark(to, breakMark)
 		}
 	}
 }
 
-func writeEndMark(w io.Writer) error {
-	_, err := w.Write(make([]byte, frameHeaderBytes))
+func writeMark(w io.Writer, mark uint32) error {
+	_, err := w.Write(binary.BigEndian.AppendUint32(nil, mark))
 	return err
 }
 
@@ -58,8 +68,8 @@
 	ended bool
 }
 
-// Read implements io.Reader. It returns io.EOF after the end mark only. A tunnel that ends
-// without one gives io.ErrUnexpectedEOF.
+// Read implements io.Reader. It returns io.EOF after the end mark only, and errBroken after
+// the mark of a break. A tunnel that ends without a mark gives io.ErrUnexpectedEOF.
 func (r *frameReader) Read(p []byte) (int, error) {
 	if r.left == 0 {
 		if err := r.readHeader(); err != nil {
@@ -84,10 +94,13 @@
 			continue
 		}
 		length := binary.BigEndian.Uint32(r.header)
-		if length > maxFrameBytes {
+		switch {
+		case length == breakMark:
+			return errBroken
+		case length > maxFrameBytes:
 			return errFrame
 		}
-		r.header, r.left, r.ended = r.header[:0], int(length), length == 0
+		r.header, r.left, r.ended = r.header[:0], int(length), length == endMark
 	}
 	if r.ended {
 		return io.EOF
--- a/core/yuccatunnel/listener.go
+++ b/core/yuccatunnel/listener.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"yuccawell.example/core/yuccaerror"
+	"yuccawell.example/core/yuccalinger"
 	"yuccawell.example/core/yuccasleep"
 	"yuccawell.example/core/yuccasocket"
 )
@@ -23,11 +23,6 @@
 	openTimeout = 2 * time.Second
 	// acceptRetryDelay is the pause after a connection could not be accepted.
 	acceptRetryDelay = 100 * time.Millisecond
-	// copyBufferBytes is the size of the buffer of each direction of a tunnel.
-	copyBufferBytes = 16 << 10
-	// closeDelay is how long the other entry may take to close its side of a tunnel
-	// whose server has ended the connection.
-	closeDelay = time.Second
 )
 
 // ListenerSettings configure a Listener.
@@ -47,7 +42,7 @@
 	// serverAddr returns the address of a server that takes requests of this entry, empty
 	// for any other.
 	serverAddr func(server string) string
-	dialer     net.Dialer
+	dialer     serverDialer
 	log        zerolog.Logger
 
 	socket net.Listener
@@ -105,7 +100,7 @@
 	defer l.mu.Unlock()
 	l.closed = true
 	for c := range l.conns {
-		reset(c)
+		yuccalinger.Reset(c)
 	}
 	return nil
 }
@@ -176,21 +171,17 @@
 		return
 	}
 	defer server.Close()
-	if !l.track(server) {
-		reset(caller)
+	if !l.track(server.TCPConn) {
+		yuccalinger.Reset(caller)
 		return
 	}
-	defer l.untrack(server)
-	copyToCaller := copyBytes
-	if req.GetFramed() {
-		copyToCaller = copyFramed
-	}
-	carry(caller, server, copyToCaller)
+	defer l.untrack(server.TCPConn)
+	tunnel{caller, server, req.GetFramed()}.carry()
 }
 
 // open reads the request and connects to its server. For a probe it returns no
 // connection, and whether the server responded to it.
-func (l *Listener) open(ctx context.Context, caller *net.TCPConn, req *OpenRequest) (server *net.TCPConn, probed bool, err error) {
+func (l *Listener) open(ctx context.Context, caller *net.TCPConn, req *OpenRequest) (server *yuccasocket.Conn, probed bool, err error) {
 	_ = caller.SetKeepAliveConfig(keepAlive)
 	_ = caller.SetReadDeadline(time.Now().Add(openTimeout))
 	if err := readMessage(caller, req); err != nil {
@@ -207,7 +198,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	c, err := l.dialer.DialContext(ctx, "tcp", addr)
+	c, err := l.dialer.dial(ctx, addr)
 	if err != nil {
 		l.log.Debug().Err(err).Str("server", req.GetServer()).Str("from", req.GetFrom()).Msg("tunnel_not_opened")
 		return nil, false, yuccaerror.Wrap(yuccaerror.Unreachable, err)
@@ -216,36 +207,5 @@
 		defer c.Close()
 		return nil, endConn(ctx, c) == endedByServer, nil
 	}
-	return c.(*net.TCPConn), false, nil
-}
-
-// carry copies the bytes of both directions until both have ended. The end of the
-// server's connection becomes the end of the caller's, and an error an error, so that
-// a response that was cut short does not look complete.
-func carry(caller, server *net.TCPConn, copyToCaller func(io.Writer, io.Reader) error) {
-	group := &errgroup.Group{}
-	group.Go(func() error {
-		if err := copyToCaller(caller, server); err != nil {
-			reset(caller)
-			return nil
-		}
-		_ = caller.CloseWrite()
-		_ = caller.SetReadDeadline(time.Now().Add(closeDelay))
-		return nil
-	})
-	group.Go(func() error {
-		// However it ended, the caller sends nothing more. The server stops its work
-		// when its connection closes.
-		_ = copyBytes(server, caller)
-		_ = server.Close()
-		return nil
-	})
-	_ = group.Wait()
-}
-
-// copyBytes copies until the source ends. It returns nil if the source has ended and
-// all its bytes are written.
-func copyBytes(to io.Writer, from io.Reader) error {
-	_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, copyBufferBytes))
-	return err
+	return c.(*yuccasocket.Conn), false, nil
 }
--- a/core/yuccatunnel/tunnel_test.go
+++ b/core/yuccatunnel/tunnel_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -371,6 +372,43 @@
 	}
 }
 
+// TestResponseToUnreadRequest has a server respond and close its connection while the entry
+// is still sending a request that the server does not read. It guards against a response that
+// a tunnel loses because the server takes no more of the request, and against a part of one
+// that looks complete (review report MIXED).
+func TestResponseToUnreadRequest(t *testing.T) {
+	const rounds, answer = 20, "an answer"
+	for _, resets := range []bool{false, true} {
+		w := newWorld(t)
+		a := w.addServer(t, "a", func(c *net.TCPConn) {
+			_, _ = io.ReadFull(c, make([]byte, 1000))
+			_, _ = io.WriteString(c, answer)
+			time.Sleep(2 * time.Millisecond)
+			if resets {
+				_ = c.SetLinger(0)
+			}
+		})
+		b := w.addServer(t, "b", echo)
+		w.addPeer(t, "e2")
+		w.cut(a, b)
+		for range rounds {
+			c, err := w.dialer.Dial(t.Context(), a)
+			w.c.Assert(err, qt.IsNil)
+			sender := &errgroup.Group{}
+			sender.Go(func() error {
+				_, err := c.Write(make([]byte, 4<<20))
+				return err
+			})
+			time.Sleep(10 * time.Millisecond)
+			got, err := io.ReadAll(c)
+			w.c.Assert(string(got), qt.Equals, answer, qt.Commentf("%v", err))
+			w.c.Assert(err, qt.ErrorIs, syscall.ECONNRESET)
+			_ = c.Close()
+			_ = sender.Wait()
+		}
+	}
+}
+
 // TestServerSeesCallerLeave closes the entry's side: the server's connection closes too,
 // so that it stops its work.
 func TestServerSeesCallerLeave(t *testing.T) {
