A stop waits for connections that are just being closed

The process could then exit before their callers had received the last response.

The closer counts with an atomic, not with its group.

--- a/core/yuccalinger/linger.go
+++ b/core/yuccalinger/linger.go
@@ -14,6 +14,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -43,49 +44,42 @@
 // Closer closes connections. Create one with New.
 type Closer struct {
 	group errgroup.Group
-
-	// mu guards ended.
-	mu sync.Mutex
-	// ended is closed when connections may no longer linger.
+	// lingering is the number of connections that linger.
+	lingering atomic.Int64
+	// ended is closed when connections may no longer linger, once.
 	ended chan struct{}
+	end   sync.Once
 }
 
 // New returns a Closer.
-func New() *Closer {
-	l := &Closer{ended: make(chan struct{})}
-	l.group.SetLimit(maxLingering)
-	return l
-}
+func New() *Closer { return &Closer{ended: make(chan struct{})} }
 
 // Close ends the sending side of a connection at once and closes it in the background. It
 // does not wait for reads in progress elsewhere, which may go on until the connection is
 // closed. Too many connections at a time are closed at once.
 func (l *Closer) Close(c *net.TCPConn) {
-	lingers := l.group.TryGo(func() error {
-		l.linger(c)
-		_ = c.Close()
-		return nil
-	})
-	if !lingers {
+	if l.lingering.Add(1) > maxLingering {
+		l.lingering.Add(-1)
 		Discard(c)
 		_ = c.Close()
+		return
 	}
+	l.group.Go(func() error {
+		defer l.lingering.Add(-1)
+		l.linger(c)
+		return c.Close()
+	})
 }
 
-// Wait waits until a deadline for the connections that linger, and closes the others.
+// Wait waits until a deadline for the connections that linger. They are closed then, as are
+// later ones, at once.
 func (l *Closer) Wait(deadline time.Time) {
-	end := time.AfterFunc(time.Until(deadline), l.end)
-	defer end.Stop()
-	_ = l.group.Wait()
-}
-
-func (l *Closer) end() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	select {
-	case <-l.ended:
-	default:
-		close(l.ended)
+	for l.lingering.Load() > 0 && time.Now().Before(deadline) {
+		time.Sleep(busyPollInterval)
+	}
+	l.end.Do(func() { close(l.ended) })
+	for l.lingering.Load() > 0 {
+		time.Sleep(busyPollInterval)
 	}
 }
 
--- a/core/yuccapipeline/close.go
+++ b/core/yuccapipeline/close.go
@@ -6,30 +6,19 @@
 	"yuccawell.example/core/yuccalinger"
 )
 
-// closing is how a connection closes.
-type closing uint8
-
-const (
-	// closeAtOnce is for a connection on which nothing is on its way to the caller that a
-	// close could take from it, or whose caller sends nothing more.
-	closeAtOnce closing = iota
-	// closeLingering is for a connection whose caller may still be sending. Its bytes would
-	// reset the connection, and the caller could lose the end of the last response.
-	closeLingering
-)
-
 // closeNow closes the connection, once, and cancels its requests. The caller of the connection
 // gets all that was written to it.
 func (c *Conn) closeNow() error {
 	c.mu.Lock()
-	closed, how := c.closed, c.howToClose()
+	closed, lingers := c.closed, c.mustLinger()
 	c.closed, c.gone, c.ended = true, true, true
 	c.cancelAheads()
 	c.mu.Unlock()
-	switch {
-	case closed:
+	if closed {
 		return nil
-	case how == closeLingering:
+	}
+	defer c.pipeline.open.Add(-1)
+	if lingers {
 		c.pipeline.closer.Close(c.TCPConn)
 		// A read of the server that is in progress ends.
 		return c.TCPConn.SetReadDeadline(time.Unix(1, 0))
@@ -37,17 +26,19 @@
 	return c.TCPConn.Close()
 }
 
-// howToClose decides how the connection closes. The caller holds the mutex.
-func (c *Conn) howToClose() closing {
+// mustLinger reports whether the caller may still be sending while a response is on its way to
+// it. Its bytes would reach a connection that is closed and reset it, and the caller could lose
+// the end of the response. The caller holds the mutex.
+func (c *Conn) mustLinger() bool {
 	switch {
 	case c.callerEnded || !c.received:
-		return closeAtOnce
+		return false
 	case c.last && c.frame.mode == inHead && len(c.unread) == 0:
 		// The caller has said that this request is its last one, and has sent all of it.
-		return closeAtOnce
+		return false
 	case c.idle && !c.ended && !yuccalinger.HasUnsent(c.TCPConn):
 		// The caller has all responses. A request that it sends now has not been read.
-		return closeAtOnce
+		return false
 	}
-	return closeLingering
+	return true
 }
--- a/core/yuccapipeline/pipeline.go
+++ b/core/yuccapipeline/pipeline.go
@@ -44,6 +44,8 @@
 	maxWaitingBytes = 128 << 10
 	// maxWaitingBytesTotal bounds these bytes on all connections.
 	maxWaitingBytesTotal = 8 << 20
+	// closeInterval is the time between two looks at the number of open connections.
+	closeInterval = time.Millisecond
 	// maxHeadBytes bounds the unread bytes that a connection keeps in memory. It is as
 	// large as the longest request head that the server accepts.
 	maxHeadBytes = 20 << 10
@@ -59,6 +61,8 @@
 	// waiting is the number of response bytes that wait for their turn.
 	waiting atomic.Int64
 	group   sync.WaitGroup
+	// open is the number of connections that have not been closed or left to closer.
+	open atomic.Int64
 	// closer closes the connections whose callers may still be sending.
 	closer *yuccalinger.Closer
 }
@@ -83,6 +87,10 @@
 // called while the server still serves connections.
 func (p *Pipeline) Wait(deadline time.Time) {
 	p.group.Wait()
+	// The server does not count a connection any more when it closes it.
+	for p.open.Load() > 0 && time.Now().Before(deadline) {
+		time.Sleep(closeInterval)
+	}
 	p.closer.Wait(deadline)
 }
 
@@ -155,6 +163,7 @@
 func (l listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if tcp, ok := c.(*net.TCPConn); ok && err == nil {
+		l.pipeline.open.Add(1)
 		return &Conn{TCPConn: tcp, pipeline: l.pipeline}, nil
 	}
 	return c, err
