Requests that are given up are taken back from the network

Cause: an ordinary close lets the kernel go on sending what the server has not received. A reset discards it.

Change: yuccasocket.GiveUp resets a connection whose peer has not received all that was written, and closes any other as before. Connections to servers, tunnels and connections to the platform's store close through it.

--- a/core/yuccasocket/conn.go
+++ b/core/yuccasocket/conn.go
@@ -49,6 +49,9 @@
 	return n, err
 }
 
+// Close implements net.Conn like GiveUp.
+func (c *Conn) Close() error { return GiveUp(c.TCPConn) }
+
 // ReadFrom implements io.ReaderFrom in place of the method of TCPConn, which would bypass
 // Write.
 func (c *Conn) ReadFrom(r io.Reader) (int64, error) { return io.Copy(struct{ io.Writer }{c}, r) }
--- a/core/yuccatunnel/carry.go
+++ b/core/yuccatunnel/carry.go
@@ -60,7 +60,7 @@
 // carryRequest copies what the caller sends until it has ended its side. A server that takes
 // no more of it may have sent a response that is still to be read, so that the connection to
 // it stays open, and the rest of the request is discarded. Afterwards the server stops its
-// work, since its connection closes.
+// work, since its connection closes, and does not get what is still on its way.
 func (t tunnel) carryRequest() {
 	from := &endingReader{Reader: t.caller}
 	_ = copyBytes(t.server, from)
--- a/core/yuccatunnel/conn.go
+++ b/core/yuccatunnel/conn.go
@@ -7,6 +7,8 @@
 
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
+
+	"yuccawell.example/core/yuccasocket"
 )
 
 // maxMessageBytes is the size of the largest OpenRequest or OpenReply.
@@ -50,6 +52,10 @@
 	return n, unexpectedEOF(err)
 }
 
+// Close implements net.Conn like yuccasocket.GiveUp. The other entry gives up on the server in
+// the same way when it sees that.
+func (c *tunnelConn) Close() error { return yuccasocket.GiveUp(c.TCPConn) }
+
 // WriteTo implements io.WriterTo in place of the embedded connection, whose method would
 // pass the frames on unread.
 func (c *tunnelConn) WriteTo(w io.Writer) (int64, error) {
