--- a/core/yuccapoison/guard.go
+++ b/core/yuccapoison/guard.go
@@ -209,7 +209,8 @@
 
 // End records the end of an attempt. Broken counts as a server death, and as a run without
 // one if the server is alive.
-func (g *Guard) End(p Fingerprint, server string, o Outcome) {
+func (g *Guard) End(run Run, o Outcome) {
+	p, server := run.Fingerprint, run.Server
 	started := g.finishAttempt(attemptKey{p, server})
 	defer g.releaseProbe(p, func(h *heldProbe) bool { return h.runningOn == server })
 	if o == Unproven {
--- a/core/yuccapoison/guard_test.go
+++ b/core/yuccapoison/guard_test.go
@@ -45,7 +45,7 @@
 	if died {
 		o = yuccapoison.Broken
 	}
-	g.End(p, server, o)
+	g.End(yuccapoison.Run{Fingerprint: p, Server: server, Started: time.Now()}, o)
 	return nil
 }
 
@@ -76,8 +76,8 @@
 		guards[0].Start(1, "s1")
 		guards[1].Start(1, "s2")
 		time.Sleep(time.Millisecond)
-		guards[0].End(1, "s1", yuccapoison.Broken)
-		guards[1].End(1, "s2", yuccapoison.Broken)
+		guards[0].End(yuccapoison.Run{Fingerprint: 1, Server: "s1", Started: time.Now()}, yuccapoison.Broken)
+		guards[1].End(yuccapoison.Run{Fingerprint: 1, Server: "s2", Started: time.Now()}, yuccapoison.Broken)
 		c.Assert(yuccaerror.KindOf(guards[0].Check(1)), qt.Equals, yuccaerror.Quarantined)
 	})
 }
@@ -99,8 +99,8 @@
 		}
 		time.Sleep(time.Millisecond)
 		for i := range 8 {
-			guards[0].End(frequent, fmt.Sprint("s", i), yuccapoison.Broken)
-			guards[0].End(yuccapoison.Fingerprint(100+i), fmt.Sprint("s", i), yuccapoison.Broken)
+			guards[0].End(yuccapoison.Run{Fingerprint: frequent, Server: fmt.Sprint("s", i), Started: time.Now()}, yuccapoison.Broken)
+			guards[0].End(yuccapoison.Run{Fingerprint: yuccapoison.Fingerprint(100 + i), Server: fmt.Sprint("s", i), Started: time.Now()}, yuccapoison.Broken)
 		}
 		for i := range 8 {
 			c.Assert(attempt(guards[1], yuccapoison.Fingerprint(100+i), "s9", false), qt.IsNil)
@@ -134,14 +134,14 @@
 		}
 		time.Sleep(time.Millisecond)
 		for p := range yuccapoison.Fingerprint(3) {
-			guards[p].End(p, "s1", yuccapoison.Broken)
+			guards[p].End(yuccapoison.Run{Fingerprint: p, Server: "s1", Started: time.Now()}, yuccapoison.Broken)
 		}
 		c.Assert(guards[0].Check(0), qt.IsNil)
 		guards[0].Start(0, "s2")
 		waitStart := time.Now()
 		c.Assert(yuccaerror.KindOf(guards[1].Check(1)), qt.Equals, yuccaerror.Shed)
 		c.Assert(time.Since(waitStart) >= 2*time.Second, qt.IsTrue)
-		guards[0].End(0, "s2", yuccapoison.Answered)
+		guards[0].End(yuccapoison.Run{Fingerprint: 0, Server: "s2", Started: time.Now()}, yuccapoison.Answered)
 		c.Assert(guards[1].Check(1), qt.IsNil)
 		time.Sleep(2 * time.Second)
 		c.Assert(guards[2].Check(2), qt.IsNil)
@@ -158,6 +158,6 @@
 			b.Fatal("Check rejected a new fingerprint, want nil")
 		}
 		g.Start(p, "s1")
-		g.End(p, "s1", yuccapoison.Answered)
+		g.End(yuccapoison.Run{Fingerprint: p, Server: "s1", Started: time.Now()}, yuccapoison.Answered)
 	}
 }
--- a/core/yuccapoison/poison.go
+++ b/core/yuccapoison/poison.go
@@ -4,7 +4,8 @@
 //
 // There are two mechanisms with the same methods. A CrashLimiter counts how
 // many servers in a row died with a request in flight, and stops the request
-// after three of them. It makes no request wait. A Guard usually stops
+// after three of them. It makes no request wait. The death of one server counts
+// once for all requests that are alike, however many of them it was running. A Guard usually stops
 // a poison request after two dead servers: each fingerprint that was in
 // flight on a server that died is a suspect, and of one dead server's
 // suspects only one runs at a time. The right to run it is called the probe,
@@ -21,14 +22,26 @@
 //	if err := guard.Check(fingerprint); err != nil {
 //		return err
 //	}
+//	run := yuccapoison.Run{Fingerprint: fingerprint, Server: server, Started: time.Now()}
 //	guard.Start(fingerprint, server)
-//	guard.End(fingerprint, server, send(request, server))
+//	guard.End(run, send(request, server))
 package yuccapoison
 
+import "time"
+
 // Fingerprint identifies requests that are alike: it is a hash of the
-// service, the method, the target and the body.
+// service, the caller's account, the method, the target and the body.
 type Fingerprint uint64
 
+// Run is one attempt of a request at a server.
+type Run struct {
+	Fingerprint Fingerprint
+	// Server is the name of the server.
+	Server string
+	// Started is when the attempt was sent.
+	Started time.Time
+}
+
 // Outcome is what the end of an attempt shows about whether the request crashed its server.
 type Outcome uint8
 
--- a/core/yuccarelay/attempt.go
+++ b/core/yuccarelay/attempt.go
@@ -38,8 +38,9 @@
 	// stopCloseOnCancel stops the context from closing the connection. It
 	// returns false if the connection is already being closed.
 	stopCloseOnCancel func() bool
-	// sent is set before the first byte of the request is sent.
-	sent bool
+	// sent is set before the first byte of the request is sent, and sentAt is when.
+	sent   bool
+	sentAt time.Time
 	// class is what the response means, once its header has been read.
 	class ResponseClass
 	// declined is set if the response says that the request did not run.
@@ -192,7 +193,7 @@
 // quarantine when the server may start to run the request and what became of it.
 func (a *attempt) send() error {
 	t := a.task
-	a.sent = true
+	a.sent, a.sentAt = true, time.Now()
 	quarantine := t.relay.opt.Quarantine
 	quarantine.Start(t.fingerprint, a.ticket.Server)
 	err := a.exchange.send(t, a.requestHeader())
@@ -213,7 +214,8 @@
 		return
 	}
 	a.judged = true
-	a.task.relay.opt.Quarantine.End(a.task.fingerprint, a.ticket.Server, a.crashOutcome(err))
+	run := yuccapoison.Run{Fingerprint: a.task.fingerprint, Server: a.ticket.Server, Started: a.sentAt}
+	a.task.relay.opt.Quarantine.End(run, a.crashOutcome(err))
 }
 
 // crashOutcome returns what the end of the attempt shows about whether the request crashed
--- a/core/yuccarelay/guard.go
+++ b/core/yuccarelay/guard.go
@@ -30,7 +30,7 @@
 	Start(p yuccapoison.Fingerprint, server string)
 	// End is called once after Start, when a response has been read to its end or the
 	// attempt has ended without that.
-	End(p yuccapoison.Fingerprint, server string, o yuccapoison.Outcome)
+	End(run yuccapoison.Run, o yuccapoison.Outcome)
 }
 
 const (
@@ -43,15 +43,16 @@
 // noQuarantine is a Quarantine that rejects nothing.
 type noQuarantine struct{}
 
-func (noQuarantine) Check(yuccapoison.Fingerprint) error                      { return nil }
-func (noQuarantine) Start(yuccapoison.Fingerprint, string)                    {}
-func (noQuarantine) End(yuccapoison.Fingerprint, string, yuccapoison.Outcome) {}
+func (noQuarantine) Check(yuccapoison.Fingerprint) error      { return nil }
+func (noQuarantine) Start(yuccapoison.Fingerprint, string)    {}
+func (noQuarantine) End(yuccapoison.Run, yuccapoison.Outcome) {}
 
-// fingerprintOf returns a hash of the service, method, target and body.
-// Requests with equal fingerprints count as the same request.
-func fingerprintOf(service string, r *fasthttp.Request, body []byte) yuccapoison.Fingerprint {
+// fingerprintOf returns a hash of the service, the caller's account, the method, target and
+// body. Requests with equal fingerprints count as the same request: those of another account
+// may do something else at the server.
+func fingerprintOf(service, account string, r *fasthttp.Request, body []byte) yuccapoison.Fingerprint {
 	d := xxhash.New()
-	for _, part := range [][]byte{[]byte(service), r.Header.Method(), r.Header.RequestURI(), body} {
+	for _, part := range [][]byte{[]byte(service), []byte(account), r.Header.Method(), r.Header.RequestURI(), body} {
 		_, _ = d.Write(part)
 		_, _ = d.Write([]byte{0})
 	}
--- a/core/yuccarelay/guard_test.go
+++ b/core/yuccarelay/guard_test.go
@@ -141,13 +141,13 @@
 	s.running++
 }
 
-func (s *fakeQuarantine) End(p yuccapoison.Fingerprint, _ string, o yuccapoison.Outcome) {
+func (s *fakeQuarantine) End(run yuccapoison.Run, o yuccapoison.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
 	s.outcomes = append(s.outcomes, o)
 	if o == yuccapoison.Broken {
-		s.deaths[p]++
+		s.deaths[run.Fingerprint]++
 	}
 }
 
@@ -215,6 +215,35 @@
 	}
 }
 
+// TestQuarantineOfOneAccountSparesOthers guards against callers who are rejected because the
+// same request of another account has crashed its servers, and against crashes that count for
+// nothing since another account's request is answered.
+func TestQuarantineOfOneAccountSparesOthers(t *testing.T) {
+	c := qt.New(t)
+	guard := &fakeQuarantine{deaths: map[yuccapoison.Fingerprint]int{}}
+	opt := yuccarelay.Options{Quarantine: guard, Router: accountRouter(nil, accountWithKey("a"), accountWithKey("b")), Protocol: accountProtocol{}}
+	closing := yuccafake.Fault{Step: yuccafake.AfterRequest, Mode: yuccafake.CloseConn}
+	fault := func(n int64) yuccafake.Fault {
+		if n > 2 {
+			return yuccafake.Fault{}
+		}
+		return closing
+	}
+	w := newFaultyServers(t, 4, opt, fault, func(string) string { return yuccafake.Echo("t") })
+	call := func(key string) int {
+		resp, err := w.call(func(r *fasthttp.Request) { r.Header.Set("Key", key) })
+		c.Assert(err, qt.IsNil)
+		return resp.StatusCode()
+	}
+	for range 4 {
+		call("a")
+	}
+	c.Assert(guard.deaths, qt.HasLen, 1)
+	c.Assert(call("a"), qt.Equals, fasthttp.StatusUnprocessableEntity)
+	c.Assert(call("b"), qt.Equals, fasthttp.StatusOK)
+	c.Assert(call("a"), qt.Equals, fasthttp.StatusUnprocessableEntity)
+}
+
 func TestRelayChecksQuarantineBeforeEachAttempt(t *testing.T) {
 	c := qt.New(t)
 	guard := &fakeQuarantine{deaths: map[yuccapoison.Fingerprint]int{}}
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -150,7 +150,7 @@
 	}
 	t.isHead = t.ctx.IsHead()
 	t.header = requestHead(h, t.body)
-	t.fingerprint = fingerprintOf(t.service, &t.ctx.Request, t.body.buffered)
+	t.fingerprint = fingerprintOf(t.service, t.accountName(), &t.ctx.Request, t.body.buffered)
 	return t.takeToken()
 }
 
