A deadline that ends the read of a body leaves the connection busy

Cause: the relay ends the read of a body with a deadline in the past, and the connection took any deadline for the wait for the next request. It counted as idle, and an idle connection whose responses have arrived does not linger.

Change: only a deadline to come means that the connection is idle.

--- a/core/yuccapipeline/conn.go
+++ b/core/yuccapipeline/conn.go
@@ -145,12 +145,13 @@
 }
 
 // SetReadDeadline implements net.Conn. The server sets a deadline only while it waits for
-// the first byte of a request behind another, when it has consumed all that it has read.
+// the first byte of a request behind another, when it has consumed all that it has read. One
+// that has passed ends the read of a body.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.watchMu.Lock()
 	defer c.watchMu.Unlock()
 	c.mu.Lock()
-	c.idle = !t.IsZero()
+	c.idle = time.Now().Before(t)
 	c.mu.Unlock()
 	return c.TCPConn.SetReadDeadline(t)
 }
