Nothing is passed on behind a download before it has ended

Cause: requests were read ahead behind any idempotent request, and a response that is passed on while it arrives may break off with its connection.

Change: a route decides between three kinds of concurrency; behind a bulk response nothing is read ahead.

--- a/core/yuccafront/listener.go
+++ b/core/yuccafront/listener.go
@@ -50,9 +50,9 @@
 	// Full reports whether an entry has no free slot of a service. Lookup responses
 	// name such entries last. Nil means that no entry is full.
 	Full func(service, entry string) bool
-	// Concurrent reports whether a request without a body may run before the requests
-	// before it on the same connection have ended. Nil means that none may.
-	Concurrent func(h *fasthttp.RequestHeader) bool
+	// Concurrency returns which requests on the same connection may run beside a request
+	// without a body. Nil means that none may.
+	Concurrency func(h *fasthttp.RequestHeader) yuccapipeline.Concurrency
 	// Name is the name of the listener in log lines; empty means its address.
 	Name string
 	// MaxConns limits the open connections, 0 for no limit.
@@ -133,7 +133,7 @@
 		ConnState:                     f.trackConn,
 		Logger:                        discardLogger{},
 	}
-	f.pipeline = yuccapipeline.New(settings.Concurrent, f.server.ServeConn)
+	f.pipeline = yuccapipeline.New(settings.Concurrency, f.server.ServeConn)
 	return f
 }
 
--- a/core/yuccafront/pipeline_test.go
+++ b/core/yuccafront/pipeline_test.go
@@ -21,6 +21,7 @@
 	"pgregory.net/rapid"
 
 	"yuccawell.example/core/yuccafront"
+	"yuccawell.example/core/yuccapipeline"
 )
 
 // TestPipelinedRequestsRunConcurrently guards against a request that waits for the one
@@ -117,6 +118,34 @@
 	}
 }
 
+// TestNothingRunsBehindBulkResponse guards against requests that are passed on behind a
+// response which may break off, and are lost with its connection (review case 8).
+func TestNothingRunsBehindBulkResponse(t *testing.T) {
+	tests := []struct {
+		name string
+		// paths are the pipelined requests, of which the first started run beside each other.
+		paths   []string
+		started int
+	}{
+		{"first", []string{"/bulk/gate1", "/a", "/b"}, 1},
+		{"read ahead", []string{"/gate1", "/bulk/x", "/a"}, 2},
+		{"behind others", []string{"/gate1", "/a", "/bulk/x", "/b"}, 3},
+		{"none", []string{"/gate1", "/a", "/b"}, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newPipelineFixture(t)
+			_, r := f.send(t, get(test.paths...))
+			waitUntil(t, "the first have started", func() bool { return f.startedCount() == test.started })
+			time.Sleep(settle)
+			c.Assert(f.startedCount(), qt.Equals, test.started)
+			f.release(test.paths[0])
+			c.Assert(readBodies(t, r, len(test.paths)), qt.DeepEquals, test.paths)
+		})
+	}
+}
+
 // TestResponseIsNotHeldBack sends a request with one behind it that takes longer, in the same
 // segment. It guards against a response that waits for the next one, and is lost if that one
 // breaks off (review case 7).
@@ -380,13 +409,13 @@
 // BenchmarkListener compares requests on one connection with and without pipelining
 // support. The CPU time includes that of the client.
 func BenchmarkListener(b *testing.B) {
-	for _, concurrent := range []func(*fasthttp.RequestHeader) bool{nil, func(h *fasthttp.RequestHeader) bool { return h.IsGet() }} {
-		b.Run(fmt.Sprintf("support=%t", concurrent != nil), func(b *testing.B) {
+	for _, concurrency := range []func(*fasthttp.RequestHeader) yuccapipeline.Concurrency{nil, concurrencyOf} {
+		b.Run(fmt.Sprintf("support=%t", concurrency != nil), func(b *testing.B) {
 			socket, err := net.Listen("tcp", "127.0.0.1:0")
 			qt.Assert(b, err, qt.IsNil)
 			addr := socket.Addr().String()
 			_ = socket.Close()
-			listener := yuccafront.NewWithHandler(yuccafront.Settings{Addr: addr, Concurrent: concurrent},
+			listener := yuccafront.NewWithHandler(yuccafront.Settings{Addr: addr, Concurrency: concurrency},
 				func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("small") }, func(*fasthttp.RequestCtx, error) {}, zerolog.Nop())
 			group := &errgroup.Group{}
 			qt.Assert(b, listener.Start(context.Background(), group), qt.IsNil)
--- a/core/yuccafront/pipelinefixture_test.go
+++ b/core/yuccafront/pipelinefixture_test.go
@@ -19,9 +19,24 @@
 	"golang.org/x/sync/errgroup"
 
 	"yuccawell.example/core/yuccafront"
+	"yuccawell.example/core/yuccapipeline"
 	"yuccawell.example/core/yuccarelay"
 )
 
+// concurrencyOf returns what may run beside a request. The responses below bulkPath are bulk.
+func concurrencyOf(h *fasthttp.RequestHeader) yuccapipeline.Concurrency {
+	switch {
+	case !h.IsGet() && !h.IsHead():
+		return yuccapipeline.Alone
+	case strings.HasPrefix(string(h.RequestURI()), bulkPath):
+		return yuccapipeline.Last
+	}
+	return yuccapipeline.Beside
+}
+
+// bulkPath is the start of the paths of bulk responses.
+const bulkPath = "/bulk"
+
 // gatedHandler is a handler that watches its caller like the relay. The path of a
 // request is its token; the response is the token, and with ?size=N a body of N bytes
 // that the token determines. A path that starts with /gate waits for release.
@@ -52,12 +67,12 @@
 	g.arrivals[token] = arrived
 	g.mu.Unlock()
 	if len(ctx.Request.Body()) == 0 {
-		stop := conn.WatchClose(ctx.IsGet() || ctx.IsHead(), func() { close(gone) })
+		stop := conn.WatchClose(concurrencyOf(&ctx.Request.Header) == yuccapipeline.Beside, func() { close(gone) })
 		defer stop()
 	}
 	wait := time.Duration(ctx.QueryArgs().GetUintOrZero("us")) * time.Microsecond
 	opened := make(chan struct{})
-	if strings.HasPrefix(token, "/gate") {
+	if strings.HasPrefix(strings.TrimPrefix(token, bulkPath), "/gate") {
 		opened = g.gate(token)
 		wait = time.Minute
 	}
@@ -155,7 +170,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	f := &pipelineFixture{gatedHandler: newGatedHandler(), addr: socket.Addr().String()}
 	_ = socket.Close()
-	settings := yuccafront.Settings{Addr: f.addr, DrainTimeout: 10 * time.Second, Concurrent: func(h *fasthttp.RequestHeader) bool { return h.IsGet() || h.IsHead() }}
+	settings := yuccafront.Settings{Addr: f.addr, DrainTimeout: 10 * time.Second, Concurrency: concurrencyOf}
 	listener := yuccafront.NewWithHandler(settings, f.serve, func(ctx *fasthttp.RequestCtx, _ error) { ctx.SetStatusCode(400) }, zerolog.Nop())
 	group := &errgroup.Group{}
 	qt.Assert(t, listener.Start(context.Background(), group), qt.IsNil)
--- a/core/yuccapipeline/conn.go
+++ b/core/yuccapipeline/conn.go
@@ -191,7 +191,11 @@
 			return
 		}
 		var h fasthttp.RequestHeader
-		if !parseHead(c.unread[:n], &h) || !c.pipeline.concurrent(&h) {
+		concurrency := Alone
+		if parseHead(c.unread[:n], &h) {
+			concurrency = c.pipeline.concurrency(&h)
+		}
+		if concurrency == Alone {
 			c.readAhead = false
 			return
 		}
@@ -201,7 +205,7 @@
 		a := newAhead(c, slices.Clone(c.unread[:n]), c.readAt)
 		c.consume(n)
 		c.aheads = append(c.aheads, a)
-		c.readAhead = !h.ConnectionClose()
+		c.readAhead = concurrency == Beside && !h.ConnectionClose()
 		c.pipeline.group.Go(a.run)
 	}
 }
--- a/core/yuccapipeline/pipeline.go
+++ b/core/yuccapipeline/pipeline.go
@@ -9,7 +9,7 @@
 // in-memory connection of its own (Ahead). The responses to these are held back until
 // all responses before them have been written.
 //
-//	p := yuccapipeline.New(relay.Concurrent, func(c net.Conn) error { return server.ServeConn(c) })
+//	p := yuccapipeline.New(relay.Concurrency, func(c net.Conn) error { return server.ServeConn(c) })
 //	server.ConnState = p.SetState
 //	server.Serve(p.Listener(socket))
 //
@@ -51,11 +51,25 @@
 	maxHeadBytes = 20 << 10
 )
 
+// Concurrency says which requests of a connection may run beside a request without a body.
+type Concurrency uint8
+
+const (
+	// Alone means that the request runs when all requests before it have been answered, and
+	// those behind it run when it has been.
+	Alone Concurrency = iota
+	// Last means that the request may run beside those before it. Those behind it wait: they
+	// would be lost if its response broke off, which ends the connection.
+	Last
+	// Beside means that it may run beside those before and behind it.
+	Beside
+)
+
 // Pipeline handles the pipelined requests of all connections of a server. Create one
 // with New.
 type Pipeline struct {
-	concurrent func(*fasthttp.RequestHeader) bool
-	serve      func(net.Conn) error
+	concurrency func(*fasthttp.RequestHeader) Concurrency
+	serve       func(net.Conn) error
 	// running is the number of requests that were read ahead and have not ended.
 	running atomic.Int64
 	// waiting is the number of response bytes that wait for their turn.
@@ -67,15 +81,14 @@
 	closer *yuccalinger.Closer
 }
 
-// New returns a Pipeline. The function concurrent reports whether a request may run
-// while requests before it are in progress; requests with a body are never asked for.
-// If it is nil, none may. The function serve serves all requests of a connection and closes
-// it.
-func New(concurrent func(*fasthttp.RequestHeader) bool, serve func(net.Conn) error) *Pipeline {
-	if concurrent == nil {
-		concurrent = func(*fasthttp.RequestHeader) bool { return false }
+// New returns a Pipeline. The function concurrency returns what may run beside a request;
+// requests with a body are never asked for. If it is nil, all run alone. The function serve
+// serves all requests of a connection and closes it.
+func New(concurrency func(*fasthttp.RequestHeader) Concurrency, serve func(net.Conn) error) *Pipeline {
+	if concurrency == nil {
+		concurrency = func(*fasthttp.RequestHeader) Concurrency { return Alone }
 	}
-	return &Pipeline{concurrent: concurrent, serve: serve, closer: yuccalinger.New()}
+	return &Pipeline{concurrency: concurrency, serve: serve, closer: yuccalinger.New()}
 }
 
 // Listener returns a listener whose connections are of type *Conn if those of l are
--- a/core/yuccapipeline/pipeline_test.go
+++ b/core/yuccapipeline/pipeline_test.go
@@ -41,7 +41,7 @@
 			var started atomic.Int64
 			gate := make(chan struct{})
 			server := &fasthttp.Server{IdleTimeout: time.Minute}
-			p := New(func(*fasthttp.RequestHeader) bool { return true }, server.ServeConn)
+			p := New(func(*fasthttp.RequestHeader) Concurrency { return Beside }, server.ServeConn)
 			server.ConnState = p.SetState
 			server.Handler = func(ctx *fasthttp.RequestCtx) {
 				p.Begin(ctx)
--- a/core/yuccarelay/relay.go
+++ b/core/yuccarelay/relay.go
@@ -30,6 +30,7 @@
 
 	"yuccawell.example/core/yuccaadmission"
 	"yuccawell.example/core/yuccaerror"
+	"yuccawell.example/core/yuccapipeline"
 	"yuccawell.example/core/yuccaretry"
 	"yuccawell.example/core/yuccaroute"
 	"yuccawell.example/core/yuccasync"
@@ -297,10 +298,22 @@
 	}
 }
 
-// Concurrent reports whether a request without a body may run while other requests of
-// its caller are in progress, which its route decides.
-func (r *Relay) Concurrent(h *fasthttp.RequestHeader) bool {
-	return r.opt.Router.Idempotent(h)
+// Concurrency returns what may run beside a request without a body, which its route decides.
+func (r *Relay) Concurrency(h *fasthttp.RequestHeader) yuccapipeline.Concurrency {
+	return concurrencyOf(r.opt.Router.Peek(h))
+}
+
+// concurrencyOf returns what may run beside the requests of a route, nil for none. A bulk
+// response takes long and is passed on while it arrives, so that it may break off. Others are
+// held until they are complete, up to Options.MaxBufferedBytes.
+func concurrencyOf(route *yuccaroute.Route) yuccapipeline.Concurrency {
+	switch {
+	case route == nil || !route.Idempotent:
+		return yuccapipeline.Alone
+	case route.Bulk:
+		return yuccapipeline.Last
+	}
+	return yuccapipeline.Beside
 }
 
 // SetRetryLimits replaces the limits of retries, hedged requests and resumed
--- a/core/yuccarelay/router.go
+++ b/core/yuccarelay/router.go
@@ -17,9 +17,8 @@
 	// kind Unready before any rules are known, and of kind UnknownService if no route
 	// matches.
 	Route(h *fasthttp.RequestHeader) (Match, error)
-	// Idempotent reports whether a request has a route that allows it to run more than
-	// once. It counts no request.
-	Idempotent(h *fasthttp.RequestHeader) bool
+	// Peek returns the route of a request, nil if there is none. It counts no request.
+	Peek(h *fasthttp.RequestHeader) *yuccaroute.Route
 }
 
 // Match is the route of a request. All fields come from one version of the config.
@@ -50,8 +49,10 @@
 	return Match{Route: &yuccaroute.Route{Idempotent: isIdempotent(h)}, Service: service.Name}, nil
 }
 
-// Idempotent implements Router.
-func (b hostRouter) Idempotent(h *fasthttp.RequestHeader) bool { return isIdempotent(h) }
+// Peek implements Router.
+func (b hostRouter) Peek(h *fasthttp.RequestHeader) *yuccaroute.Route {
+	return &yuccaroute.Route{Idempotent: isIdempotent(h)}
+}
 
 // NewTableRouter returns a Router that uses a table of routes. The function
 // tables returns the table in force, nil before any is known.
@@ -74,14 +75,14 @@
 	return Match{Route: route, Service: service, Accounts: table.Accounts()}, nil
 }
 
-// Idempotent implements Router.
-func (b tableRouter) Idempotent(h *fasthttp.RequestHeader) bool {
+// Peek implements Router.
+func (b tableRouter) Peek(h *fasthttp.RequestHeader) *yuccaroute.Route {
 	table := b.tables()
 	if table == nil {
-		return false
+		return nil
 	}
-	route, ok := table.Peek(hostAndPath(h))
-	return ok && route.Idempotent
+	route, _ := table.Peek(hostAndPath(h))
+	return route
 }
 
 // hostAndPath returns the host and the path that a request's route depends on.
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -15,6 +15,7 @@
 	"yuccawell.example/core/yuccahead"
 	"yuccawell.example/core/yuccaidempotency"
 	"yuccawell.example/core/yuccalifecycle"
+	"yuccawell.example/core/yuccapipeline"
 	"yuccawell.example/core/yuccapoison"
 	"yuccawell.example/core/yuccaretry"
 	"yuccawell.example/core/yuccaroute"
@@ -247,11 +248,11 @@
 }
 
 // watchCaller starts to watch the caller's connection, unless the request body
-// is still being read from it. Requests behind one that is not idempotent or has a body
-// must not start before it has ended.
+// is still being read from it. Requests behind one that is not idempotent, is bulk or has a
+// body must not start before it has ended.
 func (t *task) watchCaller() {
 	if t.stopCallerWatch == nil && t.body.inMemory() {
-		concurrent := t.idempotent && t.body.isEmpty()
+		concurrent := t.body.isEmpty() && concurrencyOf(t.route) == yuccapipeline.Beside
 		t.stopCallerWatch = watchClose(t.ctx.Conn(), concurrent, t.onCallerClose)
 	}
 }
--- a/core/yuccarelay/watch_test.go
+++ b/core/yuccarelay/watch_test.go
@@ -27,7 +27,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	addr := socket.Addr().String()
 	_ = socket.Close()
-	listener := yuccafront.NewWithHandler(yuccafront.Settings{Addr: addr, Concurrent: w.relay.Concurrent}, w.relay.Serve, func(*fasthttp.RequestCtx, error) {}, zerolog.Nop())
+	listener := yuccafront.NewWithHandler(yuccafront.Settings{Addr: addr, Concurrency: w.relay.Concurrency}, w.relay.Serve, func(*fasthttp.RequestCtx, error) {}, zerolog.Nop())
 	group := &errgroup.Group{}
 	qt.Assert(t, listener.Start(context.Background(), group), qt.IsNil)
 	t.Cleanup(func() {
--- a/entry/run.go
+++ b/entry/run.go
@@ -76,11 +76,11 @@
 	})
 	defer relay.Close()
 	listener := yuccafront.New(yuccafront.Settings{
-		Addr:       cfg.Addr,
-		LookupTTL:  time.Duration(cfg.LookupTTL),
-		DrainDelay: time.Duration(cfg.DrainTime),
-		Full:       picker.HasQueued,
-		Concurrent: relay.Concurrent,
+		Addr:        cfg.Addr,
+		LookupTTL:   time.Duration(cfg.LookupTTL),
+		DrainDelay:  time.Duration(cfg.DrainTime),
+		Full:        picker.HasQueued,
+		Concurrency: relay.Concurrency,
 	}, syncer, relay.Serve, log)
 
 	pages := map[string]yuccaadmin.Page{
