No server gets the end of a large body too late to answer in a stop

Cause: whether a request is taken in a stop, and until when its server has to answer, is decided when the start of its body has been read.

Change: the last bytes of a body that is passed on while it arrives, or the end of its chunks, go to the server only if it can answer before the end; it has to answer by then.

--- a/core/yuccafront/listener.go
+++ b/core/yuccafront/listener.go
@@ -47,6 +47,9 @@
 	// DrainTimeout bounds the wait for the requests in flight after DrainDelay.
 	// Zero means no bound.
 	DrainTimeout time.Duration
+	// ReceiveTimeout is how long after DrainTimeout clients may take to receive the last
+	// responses.
+	ReceiveTimeout time.Duration
 	// Full reports whether an entry has no free slot of a service. Lookup responses
 	// name such entries last. Nil means that no entry is full.
 	Full func(service, entry string) bool
@@ -70,10 +73,8 @@
 	maxBodyBytes = 1 << 50
 	// idleTimeout is how long a connection may stay idle between two requests.
 	idleTimeout = 2 * time.Minute
-	// lastReceiveTime is how long clients may take after DrainTimeout to receive the last
-	// responses.
-	lastReceiveTime = 200 * time.Millisecond
-	// maxReceiveTime is how long they may take if there is no DrainTimeout.
+	// maxReceiveTime is how long clients may take to receive the last responses if there is no
+	// DrainTimeout.
 	maxReceiveTime = 5 * time.Second
 	// newConnGrace is how long a connection that was accepted last has for its first
 	// request when the listener stops. It covers a packet that is sent again, which takes
@@ -171,10 +172,11 @@
 	if err := f.server.ShutdownWithContext(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
+	received := drained.Add(f.settings.ReceiveTimeout)
 	if f.settings.DrainTimeout == 0 {
-		drained = time.Now().Add(maxReceiveTime)
+		received = time.Now().Add(maxReceiveTime)
 	}
-	f.pipeline.Wait(drained.Add(lastReceiveTime))
+	f.pipeline.Wait(received)
 	return nil
 }
 
--- a/core/yuccarelay/body.go
+++ b/core/yuccarelay/body.go
@@ -19,7 +19,7 @@
 	// buffered is the start of the body, or all of it.
 	buffered []byte
 	// rest reads what follows buffered, nil if nothing does.
-	rest io.Reader
+	rest *endingBody
 	// length is the content length as fasthttp reports it.
 	length int
 	// started is set when reading the body has started.
@@ -52,7 +52,7 @@
 	}
 	s.buffered = head
 	if len(head) > maxBufferedBodyBytes {
-		s.rest = stream
+		s.rest = &endingBody{Reader: stream, left: max(s.length-len(head), chunkedLength)}
 	}
 	return s, nil
 }
@@ -61,7 +61,7 @@
 // read once only.
 func (s *requestBody) reader() io.Reader {
 	s.started = true
-	return io.MultiReader(bytes.NewReader(s.buffered), &callerReader{s.rest})
+	return io.MultiReader(bytes.NewReader(s.buffered), callerReader{s.rest})
 }
 
 func (s *requestBody) inMemory() bool { return s.rest == nil }
@@ -73,12 +73,12 @@
 
 // callerReader replaces errors of reading from the caller by errCallerBody, to
 // distinguish them from errors of the server.
-type callerReader struct{ io.Reader }
+type callerReader struct{ *endingBody }
 
 // Read implements io.Reader.
-func (b *callerReader) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
-	if err != nil && err != io.EOF {
+func (b callerReader) Read(p []byte) (int, error) {
+	n, err := b.endingBody.Read(p)
+	if err != nil && err != io.EOF && err != errBodyTooLate {
 		err = errCallerBody
 	}
 	return n, err
--- a/core/yuccarelay/exchange.go
+++ b/core/yuccarelay/exchange.go
@@ -81,6 +81,9 @@
 	readTimeout time.Duration
 	// deadline is when the caller stops waiting; the zero time means never.
 	deadline time.Time
+	// answerBy is when the server must have answered since the entry exits, nil if it does
+	// not. It is set when a body ends that is not kept in memory.
+	answerBy atomic.Pointer[time.Time]
 	// unusedUntil is when a body that the caller does not get must have ended; the zero
 	// time means that the caller gets it.
 	unusedUntil time.Time
@@ -174,6 +177,9 @@
 		if writing {
 			end = x.readDeadline()
 		}
+		if by := x.answerBy.Load(); by != nil && by.Before(end) {
+			end = *by
+		}
 		next := time.Now().Add(wait)
 		if !next.Before(end) {
 			break
@@ -259,6 +265,9 @@
 			end = limit
 		}
 	}
+	if by := x.answerBy.Load(); by != nil && by.Before(end) {
+		end = *by
+	}
 	return end
 }
 
--- a/core/yuccarelay/stop.go
+++ b/core/yuccarelay/stop.go
@@ -26,6 +26,11 @@
 // not idle, such as the rest of a request of which the entry has read a part.
 func (r *Relay) StopAt(lastRequest, end time.Time) { r.stop.Store(&stop{lastRequest, end}) }
 
+// tooLate reports whether a request that is complete now could be answered only after the end.
+func (s *stop) tooLate(now, deadline time.Time) bool {
+	return !now.Before(s.lastRequest) && (deadline.IsZero() || s.end.Before(deadline))
+}
+
 // limitToStop bounds the deadline to the end of a stop. It is called when the body has
 // been read, which may take long. The error is of kind Leaving.
 func (t *task) limitToStop(now time.Time) error {
@@ -33,7 +38,7 @@
 	if s == nil {
 		return nil
 	}
-	if !now.Before(s.lastRequest) && (t.deadline.IsZero() || s.end.Before(t.deadline)) {
+	if s.tooLate(now, t.deadline) {
 		return yuccaerror.NewRetryAfter(leavingRetryDelay, yuccaerror.Leaving, "entry exits before the deadline of the request")
 	}
 	t.limitDeadline(s.end)
--- a/core/yuccarelay/task.go
+++ b/core/yuccarelay/task.go
@@ -40,8 +40,10 @@
 	// deadline is the earliest of the caller's deadline, the end of the route's timeout
 	// and the end of the entry; the zero time means never.
 	deadline time.Time
-	service  string
-	route    *yuccaroute.Route
+	// ownDeadline is the deadline without the end of the entry.
+	ownDeadline time.Time
+	service     string
+	route       *yuccaroute.Route
 	// accounts are the client accounts of the route's version, nil if there are none.
 	accounts *yuccaaccount.Directory
 	// account is the caller's account, nil if it has none.
@@ -142,6 +144,7 @@
 	if t.body, err = newRequestBody(t.ctx); err != nil {
 		return err
 	}
+	t.ownDeadline = t.deadline
 	if err = t.limitToStop(time.Now()); err != nil {
 		return err
 	}
--- a/core/yuccarelay/upload.go
+++ b/core/yuccarelay/upload.go
@@ -30,6 +30,15 @@
 // of the body is then not written, and the response goes to the caller.
 func (x *exchange) sendLong(t *task, h *fasthttp.RequestHeader) error {
 	x.writing.Store(true)
+	if !t.body.inMemory() {
+		t.body.rest.onEnd = func() error {
+			answerBy, err := t.checkEnd(time.Now())
+			if !answerBy.IsZero() {
+				x.answerBy.Store(&answerBy)
+			}
+			return err
+		}
+	}
 	written := make(chan struct{})
 	group := &errgroup.Group{}
 	group.Go(func() (err error) {
@@ -37,7 +46,7 @@
 		defer x.writing.Store(false)
 		defer yuccaerror.Recover(&err)
 		err = x.writeRequest(t, h)
-		if errors.Is(err, errCallerBody) && !x.conn.writeStopped.Load() {
+		if (errors.Is(err, errCallerBody) || errors.Is(err, errBodyTooLate)) && !x.conn.writeStopped.Load() {
 			// Nothing can come of it: end the wait for the response.
 			_ = x.conn.Close()
 		}
@@ -51,6 +60,9 @@
 	if err != nil && errors.Is(writeErr, errCallerBody) && !t.body.interrupted {
 		return errCallerBody
 	}
+	if err != nil && errors.Is(writeErr, errBodyTooLate) {
+		return errBodyTooLate
+	}
 	return err
 }
 
