Test servers of stalled downloads stay until their response is read

Cause: the server of these tests is one end of a net.Pipe and closed it once it had written its response. SetReadDeadline then fails on the other end with io.ErrClosedPipe, although the response is in the relay's buffer; the relay took the server for broken and asked another one, later. A TCP connection takes a deadline after its peer has closed, so that the product does not have the fault.

Change: the server waits for the other end before it closes. The checks are the same.

--- a/core/yuccarelay/stall_test.go
+++ b/core/yuccarelay/stall_test.go
@@ -63,6 +63,9 @@
 		rest, size := stalledBody[p.offset:], len(stalledBody)
 		_, err := fmt.Fprintf(far, "HTTP/1.1 206 Partial Content\r\nETag: \"a\"\r\nContent-Range: bytes %d-%d/%d\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
 			p.offset, size-1, size, len(rest), rest)
+		// Unlike a TCP connection, a pipe takes no deadline once its other end is closed, even if
+		// bytes are still to be read.
+		_, _ = io.Copy(io.Discard, far)
 		return err
 	})
 	return near, nil
