--- a/core/yuccarelay/protocol_test.go
+++ b/core/yuccarelay/protocol_test.go
@@ -35,9 +35,8 @@
 	return yuccaadmission.Report{}
 }
 
-// serveResponses starts a server that responds to each request with the output
-// of write.
-func serveResponses(t *testing.T, write func(w *bufio.Writer, label string)) backend {
+// serveConns starts a server that passes each connection to handle and closes it then.
+func serveConns(t *testing.T, handle func(*net.TCPConn)) backend {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	group := &errgroup.Group{}
@@ -49,17 +48,8 @@
 			}
 			group.Go(func() error {
 				defer func() { _ = c.Close() }()
-				r, w := bufio.NewReader(c), bufio.NewWriter(c)
-				for {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return nil
-					}
-					write(w, req.Header.Get("Label"))
-					if w.Flush() != nil {
-						return nil
-					}
-				}
+				handle(c.(*net.TCPConn))
+				return nil
 			})
 		}
 	})
@@ -67,6 +57,24 @@
 	return backend{l.Addr().String(), 4}
 }
 
+// serveResponses starts a server that responds to each request with the output
+// of write.
+func serveResponses(t *testing.T, write func(w *bufio.Writer, label string)) backend {
+	return serveConns(t, func(c *net.TCPConn) {
+		r, w := bufio.NewReader(c), bufio.NewWriter(c)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			write(w, req.Header.Get("Label"))
+			if w.Flush() != nil {
+				return
+			}
+		}
+	})
+}
+
 // TestHoldOffIsRead reads the time for which a server wants no requests.
 func TestHoldOffIsRead(t *testing.T) {
 	tests := []struct {
--- a/core/yuccarelay/resetupload_test.go
+++ b/core/yuccarelay/resetupload_test.go
@@ -18,31 +18,13 @@
 // serveUploads starts a server that responds to each request before it has read its body, and
 // then ends the connection with end.
 func serveUploads(t *testing.T, response string, end func(*net.TCPConn)) backend {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	group := &errgroup.Group{}
-	group.Go(func() error {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return nil
-			}
-			group.Go(func() error {
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return nil
-				}
-				_, _ = io.WriteString(c, response)
-				end(c.(*net.TCPConn))
-				return nil
-			})
+	return serveConns(t, func(c *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
 		}
+		_, _ = io.WriteString(c, response)
+		end(c)
 	})
-	t.Cleanup(func() {
-		_ = l.Close()
-		_ = group.Wait()
-	})
-	return backend{l.Addr().String(), 4}
 }
 
 // TestResetResponseToUploadIsCut has a server respond at once to a long upload, without a
