--- a/core/yuccafront/listener.go
+++ b/core/yuccafront/listener.go
@@ -92,9 +92,11 @@
 	pipeline *yuccapipeline.Pipeline
 	socket   *drainableSocket
 	// conns limits the number of connections.
-	conns   *connLimiter
-	leaving atomic.Bool
-	done    chan struct{}
+	conns *connLimiter
+	// listening is set once connections are accepted.
+	listening atomic.Bool
+	leaving   atomic.Bool
+	done      chan struct{}
 
 	// mu guards newConns.
 	mu sync.Mutex
@@ -147,6 +149,7 @@
 	}
 	f.log.Info().Str("addr", socket.Addr().String()).Msg("listening")
 	f.socket = socket
+	f.listening.Store(true)
 	l := f.pipeline.Listener(yuccasocket.NewListener(socket, socket.Addr().String(), f.log))
 	group.Go(func() error { return f.server.Serve(l) })
 	return nil
@@ -216,6 +219,9 @@
 // Done implements yuccakernel.Service.
 func (f *Listener) Done() <-chan struct{} { return f.done }
 
+// Listening reports whether the listener has begun to accept connections.
+func (f *Listener) Listening() bool { return f.listening.Load() }
+
 // Leaving reports whether Stop has been called.
 func (f *Listener) Leaving() bool { return f.leaving.Load() }
 
--- a/core/yuccafront/listener_test.go
+++ b/core/yuccafront/listener_test.go
@@ -108,6 +108,29 @@
 	c.Assert(group.Wait(), qt.IsNil)
 }
 
+// TestListeningOnlyWhenConnectionsAreAccepted guards against an entry that says it is ready
+// while connections to it are refused.
+func TestListeningOnlyWhenConnectionsAreAccepted(t *testing.T) {
+	c := qt.New(t)
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	addr := socket.Addr().String()
+	settings := yuccafront.Settings{Addr: addr, DrainTimeout: time.Second}
+	f := yuccafront.NewWithHandler(settings, func(*fasthttp.RequestCtx) {}, nil, zerolog.Nop())
+	c.Assert(f.Listening(), qt.IsFalse)
+	group := &errgroup.Group{}
+	c.Assert(f.Start(t.Context(), group), qt.IsNotNil, qt.Commentf("the address is in use"))
+	c.Assert(f.Listening(), qt.IsFalse)
+	c.Assert(socket.Close(), qt.IsNil)
+	c.Assert(f.Start(t.Context(), group), qt.IsNil)
+	c.Assert(f.Listening(), qt.IsTrue)
+	conn, err := net.Dial("tcp", addr)
+	c.Assert(err, qt.IsNil)
+	c.Assert(conn.Close(), qt.IsNil)
+	c.Assert(f.Stop(t.Context()), qt.IsNil)
+	c.Assert(group.Wait(), qt.IsNil)
+}
+
 // TestStopClosesUnusedConnections has a client open a connection and send nothing, as
 // clients do that dial ahead. The listener stops nevertheless, long before its timeout.
 func TestStopClosesUnusedConnections(t *testing.T) {
