--- a/review/rig-4/pipeline.go
+++ b/review/rig-4/pipeline.go
@@ -73,8 +73,7 @@
 		w.group.Go(func() {
 			defer func() { done <- struct{}{} }()
 			for ctx.Err() == nil {
-				w.pipeline(w.entries[n%len(w.entries)], lost, cut)
-				time.Sleep(20 * time.Millisecond)
+				w.keepConnection(ctx, w.entries[n%len(w.entries)], lost, cut)
 			}
 		})
 	}
@@ -105,16 +104,25 @@
 	return held
 }
 
-// pipeline sends requests ahead on one connection, and reads the answers in their order. It
-// passes on the id of the request whose answer was broken off, and those of the requests
-// behind it that got none.
-func (w *world) pipeline(e *entry, lost, cut chan<- string) {
+// keepConnection sends one batch of requests after the other on a connection, until that ends.
+func (w *world) keepConnection(ctx context.Context, e *entry, lost, cut chan<- string) {
 	c, err := net.DialTimeout("tcp", e.front, time.Second)
 	if err != nil {
 		w.recorder.note("no connection to %s: %v", e.name, err)
+		time.Sleep(pageTime)
 		return
 	}
 	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for ctx.Err() == nil && w.pipeline(c, r, e, lost, cut) {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// pipeline sends a batch of requests ahead, and reads the answers in their order. It passes on
+// the id of the request whose answer was broken off, and those of the requests behind it that
+// got none, and then reports false.
+func (w *world) pipeline(c net.Conn, r *bufio.Reader, e *entry, lost, cut chan<- string) bool {
 	_ = c.SetDeadline(time.Now().Add(clientLimit))
 	var ids []string
 	var text strings.Builder
@@ -125,9 +133,8 @@
 	}
 	w.recorder.note("a client sends %s ahead to %s", strings.Join(ids, ", "), e.name)
 	if _, err := io.WriteString(c, text.String()); err != nil {
-		return
+		return false
 	}
-	r := bufio.NewReader(c)
 	for n, id := range ids {
 		status, err := readAnswer(r, id)
 		w.recorder.note("%s is answered %d, error %v", id, status, err)
@@ -141,8 +148,9 @@
 		for _, behind := range ids[n:] {
 			lost <- behind
 		}
-		return
+		return false
 	}
+	return true
 }
 
 // readAnswer reads one answer. The status is 0 if there is none.
