--- a/review/rig-4/server.go
+++ b/review/rig-4/server.go
@@ -32,6 +32,8 @@
 	bytes int
 	// cutAt is after how many bytes the server breaks off the answer, 0 for never.
 	cutAt int
+	// crashAt is after how many bytes of the answer the server crashes, if crash is set.
+	crashAt int
 }
 
 // server is a backend server that follows the pages: it runs up to slots requests at a time,
@@ -191,7 +193,7 @@
 	defer func() { s.running.Add(-1); <-slot }()
 	todo := s.work(r, body)
 	s.world.recorder.ran(run{attempt: attempt, server: id, path: r.URL.RequestURI(), at: time.Now(), crash: todo.crash})
-	if todo.crash {
+	if todo.crash && todo.crashAt == 0 {
 		s.crash()
 		return
 	}
@@ -212,6 +214,13 @@
 	w.Header().Set(wire.Load, s.load())
 	text := answerOf(attempt, todo.bytes)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if todo.crash {
+		_, _ = io.WriteString(w, text[:todo.crashAt])
+		_ = http.NewResponseController(w).Flush()
+		s.world.recorder.ended(attempt, id, "the server crashes")
+		s.crash()
+		return
+	}
 	if todo.cutAt == 0 {
 		s.world.recorder.ended(attempt, id, "done")
 		_, _ = io.WriteString(w, text)
